--- /dev/null
+++ b/src/knapweedwharf/adapters/__init__.py
@@ -0,0 +1,1 @@
+"""Outside systems behind registries: store, VM list, workers."""
--- /dev/null
+++ b/src/knapweedwharf/adapters/etcd.py
@@ -0,0 +1,248 @@
+"""Store adapter for the etcd v3 JSON gateway protocol.
+
+Each call is one POST with base64 keys and values; see the published
+API reference of etcd v3 for the documents.
+"""
+
+from __future__ import annotations
+
+import base64
+import json
+import math
+import typing
+
+from returns import result
+
+from knapweedwharf.adapters import store
+from knapweedwharf.adapters import transport
+from knapweedwharf import errors
+from knapweedwharf import settings as settings_module
+
+_MAX_ANSWER_BYTES = 16 * 1024 * 1024
+_WATCH_LIFETIME_S = 3600.0
+
+
+@store.STORES.register("etcd-json")
+def create(settings: settings_module.Settings) -> EtcdStore:
+    """Build the adapter from the node's settings."""
+    return EtcdStore(
+        base_url=settings.platform_url, timeout_s=settings.store_timeout_s
+    )
+
+
+class EtcdStore:
+    """Client of the JSON gateway; see :class:`store.Store`."""
+
+    def __init__(self, *, base_url: str, timeout_s: float) -> None:
+        self._base_url = base_url.rstrip("/")
+        self._timeout_s = timeout_s
+        self._transport = transport.HttpTransport(
+            max_body_bytes=_MAX_ANSWER_BYTES
+        )
+
+    def close(self) -> None:
+        """Close connections."""
+        self._transport.close()
+
+    async def get(
+        self, key: str
+    ) -> result.Result[store.Entry | None, errors.Fault]:
+        """Read one key; None when absent."""
+        answer = await self._call("/v3/kv/range", {"key": _encode(key)})
+        return answer.map(_first_entry)
+
+    async def list(
+        self, prefix: str
+    ) -> result.Result[store.Page, errors.Fault]:
+        """Read every key under a prefix, in key order."""
+        answer = await self._call("/v3/kv/range", _range_of(prefix))
+        return answer.map(_page)
+
+    async def write(
+        self,
+        key: str,
+        value: bytes,
+        *,
+        expected_version: int,
+        lease_id: int = 0,
+    ) -> result.Result[store.Entry, errors.Fault]:
+        """Write if the key's version is the expected one."""
+        put = {"key": _encode(key), "value": _encode_bytes(value)}
+        if lease_id:
+            put["lease"] = str(lease_id)
+        answer = await self._transact(
+            key, expected_version, {"requestPut": put}
+        )
+        return answer.map(
+            lambda version: store.Entry(key=key, value=value, version=version)
+        )
+
+    async def delete(
+        self, key: str, *, expected_version: int
+    ) -> result.Result[None, errors.Fault]:
+        """Delete if the key's version is the expected one."""
+        request = {"requestDeleteRange": {"key": _encode(key)}}
+        answer = await self._transact(key, expected_version, request)
+        return answer.map(lambda _version: None)
+
+    async def _transact(
+        self, key: str, expected_version: int, request: dict
+    ) -> result.Result[int, errors.Fault]:
+        document = {
+            "compare": [
+                {
+                    "key": _encode(key),
+                    "target": "MOD",
+                    "result": "EQUAL",
+                    "modRevision": str(expected_version),
+                }
+            ],
+            "success": [request],
+        }
+        answer = await self._call("/v3/kv/txn", document)
+        return answer.bind(lambda reply: _require_success(reply, key))
+
+    async def grant(self, ttl_s: float) -> result.Result[int, errors.Fault]:
+        """Grant a lease and return its id; whole seconds, rounded up."""
+        document = {"TTL": str(math.ceil(ttl_s))}
+        answer = await self._call("/v3/lease/grant", document)
+        return answer.map(lambda reply: int(reply["ID"]))
+
+    async def keep_alive(
+        self, lease_id: int
+    ) -> result.Result[None, errors.Fault]:
+        """Renew a lease; ``Fenced`` when it has lapsed."""
+        document = {"ID": str(lease_id)}
+        answer = await self._call("/v3/lease/keepalive", document)
+        return answer.bind(_require_lease)
+
+    async def revoke(self, lease_id: int) -> result.Result[None, errors.Fault]:
+        """End a lease and delete its keys."""
+        document = {"ID": str(lease_id)}
+        answer = await self._call("/v3/lease/revoke", document)
+        return answer.map(lambda _reply: None)
+
+    async def watch(
+        self,
+        prefix: str,
+        *,
+        after_version: int,
+        callback: store.WatchCallback,
+    ) -> errors.Fault:
+        """Report changes until the stream breaks; return why it did."""
+        document = {
+            "create_request": {
+                **_range_of(prefix),
+                "start_revision": str(after_version + 1),
+            }
+        }
+        reader = _WatchReader(callback)
+        outcome = await self._transport.exchange(
+            method="POST",
+            url=self._base_url + "/v3/watch",
+            body=json.dumps(document).encode(),
+            timeout_s=_WATCH_LIFETIME_S,
+            on_chunk=reader.feed,
+        )
+        if isinstance(outcome, result.Failure):
+            return outcome.failure()
+        return errors.Unreachable(
+            message="The store ended the watch.",
+            remedy="Read the keys again and watch from there.",
+        )
+
+    async def _call(
+        self, path: str, document: dict
+    ) -> result.Result[typing.Any, errors.Fault]:
+        return await self._transport.post_json(
+            self._base_url + path, document, timeout_s=self._timeout_s
+        )
+
+
+class _WatchReader:
+    """Cuts the streamed answer into lines and reports each."""
+
+    def __init__(self, callback: store.WatchCallback) -> None:
+        self._callback = callback
+        self._buffer = b""
+
+    def feed(self, chunk: bytes) -> None:
+        """Take the next bytes of the stream."""
+        self._buffer += chunk
+        *lines, self._buffer = self._buffer.split(b"\n")
+        for line in lines:
+            if line.strip():
+                self._report(json.loads(line)["result"])
+
+    def _report(self, answer: dict) -> None:
+        changed = []
+        deleted = []
+        for event in answer.get("events", []):
+            if event.get("type") == "DELETE":
+                deleted.append(_decode(event["kv"]["key"]).decode())
+            else:
+                changed.append(_entry(event["kv"]))
+        version = int(answer["header"]["revision"])
+        self._callback(changed, deleted, version)
+
+
+def _encode(key: str) -> str:
+    return _encode_bytes(key.encode())
+
+
+def _encode_bytes(value: bytes) -> str:
+    return base64.b64encode(value).decode()
+
+
+def _decode(value: str) -> bytes:
+    return base64.b64decode(value)
+
+
+def _range_of(prefix: str) -> dict[str, str]:
+    start = prefix.encode()
+    end = start[:-1] + bytes([start[-1] + 1])
+    return {"key": _encode_bytes(start), "range_end": _encode_bytes(end)}
+
+
+def _entry(document: dict) -> store.Entry:
+    return store.Entry(
+        key=_decode(document["key"]).decode(),
+        value=_decode(document.get("value", "")),
+        version=int(document["mod_revision"]),
+    )
+
+
+def _page(answer: dict) -> store.Page:
+    return store.Page(
+        entries=[_entry(document) for document in answer.get("kvs", [])],
+        version=int(answer["header"]["revision"]),
+    )
+
+
+def _first_entry(answer: dict) -> store.Entry | None:
+    entries = _page(answer).entries
+    return entries[0] if entries else None
+
+
+def _require_success(
+    answer: dict, key: str
+) -> result.Result[int, errors.Fault]:
+    if answer.get("succeeded"):
+        return result.Success(int(answer["header"]["revision"]))
+    return result.Failure(
+        errors.Conflict(
+            message=f"{key} has changed since it was read.",
+            remedy="Read it again and repeat the change on top.",
+        )
+    )
+
+
+def _require_lease(answer: dict) -> result.Result[None, errors.Fault]:
+    if int(answer.get("result", answer).get("TTL", 0)) > 0:
+        return result.Success(None)
+    return result.Failure(
+        errors.Fenced(
+            message="The lease has lapsed.",
+            remedy="Take a new lease before acting again.",
+        )
+    )
--- /dev/null
+++ b/src/knapweedwharf/charts/__init__.py
@@ -0,0 +1,1 @@
+"""State charts in YAML files and the code that interprets them."""
--- /dev/null
+++ b/src/knapweedwharf/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Command line: one module for each group of commands."""
--- /dev/null
+++ b/src/knapweedwharf/cli/main.py
@@ -0,0 +1,33 @@
+"""The command line: entry point and exit codes."""
+
+from __future__ import annotations
+
+import click
+
+from knapweedwharf.cli import audit
+from knapweedwharf.cli import config
+from knapweedwharf.cli import job
+from knapweedwharf.cli import serve
+from knapweedwharf.cli import status
+
+
+@click.group()
+@click.version_option(package_name=None, version="0.1.0")
+def cli() -> None:
+    """Schedule multi-accelerator jobs under guarantees per account.
+
+    Exit codes: 0 done, 1 refused, 2 wrong usage, 3 not reachable,
+    4 outcome unknown.
+    """
+
+
+cli.add_command(serve.serve)
+cli.add_command(config.config)
+cli.add_command(job.job)
+cli.add_command(status.status)
+cli.add_command(audit.audit)
+
+
+def run() -> None:
+    """Run the command line."""
+    cli(prog_name="knapweedwharf")
--- /dev/null
+++ b/src/knapweedwharf/cli/serve.py
@@ -0,0 +1,47 @@
+"""``knapweedwharf serve``: run one entry VM's process."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import abc
+import dataclasses
+import typing
+
+import click
+from returns import result
+
+from knapweedwharf.cli import output
+from knapweedwharf import log
+from knapweedwharf import node as node_module
+from knapweedwharf import settings as settings_module
+
+
+def _with_settings_options(command: abc.Callable) -> abc.Callable:
+    for field in reversed(dataclasses.fields(settings_module.Settings)):
+        required = field.default is dataclasses.MISSING
+        default = "required" if required else f"default {field.default!r}"
+        variable = settings_module.environment_name(field.name)
+        command = click.option(
+            settings_module.flag_name(field.name),
+            field.name,
+            envvar=variable,
+            help=f"{default}; environment {variable}",
+        )(command)
+    return command
+
+
+@click.command()
+@_with_settings_options
+def serve(**given: typing.Any) -> None:
+    """Serve callers and schedule this VM's data centre."""
+    raw = {name: value for name, value in given.items() if value is not None}
+    loaded = settings_module.load(raw)
+    if isinstance(loaded, result.Failure):
+        output.fail(loaded.failure(), exit_code=output.EXIT_USAGE)
+    settings = loaded.unwrap()
+    log.configure(level=settings.log_level, node_id=settings.node_id)
+    asyncio.run(_serve(settings))
+
+
+async def _serve(settings: settings_module.Settings) -> None:
+    await node_module.Node(settings).run()
--- /dev/null
+++ b/src/knapweedwharf/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Operators' folder: parse, merge, check, publish and follow."""
--- /dev/null
+++ b/src/knapweedwharf/configuration/check.py
@@ -0,0 +1,100 @@
+"""Checks across the whole configuration: references and promises."""
+
+from __future__ import annotations
+
+from collections import abc
+import typing
+
+from knapweedwharf.core import model
+from knapweedwharf.core import promise
+from knapweedwharf import errors
+from knapweedwharf import registry
+
+SourceOf = typing.Callable[[str, str, str], str]
+"""(table kind, name, field) to the file that set it."""
+
+Check = typing.Callable[
+    [model.Configuration, SourceOf], abc.Iterable[errors.InvalidField]
+]
+REFERENCE_CHECKS: registry.Registry[Check] = registry.Registry(
+    subject="reference check"
+)
+PROMISE_CHECKS: registry.Registry[Check] = registry.Registry(
+    subject="promise check"
+)
+
+
+def run(
+    configuration: model.Configuration, source_of: SourceOf
+) -> list[errors.InvalidField]:
+    """Return all faults; promises are checked once references hold."""
+    for stage in (REFERENCE_CHECKS, PROMISE_CHECKS):
+        faults = [
+            fault
+            for name in stage.names()
+            for fault in stage.get(name)(configuration, source_of)
+        ]
+        if faults:
+            return faults
+    return []
+
+
+@REFERENCE_CHECKS.register("names")
+def _references(
+    configuration: model.Configuration, source_of: SourceOf
+) -> abc.Iterator[errors.InvalidField]:
+    for rack in configuration.racks.values():
+        if rack.data_centre not in configuration.data_centres:
+            yield _unknown(source_of, "rack", rack, "data_centre")
+    for guarantee in configuration.guarantees.values():
+        if guarantee.account not in configuration.accounts:
+            yield _unknown(source_of, "guarantee", guarantee, "account")
+        if guarantee.data_centre not in configuration.data_centres:
+            yield _unknown(source_of, "guarantee", guarantee, "data_centre")
+
+
+def _unknown(
+    source_of: SourceOf, kind: str, spec: typing.Any, field: str
+) -> errors.InvalidField:
+    return errors.InvalidField(
+        message=f"No such {field}.",
+        remedy=f"Add [{field}.{getattr(spec, field)}] or mend the name.",
+        source=source_of(kind, spec.name, field),
+        field=f"{kind}.{spec.name}.{field}",
+        value=getattr(spec, field),
+    )
+
+
+@REFERENCE_CHECKS.register("tokens")
+def _tokens(
+    configuration: model.Configuration, source_of: SourceOf
+) -> abc.Iterator[errors.InvalidField]:
+    owners: dict[str, str] = {}
+    for account in configuration.accounts.values():
+        other = owners.setdefault(account.token_sha256, account.name)
+        if other != account.name:
+            yield errors.InvalidField(
+                message=f"Account {other} has the same token.",
+                remedy="Give each account a token of its own.",
+                source=source_of("account", account.name, "token_sha256"),
+                field=f"account.{account.name}.token_sha256",
+                value="[hidden]",
+            )
+
+
+@PROMISE_CHECKS.register("guarantees")
+def _promises(
+    configuration: model.Configuration, source_of: SourceOf
+) -> abc.Iterator[errors.InvalidField]:
+    for data_centre in configuration.data_centres:
+        conflict = promise.smallest_conflict(configuration, data_centre)
+        if conflict:
+            names = ", ".join(guarantee.name for guarantee in conflict)
+            last = conflict[-1]
+            yield errors.InvalidField(
+                message=f"Cannot all be met in {data_centre}: {names}.",
+                remedy="Lower one of them or declare more hardware.",
+                source=source_of("guarantee", last.name, "accelerators"),
+                field=f"guarantee.{last.name}.accelerators",
+                value=str(last.accelerators * last.count),
+            )
--- /dev/null
+++ b/src/knapweedwharf/core/decision.py
@@ -0,0 +1,55 @@
+"""Decisions the core takes; the scheduling role carries them out."""
+
+from __future__ import annotations
+
+import dataclasses
+import typing
+
+from knapweedwharf.core import model
+
+
+@dataclasses.dataclass(frozen=True)
+class StartGang:
+    """Hold every place, commit, start: whole or not at all."""
+
+    job: model.JobSpec
+    attempt_id: str
+    assignments: tuple[model.Assignment, ...]
+    reason: model.Reason
+
+
+@dataclasses.dataclass(frozen=True)
+class StopGang:
+    """Stop every member and confirm its release.
+
+    :ivar checkpoint: save progress first.
+    """
+
+    job_id: str
+    attempt_id: str
+    checkpoint: bool
+    reason: model.Reason
+
+
+@dataclasses.dataclass(frozen=True)
+class ThrottleGang:
+    """Hold an attempt to its declared size."""
+
+    job_id: str
+    attempt_id: str
+    reason: model.Reason
+
+
+@dataclasses.dataclass(frozen=True)
+class JobChanged:
+    """A job's state or reason changed; the record is written.
+
+    :ivar state: a state of the job's chart.
+    """
+
+    job_id: str
+    state: str
+    reason: model.Reason
+
+
+Decision = typing.Union[StartGang, StopGang, ThrottleGang, JobChanged]
--- /dev/null
+++ b/src/knapweedwharf/core/model.py
@@ -0,0 +1,189 @@
+"""Data of the decision core: hardware, promises and jobs.
+
+Plain frozen data classes, checked at the border before they get here.
+Memory is in MiB, times in seconds on the caller's clock.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+
+WITHIN_WORKER = "worker"
+WITHIN_RACK = "rack"
+WITHIN_DATA_CENTRE = "data_centre"
+WITHIN_LEVELS = (WITHIN_WORKER, WITHIN_RACK, WITHIN_DATA_CENTRE)
+
+URGENT = "urgent"
+NORMAL = "normal"
+BATCH = "batch"
+URGENCIES = (URGENT, NORMAL, BATCH)
+
+ROLE_CALLER = "caller"
+ROLE_OPERATOR = "operator"
+
+
+@dataclasses.dataclass(frozen=True)
+class WorkerSpec:
+    """One worker's capacity and place."""
+
+    worker_id: str
+    rack: str
+    data_centre: str
+    accelerators: int
+    cores: int
+    memory_mib: int
+
+
+@dataclasses.dataclass(frozen=True)
+class RackSpec:
+    """Hardware that the operators declare for a rack."""
+
+    name: str
+    data_centre: str
+    workers: int
+    accelerators_per_worker: int
+    cores_per_worker: int
+    memory_mib_per_worker: int
+
+
+@dataclasses.dataclass(frozen=True)
+class DataCentreSpec:
+    """A data centre and the region it stands in."""
+
+    name: str
+    region: str
+
+
+@dataclasses.dataclass(frozen=True)
+class AccountSpec:
+    """A client account: who it is and what it may use.
+
+    :ivar token_sha256: hash of the account's token, in hex.
+    :ivar quota_accelerators: accelerators its jobs may hold at once.
+    :ivar request_share: weight of the account at the door.
+    """
+
+    name: str
+    token_sha256: str
+    role: str = ROLE_CALLER
+    quota_accelerators: int = 0
+    request_share: int = 1
+    request_rate_per_s: float = 50.0
+    request_burst: int = 100
+
+
+@dataclasses.dataclass(frozen=True)
+class GuaranteeSpec:
+    """A shape that an account may always reclaim, ``count`` times."""
+
+    name: str
+    account: str
+    data_centre: str
+    accelerators: int
+    within: str
+    count: int = 1
+    cores_per_accelerator: int = 1
+    memory_mib_per_accelerator: int = 1024
+    reclaim_within_s: float = 30.0
+
+
+@dataclasses.dataclass(frozen=True)
+class ServiceSpec:
+    """A kind of request that executors run."""
+
+    name: str
+    urgency: str = NORMAL
+    idempotent: bool = True
+    timeout_s: float = 30.0
+
+
+@dataclasses.dataclass(frozen=True)
+class PolicySpec:
+    """Weights and times of the scheduling policy.
+
+    :ivar fragmentation_weight: 0 puts completion time first, 1 puts
+        unbroken room first.
+    :ivar reserve_after_s: wait after which a job gets a reservation.
+    """
+
+    fragmentation_weight: float = 0.5
+    reserve_after_s: float = 120.0
+    ageing_s: float = 600.0
+    urgent_start_s: float = 9.8
+    quarantine_share: float = 0.2
+    quarantine_failures: int = 3
+    quarantine_s: float = 300.0
+    max_attempts: int = 3
+
+
+@dataclasses.dataclass(frozen=True)
+class Configuration:
+    """Everything the operators' folder says, at one revision."""
+
+    revision: int = 0
+    data_centres: dict[str, DataCentreSpec] = dataclasses.field(
+        default_factory=dict
+    )
+    racks: dict[str, RackSpec] = dataclasses.field(default_factory=dict)
+    accounts: dict[str, AccountSpec] = dataclasses.field(default_factory=dict)
+    guarantees: dict[str, GuaranteeSpec] = dataclasses.field(
+        default_factory=dict
+    )
+    services: dict[str, ServiceSpec] = dataclasses.field(default_factory=dict)
+    policy: PolicySpec = dataclasses.field(default_factory=PolicySpec)
+
+
+@dataclasses.dataclass(frozen=True)
+class JobSpec:
+    """A gang job: ``tasks`` equal tasks that run together or not at all.
+
+    :ivar within: the widest distance the gang may span.
+    :ivar declared_run_s: the caller's guess, never trusted for safety.
+    :ivar restartable: may start while the store is out of reach.
+    """
+
+    job_id: str
+    account: str
+    data_centre: str
+    kind: str
+    tasks: int
+    accelerators_per_task: int
+    cores_per_task: int
+    memory_mib_per_task: int
+    within: str = WITHIN_DATA_CENTRE
+    urgency: str = NORMAL
+    declared_run_s: float = 3600.0
+    restartable: bool = True
+    submitted_s: float = 0.0
+
+    @property
+    def accelerators(self) -> int:
+        """Accelerators of the whole gang."""
+        return self.tasks * self.accelerators_per_task
+
+
+@dataclasses.dataclass(frozen=True)
+class Assignment:
+    """The place of one task: accelerators by index on one worker."""
+
+    task_index: int
+    worker_id: str
+    accelerators: tuple[int, ...]
+    cores: int
+    memory_mib: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Reason:
+    """Why a decision was taken, for ``job explain``.
+
+    :ivar code: stable word, such as ``no-room`` or ``preempted``.
+    :ivar revision: configuration revision the decision rests on.
+    """
+
+    code: str
+    text: str
+    at_s: float
+    revision: int
+    guarantee: str = ""
+    other_job_id: str = ""
--- /dev/null
+++ b/src/knapweedwharf/node.py
@@ -0,0 +1,211 @@
+"""One entry VM's process: its parts, their start and their close."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import time
+import zlib
+
+from returns import result
+
+from knapweedwharf.adapters import directory as directory_module
+from knapweedwharf.adapters import etcd as _etcd  # noqa: F401
+from knapweedwharf.adapters import executor as executor_module
+from knapweedwharf.adapters import store as store_module
+from knapweedwharf.adapters import worker as worker_module
+from knapweedwharf.charts import chart
+from knapweedwharf.configuration import feed as feed_module
+from knapweedwharf import log
+from knapweedwharf import metrics
+from knapweedwharf.peer import membership as membership_module
+from knapweedwharf.peer.messages import ttypes
+from knapweedwharf.routing import dispatch
+from knapweedwharf.routing import pool as pool_module
+from knapweedwharf.scheduling import role as role_module
+from knapweedwharf.scheduling import view as view_module
+from knapweedwharf import settings as settings_module
+from knapweedwharf.web import server as server_module
+
+_DRAIN_POLL_S = 0.05
+
+
+class InFlight:
+    """Counts requests that have begun and not been answered."""
+
+    def __init__(self) -> None:
+        self.count = 0
+
+    def __enter__(self) -> InFlight:
+        self.count += 1
+        return self
+
+    def __exit__(self, *_error) -> None:
+        self.count -= 1
+
+
+class Node:
+    """Composition of the process; every VM runs the same."""
+
+    def __init__(self, settings: settings_module.Settings) -> None:
+        self.settings = settings
+        self._log = log.get("node")
+        self._chart = chart.load("node")
+        self.state = self._chart.initial
+        self.metrics = metrics.create(settings)
+        self.in_flight = InFlight()
+        self.store = store_module.STORES.get(settings.store_kind)(settings)
+        self._directory = directory_module.DIRECTORIES.get(
+            settings.directory_kind
+        )(settings)
+        self._worker = worker_module.WORKERS.get(settings.worker_kind)(
+            settings
+        )
+        self._executor = executor_module.EXECUTORS.get(settings.executor_kind)(
+            settings
+        )
+        self.feed = feed_module.Feed(store=self.store)
+        self.role = role_module.Role(
+            settings=settings, store=self.store, worker=self._worker
+        )
+        self.pool = pool_module.Pool(
+            data_centre=settings.data_centre,
+            seed=zlib.crc32(settings.node_id.encode()),
+        )
+        self.dispatcher = dispatch.Dispatcher(
+            store=self.store, executor=self._executor, pool=self.pool
+        )
+        self.jobs = view_module.JobView(
+            role=self.role,
+            store=self.store,
+            ask_owner=self._ask_owner,
+            data_centres=lambda: sorted(self.feed.current.data_centres),
+        )
+        self.membership = membership_module.Membership(
+            settings=settings,
+            feed=self.feed,
+            own_room=self._own_room,
+            job_handler=self.jobs.answer,
+        )
+        self._server = server_module.create(self)
+        self._tasks: list[asyncio.Task] = []
+        self._stopped = asyncio.Event()
+
+    async def start(self) -> None:
+        """Start every part; ready once the HTTP port is open."""
+        self.feed.listen(self._configuration_changed)
+        await self.feed.start()
+        await self.role.start()
+        await self.membership.start()
+        self._tasks.append(asyncio.create_task(self._read_directory()))
+        host, port = self.settings.http_address.rsplit(":", 1)
+        self._server.listen(int(port), host)
+        self.state = self._chart.step(self.state, "ready")
+        self._log.info("serving", address=self.settings.http_address)
+
+    async def run(self) -> None:
+        """Serve until a signal has drained the node."""
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._signalled)
+        await self.start()
+        await self._stopped.wait()
+        await self.close()
+
+    async def close(self) -> None:
+        """Close every part."""
+        self._server.stop()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self.role.close()
+        await self.membership.close()
+        await self.feed.close()
+        for adapter in (
+            self._executor,
+            self._worker,
+            self._directory,
+            self.store,
+        ):
+            adapter.close()
+
+    def _signalled(self) -> None:
+        if not self._chart.allows(self.state, "drain"):
+            self._log.warning("second-signal")
+            self._stopped.set()
+            return
+        self.state = self._chart.step(self.state, "drain")
+        self.membership.draining = True
+        self._tasks.append(asyncio.create_task(self._drain()))
+
+    async def _drain(self) -> None:
+        self._log.info("draining", in_flight=self.in_flight.count)
+        deadline_s = time.monotonic() + self.settings.drain_timeout_s
+        await asyncio.sleep(self.settings.drain_wait_s)
+        while self.in_flight.count and time.monotonic() < deadline_s:
+            await asyncio.sleep(_DRAIN_POLL_S)
+        finished = self.in_flight.count == 0
+        self.state = self._chart.step(
+            self.state, "drained" if finished else "force"
+        )
+        self._log.info("drained", in_flight=self.in_flight.count)
+        self._stopped.set()
+
+    async def _read_directory(self) -> None:
+        while True:
+            listed = await self._directory.list_vms()
+            if isinstance(listed, result.Success):
+                vms = listed.unwrap()
+                self.pool.set_listed(vms)
+                self.membership.set_listed(vms)
+                self.role.post(role_module.Listed(tuple(vms)))
+            await asyncio.sleep(self.settings.directory_interval_s)
+
+    def _configuration_changed(self, configuration) -> None:
+        self.role.post(role_module.ConfigurationInForce(configuration))
+
+    def _own_room(self) -> ttypes.RoomSummary | None:
+        engine = self.role.engine
+        if engine is None:
+            return None
+        queued = sum(r.state == "queued" for r in engine.records.values())
+        return ttypes.RoomSummary(
+            data_centre=self.settings.data_centre,
+            free_accelerators=engine.topology.free_accelerators(),
+            queued_jobs=queued,
+            epoch=self.role.ownership.epoch if self.role.ownership else 0,
+        )
+
+    async def _ask_owner(
+        self, data_centre: str, operation: str, body: dict
+    ) -> dict | None:
+        peer = self.membership.owner_of(data_centre)
+        if peer is None:
+            return None
+        return await self.membership.call_job(peer, operation, body)
+
+    def status(self) -> dict:
+        """Return this node's view for operators."""
+        now_s = time.monotonic()
+        room = self._own_room()
+        return {
+            "node_id": self.settings.node_id,
+            "data_centre": self.settings.data_centre,
+            "state": self.state,
+            "owner_state": self.role.state,
+            "revision": self.feed.current.revision,
+            "revision_age_s": round(now_s - self.feed.confirmed_at_s, 1),
+            "requests_in_flight": self.in_flight.count,
+            "executors": len(self.pool.executors),
+            "free_accelerators": room.free_accelerators if room else None,
+            "peers": [
+                {
+                    "node_id": peer.node_id,
+                    "data_centre": peer.data_centre,
+                    "revision": peer.revision,
+                    "draining": peer.draining,
+                    "heard_s_ago": round(now_s - peer.heard_at_s, 1),
+                }
+                for peer in self.membership.peers.values()
+            ],
+        }
--- /dev/null
+++ b/src/knapweedwharf/peer/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between entry VMs and the transport that carries them."""
--- /dev/null
+++ b/src/knapweedwharf/peer/messages/__init__.py
@@ -0,0 +1,1 @@
+__all__ = ['ttypes', 'constants']
--- /dev/null
+++ b/src/knapweedwharf/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Choice of executor, limits, retries and claims for requests."""
--- /dev/null
+++ b/src/knapweedwharf/scheduling/__init__.py
@@ -0,0 +1,1 @@
+"""The scheduling role of a data centre around the decision core."""
--- /dev/null
+++ b/src/knapweedwharf/scheduling/gang.py
@@ -0,0 +1,164 @@
+"""Start and stop of a gang on its workers: whole or not at all.
+
+Start: hold every place under a short lease, write the attempt to the
+store (the commit point), start every member provisionally, confirm
+every member. A member that is not confirmed ends by itself when its
+provisional lease lapses, so no started part stays behind, whoever dies.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import typing
+
+from returns import result
+
+from knapweedwharf.adapters import worker as worker_module
+from knapweedwharf.core import model
+from knapweedwharf import errors
+from knapweedwharf import settings as settings_module
+
+_STOP_RETRY_S = 0.5
+
+Commit = typing.Callable[
+    [], typing.Awaitable[result.Result[None, errors.Fault]]
+]
+
+
+@dataclasses.dataclass(frozen=True)
+class Gang:
+    """One attempt and where its tasks go.
+
+    :ivar addresses: worker id to address.
+    """
+
+    attempt_id: str
+    assignments: tuple[model.Assignment, ...]
+    addresses: dict[str, str]
+    descriptor: str
+
+    def slices(self, worker_id: str) -> tuple[worker_module.TaskSlice, ...]:
+        """Return what the gang takes on one worker."""
+        return tuple(
+            worker_module.TaskSlice(
+                task_index=place.task_index,
+                accelerators=place.accelerators,
+                cores=place.cores,
+                memory_mib=place.memory_mib,
+            )
+            for place in self.assignments
+            if place.worker_id == worker_id
+        )
+
+
+@dataclasses.dataclass(frozen=True)
+class Refusal:
+    """A member that could not take its part."""
+
+    worker_id: str
+    fault: errors.Fault
+
+
+class GangRunner:
+    """Sends one epoch's orders for gangs."""
+
+    def __init__(
+        self,
+        *,
+        worker: worker_module.Worker,
+        settings: settings_module.Settings,
+        epoch: int,
+    ) -> None:
+        self._worker = worker
+        self._settings = settings
+        self._epoch = epoch
+
+    async def start(self, gang: Gang, commit: Commit) -> Refusal | None:
+        """Start a gang; on a refusal every member has been stopped."""
+        refusal = await self._start_steps(gang, commit)
+        if refusal is not None:
+            await self.stop(gang, checkpoint=False)
+        return refusal
+
+    async def _start_steps(self, gang: Gang, commit: Commit) -> Refusal | None:
+        hold_s = self._settings.gang_hold_s
+        refusal = await self._order_all(gang, worker_module.HOLD, hold_s)
+        if refusal is not None:
+            return refusal
+        committed = await commit()
+        if isinstance(committed, result.Failure):
+            return Refusal(worker_id="", fault=committed.failure())
+        refusal = await self._order_all(gang, worker_module.START, hold_s)
+        if refusal is not None:
+            return refusal
+        lease_s = self._settings.worker_lease_s
+        return await self._order_all(gang, worker_module.CONFIRM, lease_s)
+
+    async def stop(self, gang: Gang, *, checkpoint: bool) -> bool:
+        """Stop every member and wait until each is surely released.
+
+        :returns: whether every member was checkpointed first.
+        """
+        saved = False
+        if checkpoint:
+            saved = await self._checkpoint(gang)
+        stops = [
+            self._stop_one(gang, worker_id) for worker_id in gang.addresses
+        ]
+        await asyncio.gather(*stops)
+        return saved
+
+    async def _checkpoint(self, gang: Gang) -> bool:
+        try:
+            refusal = await asyncio.wait_for(
+                self._order_all(gang, worker_module.CHECKPOINT, 0),
+                self._settings.checkpoint_timeout_s,
+            )
+        except asyncio.TimeoutError:
+            return False
+        return refusal is None
+
+    async def _stop_one(self, gang: Gang, worker_id: str) -> None:
+        loop = asyncio.get_running_loop()
+        lapsed_at_s = loop.time() + self._settings.worker_lease_s
+        while loop.time() < lapsed_at_s:
+            refusal = await self._order(gang, worker_id, worker_module.STOP, 0)
+            if refusal is None or isinstance(refusal.fault, errors.Fenced):
+                return
+            await asyncio.sleep(_STOP_RETRY_S)
+
+    async def _order_all(
+        self, gang: Gang, kind: str, lease_s: float
+    ) -> Refusal | None:
+        orders = [
+            self._order(gang, worker_id, kind, lease_s)
+            for worker_id in gang.addresses
+        ]
+        refusals = await asyncio.gather(*orders)
+        return next((r for r in refusals if r is not None), None)
+
+    async def _order(
+        self, gang: Gang, worker_id: str, kind: str, lease_s: float
+    ) -> Refusal | None:
+        holding = kind == worker_module.HOLD
+        order = worker_module.Order(
+            kind=kind,
+            attempt_id=gang.attempt_id,
+            tasks=gang.slices(worker_id) if holding else (),
+            lease_s=lease_s,
+            descriptor=gang.descriptor if holding else "",
+        )
+        sent = await self._worker.send(
+            gang.addresses[worker_id], epoch=self._epoch, orders=[order]
+        )
+        if isinstance(sent, result.Failure):
+            return Refusal(worker_id=worker_id, fault=sent.failure())
+        answer = sent.unwrap()[0]
+        if answer.accepted:
+            return None
+        fault = errors.Conflict(
+            message=f"Worker {worker_id} refused {kind}: {answer.reason}.",
+            remedy="The job is placed again.",
+        )
+        return Refusal(worker_id=worker_id, fault=fault)
--- /dev/null
+++ b/src/knapweedwharf/scheduling/inbox.py
@@ -0,0 +1,83 @@
+"""Submissions and cancellations on their way to the owner.
+
+Any VM writes them to the store, create-if-absent; a job is accepted
+once its entry exists, whether or not an owner is alive.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import json
+
+from returns import result
+
+from knapweedwharf.adapters import store as store_module
+from knapweedwharf.core import model
+from knapweedwharf import errors
+
+SUBMIT = "submit"
+CANCEL = "cancel"
+
+
+@dataclasses.dataclass(frozen=True)
+class Item:
+    """One entry of the inbox.
+
+    :ivar version: the entry's version, for its deletion.
+    """
+
+    key: str
+    version: int
+    kind: str
+    job_id: str
+    job: model.JobSpec | None = None
+
+
+def prefix_of(data_centre: str) -> str:
+    """Return the prefix of a data centre's inbox."""
+    return f"/knapweedwharf/dc/{data_centre}/inbox/"
+
+
+def decode(entry: store_module.Entry) -> Item:
+    """Read an entry of the inbox."""
+    document = json.loads(entry.value)
+    job = document.get("job")
+    return Item(
+        key=entry.key,
+        version=entry.version,
+        kind=document["kind"],
+        job_id=document["job_id"],
+        job=model.JobSpec(**job) if job else None,
+    )
+
+
+async def submit(
+    store: store_module.Store, job: model.JobSpec
+) -> result.Result[store_module.Entry, errors.Fault]:
+    """Make a submission durable."""
+    document = {
+        "kind": SUBMIT,
+        "job_id": job.job_id,
+        "job": dataclasses.asdict(job),
+    }
+    return await _put(store, job.data_centre, document)
+
+
+async def cancel(
+    store: store_module.Store, *, data_centre: str, job_id: str
+) -> result.Result[store_module.Entry, errors.Fault]:
+    """Make a cancellation durable."""
+    document = {"kind": CANCEL, "job_id": job_id}
+    return await _put(store, data_centre, document)
+
+
+async def _put(
+    store: store_module.Store, data_centre: str, document: dict
+) -> result.Result[store_module.Entry, errors.Fault]:
+    key = f"{prefix_of(data_centre)}{document['job_id']}.{document['kind']}"
+    return await store_module.write_certain(
+        store,
+        key,
+        json.dumps(document, sort_keys=True).encode(),
+        expected_version=store_module.ABSENT_VERSION,
+    )
--- /dev/null
+++ b/src/knapweedwharf/scheduling/owner.py
@@ -0,0 +1,104 @@
+"""Who schedules a data centre: a lease for liveness, an epoch for safety.
+
+The lease only saves work. Safety lies in the epoch: workers refuse
+orders of an older one, and pages refuse an older owner's writes.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import json
+import uuid
+
+from returns import result
+
+from knapweedwharf.adapters import store as store_module
+from knapweedwharf import errors
+from knapweedwharf import settings as settings_module
+
+
+@dataclasses.dataclass(frozen=True)
+class Ownership:
+    """A won election."""
+
+    epoch: int
+    lease_id: int
+
+
+class Election:
+    """Wins, renews and gives up the ownership of a data centre."""
+
+    def __init__(
+        self, *, store: store_module.Store, settings: settings_module.Settings
+    ) -> None:
+        self._store = store
+        self._settings = settings
+        folder = f"/knapweedwharf/dc/{settings.data_centre}"
+        self._owner_key = f"{folder}/owner"
+        self._epoch_key = f"{folder}/epoch"
+
+    async def run(self) -> result.Result[Ownership, errors.Fault]:
+        """Try once to become the owner."""
+        held = await self._store.get(self._owner_key)
+        if isinstance(held, result.Failure):
+            return held
+        if held.unwrap() is not None:
+            return result.Failure(
+                errors.Conflict(
+                    message="Another VM holds the ownership.",
+                    remedy="Wait until its lease lapses.",
+                )
+            )
+        granted = await self._store.grant(self._settings.owner_lease_s)
+        if isinstance(granted, result.Failure):
+            return granted
+        return await self._claim(granted.unwrap())
+
+    async def _claim(
+        self, lease_id: int
+    ) -> result.Result[Ownership, errors.Fault]:
+        claimed = await store_module.write_certain(
+            self._store,
+            self._owner_key,
+            self._signature(epoch=0),
+            expected_version=store_module.ABSENT_VERSION,
+            lease_id=lease_id,
+        )
+        if isinstance(claimed, result.Failure):
+            return claimed
+        raised = await self._raise_epoch()
+        return raised.map(
+            lambda epoch: Ownership(epoch=epoch, lease_id=lease_id)
+        )
+
+    async def _raise_epoch(self) -> result.Result[int, errors.Fault]:
+        found = await self._store.get(self._epoch_key)
+        if isinstance(found, result.Failure):
+            return found
+        entry = found.unwrap()
+        epoch = 1 if entry is None else json.loads(entry.value)["epoch"] + 1
+        written = await store_module.write_certain(
+            self._store,
+            self._epoch_key,
+            self._signature(epoch=epoch),
+            expected_version=entry.version if entry else 0,
+        )
+        return written.map(lambda _entry: epoch)
+
+    def _signature(self, *, epoch: int) -> bytes:
+        document = {
+            "node_id": self._settings.node_id,
+            "epoch": epoch,
+            "write_id": uuid.uuid4().hex,
+        }
+        return json.dumps(document).encode()
+
+    async def renew(
+        self, ownership: Ownership
+    ) -> result.Result[None, errors.Fault]:
+        """Renew the lease; ``Fenced`` when it has lapsed."""
+        return await self._store.keep_alive(ownership.lease_id)
+
+    async def resign(self, ownership: Ownership) -> None:
+        """Give the ownership up so that another VM need not wait."""
+        await self._store.revoke(ownership.lease_id)
--- /dev/null
+++ b/src/knapweedwharf/web/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP interface towards callers and operators."""
--- /dev/null
+++ b/src/knapweedwharf/web/status.py
@@ -0,0 +1,31 @@
+"""Health and status of a node."""
+
+from __future__ import annotations
+
+from knapweedwharf.web import base
+
+
+class HealthHandler(base.Handler):
+    """``GET /healthz``: the process answers."""
+
+    async def get(self) -> None:
+        """Answer always."""
+        self.answer({"alive": True})
+
+
+class ReadyHandler(base.Handler):
+    """``GET /readyz``: the balancer may send callers here."""
+
+    async def get(self) -> None:
+        """Answer 200 while serving, 503 otherwise."""
+        ready = self.node.state == "serving"
+        self.answer({"ready": ready}, status=200 if ready else 503)
+
+
+class StatusHandler(base.Handler):
+    """``GET /v1/status``: this node and the peers it hears."""
+
+    async def get(self) -> None:
+        """Return the node's view."""
+        self.caller(operator=True)
+        self.answer(self.node.status())
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the platform, workers and executors."""
--- /dev/null
+++ b/standins/demo.py
@@ -0,0 +1,187 @@
+"""The demonstration: main requests and jobs through real processes.
+
+Two entry VMs in each of two data centres serve the sample requests
+and jobs while one entry VM is killed and the store goes away for a
+while. Exits 0 only if every promise held.
+"""
+
+from __future__ import annotations
+
+import pathlib
+import sys
+import time
+
+from standins import fleet as fleet_module
+
+FOLDER = pathlib.Path("examples/escaleras/folder")
+DATA_CENTRES = ["antigua", "chimal"]
+OUTAGE_S = 3.0
+JOB_TIMEOUT_S = 40.0
+
+
+class Demo:
+    """One run; collects what broke.
+
+    :ivar broken: promises that did not hold, in words.
+    """
+
+    def __init__(self, fleet: fleet_module.Fleet) -> None:
+        self._fleet = fleet
+        self._workload = fleet.workload()
+        self._tokens = self._workload["tokens"]
+        self.broken: list[str] = []
+
+    def run(self) -> None:
+        """Go through the whole story."""
+        started_s = time.monotonic()
+        self._apply()
+        self._send_requests(self._fleet.nodes[1])
+        self._submit_jobs(self._fleet.nodes[1])
+        self._kill_owner()
+        self._take_store_away()
+        self._check_jobs()
+        self._check_executions()
+        print(f"took {time.monotonic() - started_s:.1f} s")
+
+    def _expect(self, held: bool, promise: str) -> None:
+        print(f"  {'held  ' if held else 'BROKEN'}  {promise}")
+        if not held:
+            self.broken.append(promise)
+
+    def _apply(self) -> None:
+        print("Operators apply the sample folder.")
+        revision = self._fleet.apply_folder(self._fleet.nodes[0])
+        self._fleet.wait_revision(revision)
+        self._expect(True, f"revision {revision} in force on every VM")
+
+    def _send_requests(self, node: fleet_module.NodeProcess) -> None:
+        print(f"Callers send requests to {node.node_id}.")
+        for request in self._workload["requests"]:
+            self._send(node, request, "ran")
+
+    def _send(
+        self, node: fleet_module.NodeProcess, request: dict, expected: str
+    ) -> None:
+        headers = {}
+        if "key" in request:
+            headers["Idempotency-Key"] = request["key"]
+        answer = self._fleet.call(
+            node,
+            "POST",
+            f"/v1/services/{request['service']}",
+            token=self._tokens[request["account"]],
+            body=request["body"].encode(),
+            headers=headers,
+        )
+        outcome = answer.headers.get("knapweedwharf-outcome", "no answer")
+        whole = outcome != "ran" or answer.json()["echo"] == request["body"]
+        self._expect(
+            outcome == expected and whole,
+            f"{request['account']}: {request['service']} {outcome}",
+        )
+
+    def _submit_jobs(self, node: fleet_module.NodeProcess) -> None:
+        print(f"Callers submit jobs to {node.node_id}.")
+        for job in self._workload["jobs"]:
+            document = dict(job)
+            account = document.pop("account")
+            document.pop("expect")
+            answer = self._fleet.call(
+                node,
+                "POST",
+                "/v1/jobs",
+                token=self._tokens[account],
+                document=document,
+            )
+            self._expect(
+                answer.status == 202, f"{account}: {job['job_id']} accepted"
+            )
+            self._wait_placed(job["job_id"])
+
+    def _wait_placed(self, job_id: str) -> None:
+        fleet_module.until(
+            lambda: self._job(job_id).get("state", "queued") != "queued",
+            what=f"{job_id} to leave the queue",
+            timeout_s=JOB_TIMEOUT_S,
+        )
+
+    def _kill_owner(self) -> None:
+        node = self._fleet.nodes[0]
+        print(f"{node.node_id} is killed.")
+        self._fleet.kill(node)
+        request = self._workload["requests"][0]
+        self._send(self._fleet.nodes[1], request, "ran")
+
+    def _take_store_away(self) -> None:
+        print(f"The store goes away for {OUTAGE_S:.0f} s.")
+        self._fleet.faults(outage=True)
+        node = self._fleet.nodes[1]
+        self._send(node, self._workload["requests"][0], "ran")
+        booking = {
+            "account": "valle-cafe",
+            "service": "booking",
+            "key": "booking-during-outage",
+            "body": "ladder 13, orchard 8",
+        }
+        self._send(node, booking, "did-not-run")
+        time.sleep(OUTAGE_S)
+        self._fleet.faults(outage=False)
+
+    def _check_jobs(self) -> None:
+        print("Jobs come to their end.")
+        for job in self._workload["jobs"]:
+            self._check_job(job["job_id"], job["expect"])
+
+    def _check_job(self, job_id: str, expected: str) -> None:
+        wanted = {"preempted": {"queued", "running", "starting"}}
+        states = wanted.get(expected, {expected})
+        try:
+            fleet_module.until(
+                lambda: self._job(job_id).get("state") in states,
+                what=f"{job_id} to be {expected}",
+                timeout_s=JOB_TIMEOUT_S,
+            )
+        except TimeoutError:
+            pass
+        found = self._job(job_id)
+        codes = [reason["code"] for reason in found.get("reasons", [])]
+        held = found.get("state") in states
+        if expected == "preempted":
+            held = held and "preempted" in codes
+        self._expect(held, f"{job_id}: {found.get('state')} ({expected})")
+        for reason in found.get("reasons", []):
+            print(f"            {reason['code']}: {reason['text']}")
+
+    def _job(self, job_id: str) -> dict:
+        answer = self._fleet.call(
+            self._fleet.nodes[1],
+            "GET",
+            f"/v1/jobs/{job_id}",
+            token=self._fleet.operator_token(),
+        )
+        return answer.json() if answer.status == 200 else {}
+
+    def _check_executions(self) -> None:
+        executed = [e["request_id"] for e in self._fleet.executions()]
+        self._expect(
+            executed.count("booking-0001") == 1, "a booking ran exactly once"
+        )
+        self._expect(
+            "booking-during-outage" not in executed,
+            "what was said not to have run did not run",
+        )
+
+
+def main() -> int:
+    """Run the demonstration; 0 if every promise held."""
+    with fleet_module.Fleet(
+        folder=FOLDER, data_centres=DATA_CENTRES, nodes_per_data_centre=2
+    ) as fleet:
+        demo = Demo(fleet)
+        demo.run()
+    print("every promise held" if not demo.broken else "BROKEN PROMISES")
+    return 1 if demo.broken else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/standins/fleet.py
@@ -0,0 +1,430 @@
+"""A small fleet of plain processes for demo, tests and benchmarks.
+
+Starts the stand-ins and entry VMs on loopback ports, and kills,
+freezes, thaws and stops each by its process id.
+"""
+
+from __future__ import annotations
+
+from collections import abc
+import dataclasses
+import hashlib
+import json
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+import typing
+import urllib.error
+import urllib.request
+
+from knapweedwharf.configuration import folder as folder_module
+from knapweedwharf.core import model
+
+PEER_KEY = "loopback-only-peer-key"
+BOOTSTRAP_TOKEN = "bootstrap-token"
+START_TIMEOUT_S = 20.0
+STOP_TIMEOUT_S = 20.0
+POLL_S = 0.05
+_ROOT = pathlib.Path(__file__).resolve().parent.parent
+
+
+@dataclasses.dataclass(frozen=True)
+class Answer:
+    """An HTTP answer; status 0 when none came.
+
+    :ivar headers: names in lower case.
+    """
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+    def json(self) -> typing.Any:
+        """Return the decoded body."""
+        return json.loads(self.body)
+
+
+@dataclasses.dataclass
+class NodeProcess:
+    """One entry VM of the fleet."""
+
+    node_id: str
+    data_centre: str
+    http_port: int
+    peer_port: int
+    process: subprocess.Popen | None = None
+
+    @property
+    def url(self) -> str:
+        """Base URL of the node."""
+        return f"http://127.0.0.1:{self.http_port}"
+
+
+def free_port() -> int:
+    """Return a loopback port that is free now."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+def http(
+    method: str,
+    url: str,
+    *,
+    document: typing.Any = None,
+    body: bytes | None = None,
+    headers: dict[str, str] | None = None,
+    timeout_s: float = 15.0,
+) -> Answer:
+    """Make one HTTP call; a broken connection is status 0."""
+    data = body if document is None else json.dumps(document).encode()
+    request = urllib.request.Request(
+        url, data=data, method=method, headers=headers or {}
+    )
+    try:
+        with urllib.request.urlopen(request, timeout=timeout_s) as reply:
+            return _answer(reply)
+    except urllib.error.HTTPError as error:
+        return _answer(error)
+    except (OSError, ValueError):
+        return Answer(status=0, headers={}, body=b"")
+    except Exception:
+        return Answer(status=0, headers={}, body=b"")
+
+
+def _answer(reply: typing.Any) -> Answer:
+    headers = {name.lower(): value for name, value in reply.headers.items()}
+    return Answer(status=reply.status, headers=headers, body=reply.read())
+
+
+def until(
+    condition: abc.Callable[[], typing.Any],
+    *,
+    what: str,
+    timeout_s: float = START_TIMEOUT_S,
+) -> typing.Any:
+    """Wait until the condition holds; the limit only ends a hang."""
+    deadline_s = time.monotonic() + timeout_s
+    while time.monotonic() < deadline_s:
+        value = condition()
+        if value:
+            return value
+        time.sleep(POLL_S)
+    raise TimeoutError(f"still waiting for: {what}")
+
+
+class Fleet:
+    """Stand-ins and entry VMs for one sample folder.
+
+    :param data_centres: those that get entry VMs and machines.
+    :param nodes_per_data_centre: entry VMs in each.
+    """
+
+    def __init__(
+        self,
+        *,
+        folder: pathlib.Path,
+        data_centres: list[str],
+        nodes_per_data_centre: int = 1,
+        executors_per_data_centre: int = 1,
+        node_options: dict[str, str] | None = None,
+    ) -> None:
+        self.folder = folder
+        self.data_centres = data_centres
+        self._executors_per = executors_per_data_centre
+        self._node_options = node_options or {}
+        self._scratch = tempfile.TemporaryDirectory(prefix="fleet-")
+        self.scratch = pathlib.Path(self._scratch.name)
+        self._processes: list[subprocess.Popen] = []
+        self.platform_ports = {name: free_port() for name in data_centres}
+        self.worker_port = free_port()
+        self.executor_urls: dict[str, str] = {}
+        self.workers = self._declared_workers()
+        self.nodes = [
+            NodeProcess(
+                node_id=f"{name}-entry-{number}",
+                data_centre=name,
+                http_port=free_port(),
+                peer_port=free_port(),
+            )
+            for name in data_centres
+            for number in range(1, nodes_per_data_centre + 1)
+        ]
+
+    def _declared_workers(self) -> list[dict]:
+        files = folder_module.read(self.folder).unwrap()
+        loaded = folder_module.load(files, revision=0).unwrap()
+        return [
+            worker
+            for rack in loaded.racks.values()
+            if rack.data_centre in self.data_centres
+            for worker in workers_of(rack)
+        ]
+
+    def start(self) -> None:
+        """Start every process and wait until nodes are ready."""
+        for data_centre in self.data_centres:
+            for number in range(1, self._executors_per + 1):
+                self._start_executor(f"{data_centre}-executor-{number}")
+        workers_file = self._write("workers.json", self.workers)
+        self._spawn(
+            "standins.worker",
+            f"--port={self.worker_port}",
+            f"--workers={workers_file}",
+        )
+        vms_file = self._write("vms.json", self.vms())
+        ports = [f"--port={n}={p}" for n, p in self.platform_ports.items()]
+        self._spawn("standins.platform", *ports, f"--vms={vms_file}")
+        until(
+            lambda: self.platform("GET", "/counts").status == 200,
+            what="platform",
+        )
+        for node in self.nodes:
+            self.start_node(node)
+        for node in self.nodes:
+            self.wait_ready(node)
+
+    def close(self) -> None:
+        """End every process that was started, by its id."""
+        for process in self._processes:
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+                process.terminate()
+        for process in self._processes:
+            try:
+                process.wait(STOP_TIMEOUT_S)
+            except subprocess.TimeoutExpired:
+                process.kill()
+                process.wait()
+        self._scratch.cleanup()
+
+    def __enter__(self) -> Fleet:
+        try:
+            self.start()
+        except BaseException:
+            self.close()
+            raise
+        return self
+
+    def __exit__(self, *_error) -> None:
+        self.close()
+
+    def _start_executor(self, vm_id: str) -> None:
+        port = free_port()
+        self.executor_urls[vm_id] = f"http://127.0.0.1:{port}"
+        self._spawn("standins.executor", f"--port={port}")
+
+    def _write(self, name: str, document: typing.Any) -> pathlib.Path:
+        path = self.scratch / name
+        path.write_text(json.dumps(document))
+        return path
+
+    def _spawn(self, module: str, *arguments: str, log_name: str = ""):
+        environment = {
+            **os.environ,
+            "PYTHONPATH": f"{_ROOT / 'src'}{os.pathsep}{_ROOT}",
+        }
+        name = log_name or module.rsplit(".", 1)[-1]
+        with open(self.scratch / f"{name}.log", "ab") as log:
+            process = subprocess.Popen(
+                [sys.executable, "-m", module, *arguments],
+                cwd=_ROOT,
+                env=environment,
+                stdout=log,
+                stderr=log,
+            )
+        self._processes.append(process)
+        return process
+
+    def vms(self) -> list[dict]:
+        """Return the platform's list of VMs."""
+        workers = [
+            {
+                "vm_id": worker["worker_id"],
+                "kind": "worker",
+                "data_centre": worker["data_centre"],
+                "rack": worker["rack"],
+                "address": self.worker_url(worker["worker_id"]),
+            }
+            for worker in self.workers
+        ]
+        executors = [
+            {
+                "vm_id": vm_id,
+                "kind": "executor",
+                "data_centre": vm_id.rsplit("-executor-", 1)[0],
+                "address": url,
+            }
+            for vm_id, url in self.executor_urls.items()
+        ]
+        entries = [
+            {
+                "vm_id": node.node_id,
+                "kind": "entry",
+                "data_centre": node.data_centre,
+                "address": f"127.0.0.1:{node.peer_port}",
+            }
+            for node in self.nodes
+        ]
+        return workers + executors + entries
+
+    def worker_url(self, worker_id: str) -> str:
+        """Return a worker's base URL."""
+        return f"http://127.0.0.1:{self.worker_port}/{worker_id}"
+
+    def start_node(self, node: NodeProcess) -> None:
+        """Start one entry VM's process."""
+        token_hash = hashlib.sha256(BOOTSTRAP_TOKEN.encode()).hexdigest()
+        settings = {
+            "node-id": node.node_id,
+            "data-centre": node.data_centre,
+            "http-address": f"127.0.0.1:{node.http_port}",
+            "peer-address": f"127.0.0.1:{node.peer_port}",
+            "platform-url": self.platform_url(node.data_centre),
+            "peer-key": PEER_KEY,
+            "operator-token-sha256": token_hash,
+            "owner-lease-s": "2",
+            "heartbeat-interval-s": "0.5",
+            "directory-interval-s": "0.5",
+            "drain-wait-s": "0.2",
+            **self._node_options,
+        }
+        flags = [f"--{name}={value}" for name, value in settings.items()]
+        node.process = self._spawn(
+            "knapweedwharf", "serve", *flags, log_name=node.node_id
+        )
+
+    def wait_ready(self, node: NodeProcess) -> None:
+        """Wait until a node answers its readiness check."""
+        until(
+            lambda: http("GET", node.url + "/readyz").status == 200,
+            what=f"{node.node_id} to be ready",
+        )
+
+    def signal(self, node: NodeProcess, number: int) -> None:
+        """Send a signal to one node."""
+        node.process.send_signal(number)
+
+    def kill(self, node: NodeProcess) -> None:
+        """Kill one node at once."""
+        node.process.kill()
+        node.process.wait()
+
+    def platform_url(self, data_centre: str) -> str:
+        """Return the platform's address for a data centre."""
+        return f"http://127.0.0.1:{self.platform_ports[data_centre]}"
+
+    def platform(
+        self, method: str, path: str, document: typing.Any = None
+    ) -> Answer:
+        """Call the platform stand-in's own interface."""
+        url = self.platform_url(self.data_centres[0]) + path
+        return http(method, url, document=document)
+
+    def faults(self, **switches: typing.Any) -> None:
+        """Set the platform's fault switches."""
+        self.platform("POST", "/control", switches)
+
+    def worker_faults(self, worker_id: str, **switches: typing.Any) -> None:
+        """Set one worker's fault switches."""
+        url = self.worker_url(worker_id) + "/control"
+        http("POST", url, document=switches)
+
+    def worker_state(self, worker_id: str) -> dict:
+        """Return a worker's attempts and history."""
+        return http("GET", self.worker_url(worker_id) + "/control").json()
+
+    def executor_faults(self, vm_id: str, **switches: typing.Any) -> None:
+        """Set one executor's fault switches."""
+        url = self.executor_urls[vm_id] + "/control"
+        http("POST", url, document=switches)
+
+    def executions(self) -> list[dict]:
+        """Return the execution logs of every executor."""
+        return [
+            entry
+            for url in self.executor_urls.values()
+            for entry in http("GET", url + "/log").json()["log"]
+        ]
+
+    def call(
+        self,
+        node: NodeProcess,
+        method: str,
+        path: str,
+        *,
+        token: str = BOOTSTRAP_TOKEN,
+        document: typing.Any = None,
+        body: bytes | None = None,
+        headers: dict[str, str] | None = None,
+    ) -> Answer:
+        """Call a node's HTTP interface with a token."""
+        return http(
+            method,
+            node.url + path,
+            document=document,
+            body=body,
+            headers={"Authorization": f"Bearer {token}", **(headers or {})},
+        )
+
+    def apply_folder(self, node: NodeProcess) -> int:
+        """Apply the sample folder; return the accepted revision."""
+        files = folder_module.read(self.folder).unwrap()
+        change = {"base_revision": 0, "changed": files, "message": "sample"}
+        answer = self.call(node, "POST", "/v1/config", document=change)
+        if answer.status != 200:
+            raise RuntimeError(f"folder refused: {answer.body!r}")
+        return answer.json()["revision"]
+
+    def wait_revision(self, revision: int) -> None:
+        """Wait until every running node has a revision in force."""
+        for node in self.nodes:
+            if node.process is None or node.process.poll() is not None:
+                continue
+            until(
+                lambda node=node: self._revision(node) >= revision,
+                what=f"revision {revision} on {node.node_id}",
+            )
+
+    def _revision(self, node: NodeProcess) -> int:
+        for token in (BOOTSTRAP_TOKEN, self.operator_token()):
+            answer = self.call(node, "GET", "/v1/status", token=token)
+            if answer.status == 200:
+                return answer.json()["revision"]
+        return -1
+
+    def operator_token(self) -> str:
+        """Return the sample folder's operator token."""
+        workload = self.workload()
+        files = folder_module.read(self.folder).unwrap()
+        loaded = folder_module.load(files, revision=0).unwrap()
+        operator = next(
+            account.name
+            for account in loaded.accounts.values()
+            if account.role == model.ROLE_OPERATOR
+        )
+        return workload["tokens"][operator]
+
+    def workload(self) -> dict:
+        """Return the sample's tokens, requests and jobs."""
+        return json.loads((self.folder.parent / "workload.json").read_text())
+
+
+def workers_of(rack: model.RackSpec) -> list[dict]:
+    """Return the workers of a declared rack."""
+    return [
+        {
+            "worker_id": f"{rack.name}-w{number}",
+            "rack": rack.name,
+            "data_centre": rack.data_centre,
+            "accelerators": rack.accelerators_per_worker,
+            "cores": rack.cores_per_worker,
+            "memory_mib": rack.memory_mib_per_worker,
+        }
+        for number in range(1, rack.workers + 1)
+    ]
--- /dev/null
+++ b/standins/platform.py
@@ -0,0 +1,388 @@
+"""Stand-in of the platform: key-value store and VM list.
+
+Speaks the subset of the etcd v3 JSON gateway that the store adapter
+uses, and ``GET /vms``. One port for each data centre, so that a data
+centre can be cut off by its port. ``POST /control`` sets the faults,
+``GET /counts`` returns the calls by kind.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import dataclasses
+import json
+import sys
+import time
+
+import click
+from tornado import web
+
+MAX_VALUE_BYTES = 1_048_576
+LEASE_CHECK_S = 0.1
+
+
+@dataclasses.dataclass
+class Record:
+    """One key's value."""
+
+    value: str
+    version: int
+    lease_id: int
+
+
+@dataclasses.dataclass
+class Lease:
+    """A lease and when it lapses, on the monotonic clock."""
+
+    ttl_s: float
+    lapses_at_s: float
+
+
+@dataclasses.dataclass
+class Faults:
+    """Switches of the stand-in.
+
+    :ivar outage: nothing is answered.
+    :ivar delay_s: added to each call.
+    :ivar lose_answers: so many next writes take effect unanswered.
+    :ivar drop_events: so many next watch events are not delivered.
+    :ivar cut: data centres whose port does not answer.
+    """
+
+    outage: bool = False
+    delay_s: float = 0.0
+    lose_answers: int = 0
+    drop_events: int = 0
+    cut: list[str] = dataclasses.field(default_factory=list)
+
+
+class Keys:
+    """Keys, leases and watchers."""
+
+    def __init__(self) -> None:
+        self.records: dict[bytes, Record] = {}
+        self.leases: dict[int, Lease] = {}
+        self.version = 1
+        self.log: list[tuple[int, str, bytes, Record | None]] = []
+        self.changed = asyncio.Condition()
+
+    def set(self, key: bytes, value: str, lease_id: int) -> None:
+        """Write a key."""
+        self.version += 1
+        self.records[key] = Record(value, self.version, lease_id)
+        self.log.append((self.version, "PUT", key, self.records[key]))
+
+    def remove(self, key: bytes) -> None:
+        """Delete a key."""
+        if self.records.pop(key, None) is not None:
+            self.version += 1
+            self.log.append((self.version, "DELETE", key, None))
+
+    def end_lease(self, lease_id: int) -> None:
+        """Drop a lease and its keys."""
+        self.leases.pop(lease_id, None)
+        for key in [
+            k for k, r in self.records.items() if r.lease_id == lease_id
+        ]:
+            self.remove(key)
+
+
+class World:
+    """State of the stand-in."""
+
+    def __init__(self, vms: list[dict]) -> None:
+        self.keys = Keys()
+        self.faults = Faults()
+        self.counts: dict[str, int] = {}
+        self.vms = vms
+
+    async def expire(self) -> None:
+        """End leases that have lapsed."""
+        while True:
+            await asyncio.sleep(LEASE_CHECK_S)
+            now_s = time.monotonic()
+            for lease_id, lease in list(self.keys.leases.items()):
+                if lease.lapses_at_s < now_s:
+                    self.keys.end_lease(lease_id)
+                    await self.wake()
+
+    async def wake(self) -> None:
+        """Tell watchers that something changed."""
+        async with self.keys.changed:
+            self.keys.changed.notify_all()
+
+
+class Handler(web.RequestHandler):
+    """Base: faults and counting."""
+
+    kind = ""
+
+    def initialize(self, world: World, data_centre: str) -> None:
+        """Take the world and the port's data centre."""
+        self.world = world
+        self.data_centre = data_centre
+
+    def reachable(self) -> bool:
+        """Tell whether this port answers now."""
+        faults = self.world.faults
+        return not faults.outage and self.data_centre not in faults.cut
+
+    async def prepare(self) -> None:
+        """Count the call and apply the faults."""
+        if not self.reachable():
+            self.request.connection.stream.close()
+            raise web.Finish()
+        counts = self.world.counts
+        counts[self.kind] = counts.get(self.kind, 0) + 1
+        if self.world.faults.delay_s:
+            await asyncio.sleep(self.world.faults.delay_s)
+
+    def body(self) -> dict:
+        """Return the JSON body."""
+        return json.loads(self.request.body)
+
+    def header(self) -> dict:
+        """Return the answer's header with the store's version."""
+        return {"revision": str(self.world.keys.version)}
+
+    def answer_write(self, document: dict) -> None:
+        """Answer a write, unless its answer is to be lost."""
+        if self.world.faults.lose_answers > 0:
+            self.world.faults.lose_answers -= 1
+            self.request.connection.stream.close()
+            return
+        self.write(document)
+
+
+class Range(Handler):
+    """Reads one key or a range."""
+
+    kind = "read"
+
+    async def post(self) -> None:
+        """Answer ``/v3/kv/range``."""
+        asked = self.body()
+        start = base64.b64decode(asked["key"])
+        end = base64.b64decode(asked.get("range_end", ""))
+        keys = self.world.keys
+        found = [
+            (key, record)
+            for key, record in sorted(keys.records.items())
+            if key == start or (end and start <= key < end)
+        ]
+        self.write(
+            {
+                "header": self.header(),
+                "kvs": [document_of(key, record) for key, record in found],
+            }
+        )
+
+
+class Txn(Handler):
+    """One compare on MOD and one put or delete."""
+
+    kind = "write"
+
+    async def post(self) -> None:
+        """Answer ``/v3/kv/txn``."""
+        asked = self.body()
+        compare = asked["compare"][0]
+        key = base64.b64decode(compare["key"])
+        record = self.world.keys.records.get(key)
+        version = record.version if record else 0
+        succeeded = version == int(compare.get("modRevision", 0))
+        if succeeded and not self.apply(asked["success"][0]):
+            self.set_status(400)
+            self.write({"error": "value too large or lease unknown"})
+            return
+        if succeeded:
+            await self.world.wake()
+        self.answer_write({"header": self.header(), "succeeded": succeeded})
+
+    def apply(self, operation: dict) -> bool:
+        """Carry the operation out."""
+        keys = self.world.keys
+        if "requestDeleteRange" in operation:
+            key = operation["requestDeleteRange"]["key"]
+            keys.remove(base64.b64decode(key))
+            return True
+        put = operation["requestPut"]
+        lease_id = int(put.get("lease", 0))
+        if lease_id and lease_id not in keys.leases:
+            return False
+        if len(put["value"]) * 3 // 4 > MAX_VALUE_BYTES:
+            return False
+        keys.set(base64.b64decode(put["key"]), put["value"], lease_id)
+        return True
+
+
+class Grant(Handler):
+    """Grants a lease."""
+
+    kind = "lease"
+
+    async def post(self) -> None:
+        """Answer ``/v3/lease/grant``."""
+        ttl_s = float(self.body()["TTL"])
+        lease_id = int(time.time_ns() % (1 << 53))
+        now_s = time.monotonic()
+        self.world.keys.leases[lease_id] = Lease(ttl_s, now_s + ttl_s)
+        self.answer_write({"ID": str(lease_id), "TTL": str(int(ttl_s))})
+
+
+class KeepAlive(Handler):
+    """Renews a lease."""
+
+    kind = "lease"
+
+    async def post(self) -> None:
+        """Answer ``/v3/lease/keepalive``."""
+        lease = self.world.keys.leases.get(int(self.body()["ID"]))
+        if lease is None:
+            self.write({"result": {"TTL": "0"}})
+            return
+        lease.lapses_at_s = time.monotonic() + lease.ttl_s
+        self.answer_write({"result": {"TTL": str(int(lease.ttl_s))}})
+
+
+class Revoke(Handler):
+    """Ends a lease."""
+
+    kind = "lease"
+
+    async def post(self) -> None:
+        """Answer ``/v3/lease/revoke``."""
+        self.world.keys.end_lease(int(self.body()["ID"]))
+        await self.world.wake()
+        self.answer_write({"header": self.header()})
+
+
+class Watch(Handler):
+    """Streams changes of a range, one JSON line for each batch."""
+
+    kind = "watch"
+
+    async def post(self) -> None:
+        """Answer ``/v3/watch``."""
+        asked = self.body()["create_request"]
+        start = base64.b64decode(asked["key"])
+        end = base64.b64decode(asked["range_end"])
+        after = int(asked["start_revision"]) - 1
+        keys = self.world.keys
+        while self.reachable():
+            events = [
+                event_of(kind, key, record, version)
+                for version, kind, key, record in keys.log
+                if version > after and start <= key < end
+            ]
+            after = keys.version
+            if events and self.world.faults.drop_events > 0:
+                self.world.faults.drop_events -= 1
+                events = []
+            if events:
+                line = {"result": {"header": self.header(), "events": events}}
+                self.write(json.dumps(line) + "\n")
+                await self.flush()
+            async with keys.changed:
+                if keys.version == after:
+                    await keys.changed.wait()
+        self.request.connection.stream.close()
+
+    def on_connection_close(self) -> None:
+        """Nothing waits for the caller any more."""
+
+
+class Vms(Handler):
+    """The lagging list of VMs."""
+
+    kind = "vms"
+
+    async def get(self) -> None:
+        """Answer ``/vms``."""
+        self.set_header("Content-Type", "application/json")
+        self.write(json.dumps(self.world.vms))
+
+
+class Control(Handler):
+    """Sets faults and the VM list; not counted, always reachable."""
+
+    async def prepare(self) -> None:
+        """Skip the faults."""
+
+    async def post(self) -> None:
+        """Change faults or the list of VMs."""
+        asked = self.body()
+        if "vms" in asked:
+            self.world.vms = asked.pop("vms")
+        for name, value in asked.items():
+            setattr(self.world.faults, name, value)
+        await self.world.wake()
+        self.write(dataclasses.asdict(self.world.faults))
+
+    async def get(self) -> None:
+        """Return the calls so far, by kind."""
+        self.write(self.world.counts)
+
+
+def document_of(key: bytes, record: Record) -> dict:
+    """Return a key as the gateway shows it."""
+    return {
+        "key": base64.b64encode(key).decode(),
+        "value": record.value,
+        "mod_revision": str(record.version),
+    }
+
+
+def event_of(
+    kind: str, key: bytes, record: Record | None, version: int
+) -> dict:
+    """Return a change as the gateway shows it."""
+    if record is None:
+        encoded = base64.b64encode(key).decode()
+        document = {"key": encoded, "mod_revision": str(version)}
+        return {"type": kind, "kv": document}
+    return {"type": kind, "kv": document_of(key, record)}
+
+
+def application(world: World, data_centre: str) -> web.Application:
+    """Build the application of one port."""
+    shared = {"world": world, "data_centre": data_centre}
+    return web.Application(
+        [
+            (r"/v3/kv/range", Range, shared),
+            (r"/v3/kv/txn", Txn, shared),
+            (r"/v3/lease/grant", Grant, shared),
+            (r"/v3/lease/keepalive", KeepAlive, shared),
+            (r"/v3/lease/revoke", Revoke, shared),
+            (r"/v3/watch", Watch, shared),
+            (r"/vms", Vms, shared),
+            (r"/control", Control, shared),
+            (r"/counts", Control, shared),
+        ],
+        log_function=lambda handler: None,
+    )
+
+
+async def _serve(ports: list[tuple[str, int]], vms: list[dict]) -> None:
+    world = World(vms)
+    for data_centre, port in ports:
+        application(world, data_centre).listen(port, "127.0.0.1")
+    await world.expire()
+
+
+@click.command()
+@click.option("--port", "ports", multiple=True, help="DATA-CENTRE=PORT")
+@click.option("--vms", type=click.File(), default=None)
+def main(ports: tuple[str, ...], vms) -> None:
+    """Run the stand-in until it is stopped."""
+    pairs = [item.split("=") for item in ports]
+    listed = json.load(vms) if vms else []
+    try:
+        asyncio.run(_serve([(name, int(p)) for name, p in pairs], listed))
+    except KeyboardInterrupt:
+        sys.exit(0)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/testing/charts/test_chart.py
@@ -0,0 +1,39 @@
+"""The charts are sound and the interpreter refuses surprises."""
+
+from __future__ import annotations
+
+import pytest
+
+from knapweedwharf.charts import chart
+
+CHARTS = ["job", "node", "owner"]
+
+
+def _reachable(machine: chart.Chart, start: str) -> set[str]:
+    found = {start}
+    todo = [start]
+    while todo:
+        state = todo.pop()
+        for source, _event, target in machine.edges():
+            if source == state and target not in found:
+                found.add(target)
+                todo.append(target)
+    return found
+
+
+@pytest.mark.parametrize("name", CHARTS)
+def test_every_state_is_reachable(name: str) -> None:
+    machine = chart.load(name)
+    assert _reachable(machine, machine.initial) == machine.states
+
+
+@pytest.mark.parametrize("name", CHARTS)
+def test_every_state_leads_to_an_end(name: str) -> None:
+    machine = chart.load(name)
+    for state in machine.states:
+        assert _reachable(machine, state) & machine.final
+
+
+def test_unexpected_event_is_refused() -> None:
+    with pytest.raises(chart.UnexpectedEvent, match="queued"):
+        chart.load("job").step("queued", "started")
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Tools of the build: style checks and the one-file binary."""
