Find an accepted job before its owner has taken it in

Ruled out: a nudge to the owner, which still races. `find` now reads inbox and pages as well, the inbox first, since a job moves from it to a page.

Measured: testing/end_to_end/test_read_back.py fails before and passes after; make test 21 passed.

--- a/src/knapweedwharf/scheduling/view.py
+++ b/src/knapweedwharf/scheduling/view.py
@@ -42,7 +42,11 @@
 
     async def find(self, job_id: str) -> JobDocument | None:
         """Return a job by its id, wherever it stands."""
-        for job in await self.list_all():
+        jobs = await self.list_all()
+        for data_centre in self._data_centres():
+            # An accepted job may not have reached its owner yet.
+            jobs.extend(await self._stored(data_centre))
+        for job in jobs:
             if job["job"]["job_id"] == job_id:
                 return job
         return None
@@ -76,8 +80,9 @@
         ]
 
     async def _stored(self, data_centre: str) -> list[JobDocument]:
-        pages = await self._store.list(pages_module.prefix_of(data_centre))
+        # In this order: a job on its way is in one of the two.
         inbox = await self._store.list(inbox_module.prefix_of(data_centre))
+        pages = await self._store.list(pages_module.prefix_of(data_centre))
         jobs = [*_waiting(inbox)]
         if isinstance(pages, result.Success):
             records = pages_module.decode(pages.unwrap().entries)
