--- /dev/null
+++ b/src/knapweedwharf/core/amount.py
@@ -0,0 +1,87 @@
+"""Amounts of accelerators, cores and memory, and sums of them."""
+
+from __future__ import annotations
+
+import dataclasses
+import sys
+
+from knapweedwharf.core import model
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Amount:
+    """Accelerators, cores and memory; a value that is not changed."""
+
+    accelerators: int = 0
+    cores: int = 0
+    memory_mib: int = 0
+
+    def __add__(self, other: Amount) -> Amount:
+        return Amount(
+            self.accelerators + other.accelerators,
+            self.cores + other.cores,
+            self.memory_mib + other.memory_mib,
+        )
+
+    def __sub__(self, other: Amount) -> Amount:
+        return Amount(
+            self.accelerators - other.accelerators,
+            self.cores - other.cores,
+            self.memory_mib - other.memory_mib,
+        )
+
+    def times(self, count: int) -> Amount:
+        """Return ``count`` times this amount."""
+        return Amount(
+            self.accelerators * count,
+            self.cores * count,
+            self.memory_mib * count,
+        )
+
+    def covers(self, need: Amount) -> bool:
+        """Tell whether ``need`` fits into this amount."""
+        return (
+            self.accelerators >= need.accelerators
+            and self.cores >= need.cores
+            and self.memory_mib >= need.memory_mib
+        )
+
+    def holds(self, need: Amount) -> int:
+        """Return how often ``need`` fits into this amount."""
+        count = sys.maxsize
+        if need.accelerators:
+            count = self.accelerators // need.accelerators
+        if need.cores:
+            count = min(count, self.cores // need.cores)
+        if need.memory_mib:
+            count = min(count, self.memory_mib // need.memory_mib)
+        return max(count, 0)
+
+
+NOTHING = Amount()
+
+
+def of_worker(spec: model.WorkerSpec) -> Amount:
+    """Return a worker's whole capacity."""
+    return Amount(spec.accelerators, spec.cores, spec.memory_mib)
+
+
+def of_task(job: model.JobSpec) -> Amount:
+    """Return what one task of a job declares."""
+    return Amount(
+        job.accelerators_per_task, job.cores_per_task, job.memory_mib_per_task
+    )
+
+
+def of_place(place: model.Assignment) -> Amount:
+    """Return what an assignment takes on its worker."""
+    return Amount(len(place.accelerators), place.cores, place.memory_mib)
+
+
+def of_part(guarantee: model.GuaranteeSpec, accelerators: int) -> Amount:
+    """Return what a guarantee's part on one worker takes."""
+    return Amount(
+        accelerators,
+        accelerators * guarantee.cores_per_accelerator,
+        accelerators * guarantee.memory_mib_per_accelerator,
+    )
--- /dev/null
+++ b/src/knapweedwharf/core/borrowers.py
@@ -0,0 +1,123 @@
+"""Borrowed work: which attempts may be stopped, and for whom."""
+
+from __future__ import annotations
+
+from collections import abc
+
+from knapweedwharf.core import amount
+from knapweedwharf.core import claim
+from knapweedwharf.core import ledger
+from knapweedwharf.core import model
+from knapweedwharf.core import record as record_module
+from knapweedwharf.core import state as state_module
+from knapweedwharf.core import topology as topology_module
+from knapweedwharf.core import victims
+
+Allowed = abc.Callable[[record_module.JobRecord, victims.Victim], bool]
+
+
+def victims_on(
+    state: state_module.State,
+    rooms: abc.Iterable[topology_module.WorkerRoom],
+    allowed: Allowed,
+) -> dict[str, list[victims.Victim]]:
+    """Return borrowed attempts on workers, by worker."""
+    found: dict[str, list[victims.Victim]] = {}
+    known: dict[str, victims.Victim | None] = {}
+    for room in rooms:
+        for attempt_id in room.occupants:
+            if attempt_id not in known:
+                known[attempt_id] = _victim(state, attempt_id, allowed)
+            victim = known[attempt_id]
+            if victim is not None:
+                found.setdefault(room.spec.worker_id, []).append(victim)
+    return found
+
+
+def _victim(
+    state: state_module.State, attempt_id: str, allowed: Allowed
+) -> victims.Victim | None:
+    record = state.job_of_attempt(attempt_id)
+    if record is None or record.guarantee:
+        return None
+    if record.state not in (record_module.STARTING, record_module.RUNNING):
+        return None
+    elapsed_s = 0.0
+    if record.state == record_module.RUNNING:
+        elapsed_s = max(0.0, state.now_s - record.started_s)
+    places = state.topology.places_of(attempt_id)
+    victim = victims.Victim(
+        attempt_id=attempt_id,
+        lost_s=elapsed_s * max(record.job.accelerators, 1),
+        frees=ledger.taken_by(places),
+    )
+    return victim if allowed(record, victim) else None
+
+
+def claim_room(
+    state: state_module.State,
+    record: record_module.JobRecord,
+    choice: victims.Choice,
+    *,
+    why: str,
+    guarantee: str = "",
+) -> None:
+    """Stop the victims and hold the room for a job."""
+    job = record.job
+    state.waiting.discard(job.job_id)
+    state.reservations.drop(job.job_id)
+    reason = state.reason(
+        "reclaiming" if guarantee else "preempting",
+        f"{why} Waits until {len(choice.victims)} jobs have stopped.",
+        guarantee=guarantee,
+    )
+    state.claims.add(
+        claim.Claim(
+            job=job,
+            tasks=choice.tasks,
+            victims={victim.attempt_id: None for victim in choice.victims},
+            reason=reason,
+        )
+    )
+    if not choice.victims:
+        return
+    record.note(reason)
+    for victim in choice.victims:
+        stopped = state.job_of_attempt(victim.attempt_id)
+        stopped.preemptions += 1
+        text = f"Stopped for job {job.job_id} of {job.account}. {why}"
+        state.stop(
+            stopped,
+            "requeue",
+            state.reason(
+                "preempted",
+                text,
+                guarantee=guarantee,
+                other_job_id=job.job_id,
+            ),
+        )
+
+
+def usable_room(
+    room: topology_module.WorkerRoom,
+) -> amount.Amount:
+    """Return what is free and not claimed; reservations give way."""
+    return room.free - room.held if room.usable else amount.NOTHING
+
+
+def groups(
+    topology: topology_module.Topology, within: str
+) -> abc.Iterator[list[topology_module.WorkerRoom]]:
+    """Yield groups of usable workers, the most open ones first."""
+    if within == model.WITHIN_WORKER:
+        for key in sorted(topology.buckets, key=lambda k: -k[1]):
+            for room in list(topology.buckets[key].values()):
+                yield [room]
+    elif within == model.WITHIN_RACK:
+        racks = sorted(
+            topology.racks.values(), key=lambda rack: -rack.open_accelerators
+        )
+        for rack in racks:
+            yield [room for room in rack.workers.values() if room.usable]
+    else:
+        yield [room for room in topology.workers.values() if room.usable]
--- a/src/knapweedwharf/core/decision.py
+++ b/src/knapweedwharf/core/decision.py
@@ -52,4 +52,37 @@
     reason: model.Reason
 
 
-Decision = typing.Union[StartGang, StopGang, ThrottleGang, JobChanged]
+@dataclasses.dataclass(frozen=True)
+class GuaranteeChanged:
+    """A unit of a guarantee was suspended or is met again.
+
+    :ivar unit: number of the unit, from 1.
+    :ivar met: whether it can be reclaimed from now on.
+    """
+
+    guarantee: str
+    unit: int
+    met: bool
+    reason: model.Reason
+
+
+@dataclasses.dataclass(frozen=True)
+class WorkerChanged:
+    """A worker went into quarantine, on probation or back to use.
+
+    :ivar standing: ``quarantined``, ``probation`` or ``trusted``.
+    """
+
+    worker_id: str
+    standing: str
+    reason: model.Reason
+
+
+Decision = typing.Union[
+    StartGang,
+    StopGang,
+    ThrottleGang,
+    JobChanged,
+    GuaranteeChanged,
+    WorkerChanged,
+]
--- a/src/knapweedwharf/core/event.py
+++ b/src/knapweedwharf/core/event.py
@@ -101,13 +101,17 @@
 
 @dataclasses.dataclass(frozen=True)
 class TaskEnded:
-    """One task of a running attempt ended by itself."""
+    """One task of a running attempt ended by itself.
+
+    :ivar lapsed: its lease lapsed, which is not the job's fault.
+    """
 
     attempt_id: str
     task_index: int
     worker_id: str
     succeeded: bool
     detail: str
+    lapsed: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
--- /dev/null
+++ b/src/knapweedwharf/core/hardware.py
@@ -0,0 +1,225 @@
+"""What events of workers and of the configuration change."""
+
+from __future__ import annotations
+
+from knapweedwharf.core import decision
+from knapweedwharf.core import event
+from knapweedwharf.core import ledger
+from knapweedwharf.core import lifecycle
+from knapweedwharf.core import model
+from knapweedwharf.core import record as record_module
+from knapweedwharf.core import state as state_module
+from knapweedwharf.core import topology as topology_module
+
+
+class Hardware:
+    """Workers that come, go, fail and return; the rules in force."""
+
+    def __init__(
+        self, state: state_module.State, jobs: lifecycle.Lifecycle
+    ) -> None:
+        self._state = state
+        self._jobs = jobs
+        self._was_complete = False
+        self._suspended: dict[ledger.UnitKey, None] = {}
+
+    def check_complete(self) -> None:
+        """Look at waiting jobs anew once every worker is known."""
+        complete = self._state.topology.complete
+        if complete and not self._was_complete:
+            self._jobs.recheck()
+            self._state.waiting.wake_all()
+        self._was_complete = complete
+
+    def configure(self, configuration: model.Configuration) -> None:
+        """Put a configuration in force."""
+        state = self._state
+        reorder = state.configuration.policy != configuration.policy
+        state.configuration = configuration
+        self._jobs.feasibility.configure()
+        expelled = state.ledger.configure(
+            guarantee
+            for guarantee in configuration.guarantees.values()
+            if guarantee.data_centre == state.data_centre
+        )
+        self._jobs.expel(expelled)
+        self._jobs.seat()
+        if reorder:
+            for job_id in state.waiting.job_ids():
+                state.waiting.discard(job_id)
+                state.enqueue(state.records[job_id])
+        for account in list(state.holding):
+            self._jobs.promote(account)
+        self._jobs.recheck()
+        state.waiting.wake_all()
+
+    def sealed(self, spec: model.WorkerSpec) -> None:
+        """Use a worker from now on."""
+        state = self._state
+        known = state.topology.workers.get(spec.worker_id)
+        if known is not None and known.spec != spec:
+            self._withdraw(spec.worker_id)
+        state.topology.add(spec)
+        self._follow(spec.worker_id)
+        self._jobs.seat()
+        if known is None or known.spec != spec:
+            self._jobs.feasibility.hardware_changed()
+
+    def barred(self, worker_id: str, why: str) -> None:
+        """Place no new work on a worker."""
+        self._state.topology.bar(worker_id, why)
+        self._follow(worker_id)
+
+    def leaving(self, worker_id: str) -> None:
+        """Move work away from a worker that is about to go."""
+        self.barred(worker_id, topology_module.LEAVING)
+        text = f"Worker {worker_id} is about to leave."
+        self._requeue_on(worker_id, "worker-leaving", text)
+
+    def gone(self, worker_id: str) -> None:
+        """Forget a worker; its gangs start again elsewhere."""
+        text = f"Worker {worker_id} is gone."
+        self._requeue_on(worker_id, "worker-lost", text)
+        self._withdraw(worker_id)
+        self._state.topology.remove(worker_id)
+        self._state.quarantine.forget_worker(worker_id)
+        self._jobs.recheck()
+
+    def start_refused(self, worker_id: str) -> None:
+        """Let a worker that refused a start rest for a while."""
+        if worker_id in self._state.topology.workers:
+            self._rest(worker_id)
+
+    def judge(self, happened: event.TaskEnded) -> None:
+        """Take the end of a task as evidence on its worker."""
+        state = self._state
+        worker_id = happened.worker_id
+        if happened.lapsed or worker_id not in state.topology.workers:
+            return
+        if happened.succeeded:
+            if state.quarantine.succeeded(worker_id):
+                state.topology.allow(worker_id, topology_module.QUARANTINE)
+                self._follow(worker_id)
+                self._tell(worker_id, "trusted", "Its probation has ended.")
+            return
+        record = state.job_of_attempt(happened.attempt_id)
+        policy = state.configuration.policy
+        due = state.quarantine.failed(
+            worker_id, record.job, policy, accounts=len(state.holding)
+        )
+        if due and state.quarantine.may_quarantine(
+            worker_id,
+            workers=len(state.topology.workers),
+            share=policy.quarantine_share,
+        ):
+            self._quarantine(worker_id, policy)
+        else:
+            self._rest(worker_id)
+
+    def tick(self) -> None:
+        """End quarantines and rests whose time is over."""
+        state = self._state
+        for worker_id in state.quarantine.ended(state.now_s):
+            self._tell(worker_id, "probation", "It gets one task to try.")
+            state.waiting.wake_all()
+        for worker_id in state.quarantine.rested(state.now_s):
+            state.topology.allow(worker_id, topology_module.REFUSED)
+
+    def tell_changes(self) -> None:
+        """Decide on what was suspended or restored."""
+        state = self._state
+        changed, state.ledger.changed = state.ledger.changed, {}
+        for key in changed:
+            unit = state.ledger.units.get(key)
+            if unit is None:
+                self._suspended.pop(key, None)
+                continue
+            met = bool(unit.cell)
+            if met == (key not in self._suspended):
+                continue
+            if met:
+                del self._suspended[key]
+            else:
+                self._suspended[key] = None
+            self._tell_guarantee(unit, met=met)
+
+    def _tell_guarantee(self, unit: ledger.Unit, *, met: bool) -> None:
+        state = self._state
+        name = unit.guarantee.name
+        text = f"Unit {unit.number} of {name} can be reclaimed again."
+        if not met:
+            text = (
+                f"Unit {unit.number} of {name} is suspended: usable "
+                "hardware is too small for every unit. Units in use stay, "
+                "then first units before second ones, then small before "
+                "large."
+            )
+        code = "guarantee-met" if met else "guarantee-suspended"
+        state.decisions.append(
+            decision.GuaranteeChanged(
+                guarantee=name,
+                unit=unit.number,
+                met=met,
+                reason=state.reason(code, text, guarantee=name),
+            )
+        )
+        account = unit.guarantee.account
+        state.waiting.wake_account(account)
+        for job_id in state.waiting.jobs_of(account):
+            record = state.records[job_id]
+            record.note(state.reason(code, text, guarantee=name))
+
+    def _quarantine(self, worker_id: str, policy: model.PolicySpec) -> None:
+        state = self._state
+        until_s = state.quarantine.begin(
+            worker_id, now_s=state.now_s, length_s=policy.quarantine_s
+        )
+        state.topology.bar(worker_id, topology_module.QUARANTINE)
+        self._follow(worker_id)
+        text = f"Jobs of several accounts failed; until {until_s:.0f} s."
+        self._tell(worker_id, "quarantined", text)
+
+    def _rest(self, worker_id: str) -> None:
+        state = self._state
+        state.quarantine.refused(worker_id, state.now_s)
+        state.topology.bar(worker_id, topology_module.REFUSED)
+
+    def _tell(self, worker_id: str, standing: str, text: str) -> None:
+        state = self._state
+        state.decisions.append(
+            decision.WorkerChanged(
+                worker_id=worker_id,
+                standing=standing,
+                reason=state.reason(f"worker-{standing}", text),
+            )
+        )
+
+    def _follow(self, worker_id: str) -> None:
+        """Let guarantees use a worker exactly while it is usable.
+
+        A rest after a refusal is too short to move cells for.
+        """
+        state = self._state
+        room = state.topology.workers.get(worker_id)
+        if room is not None and room.barred <= {topology_module.REFUSED}:
+            state.ledger.worker_usable(room.spec)
+            state.ledger.repair()
+        else:
+            self._withdraw(worker_id)
+
+    def _withdraw(self, worker_id: str) -> None:
+        state = self._state
+        state.ledger.worker_unusable(worker_id)
+        for job_id in state.claims.on_worker(worker_id):
+            state.drop_claim(job_id)
+            state.enqueue(state.records[job_id])
+        for job_id in state.reservations.on_worker(worker_id):
+            state.reservations.drop(job_id)
+
+    def _requeue_on(self, worker_id: str, code: str, text: str) -> None:
+        state = self._state
+        for attempt_id in state.topology.attempts_on(worker_id):
+            record = state.job_of_attempt(attempt_id)
+            if record is None or record.state == record_module.STOPPING:
+                continue
+            state.stop(record, "requeue", state.reason(code, text))
--- /dev/null
+++ b/src/knapweedwharf/core/invariant.py
@@ -0,0 +1,201 @@
+"""Checks of what must always hold; for tests and benchmarks.
+
+Pure functions over an engine. Each yields one sentence for each
+violation; the index is compared with a count from scratch.
+"""
+
+from __future__ import annotations
+
+from collections import abc
+
+from knapweedwharf.core import amount
+from knapweedwharf.core import decision
+from knapweedwharf.core import engine as engine_module
+from knapweedwharf.core import ledger
+from knapweedwharf.core import placement
+from knapweedwharf.core import record as record_module
+from knapweedwharf import registry
+
+Check = abc.Callable[[engine_module.Engine], abc.Iterator[str]]
+CHECKS: registry.Registry[Check] = registry.Registry(subject="invariant")
+
+
+def violations(engine: engine_module.Engine) -> list[str]:
+    """Return every violation in an engine's state."""
+    return [
+        f"{name}: {found}"
+        for name in CHECKS.names()
+        for found in CHECKS.get(name)(engine)
+    ]
+
+
+def wrong_stops(
+    engine: engine_module.Engine, decisions: list[decision.Decision]
+) -> list[str]:
+    """Return preemptions of work inside its guarantee."""
+    return [
+        f"{taken.job_id} is inside {engine.records[taken.job_id].guarantee}"
+        for taken in decisions
+        if isinstance(taken, decision.StopGang)
+        and taken.reason.code == "preempted"
+        and engine.records[taken.job_id].guarantee
+    ]
+
+
+@CHECKS.register("double-booking")
+def _double_booking(engine: engine_module.Engine) -> abc.Iterator[str]:
+    for room in engine.topology.workers.values():
+        taken = [
+            index
+            for places in room.occupants.values()
+            for place in places
+            for index in place.accelerators
+        ]
+        if len(taken) != len(set(taken)):
+            yield f"accelerators of {room.spec.worker_id} are taken twice"
+        if min(room.cores, room.memory_mib) < 0:
+            yield f"{room.spec.worker_id} is overcommitted"
+
+
+@CHECKS.register("whole-gangs")
+def _whole_gangs(engine: engine_module.Engine) -> abc.Iterator[str]:
+    for record in engine.records.values():
+        holding = record.state in record_module.HOLDING_STATES
+        if holding != bool(record.attempt_id):
+            yield f"{record.job.job_id} {record.state} with an attempt"
+        if not holding:
+            continue
+        places = record.assignments
+        if [p.task_index for p in places] != list(range(record.job.tasks)):
+            yield f"{record.job.job_id} is placed in part"
+        present = engine.topology.workers
+        groups = {
+            placement.group_of(present[p.worker_id].spec, record.job.within)
+            for p in places
+            if p.worker_id in present
+        }
+        if len(groups) > 1:
+            yield f"{record.job.job_id} spans more than {record.job.within}"
+
+
+@CHECKS.register("guarantees")
+def _guarantees(engine: engine_module.Engine) -> abc.Iterator[str]:
+    promised: dict[str, amount.Amount] = {}
+    for unit in engine.state.ledger.units.values():
+        if unit.cell and sum(unit.cell.values()) != (
+            unit.guarantee.accelerators
+        ):
+            yield f"the cell of {unit.key} has the wrong size"
+        for worker_id, count in unit.cell.items():
+            part = amount.of_part(unit.guarantee, count)
+            before = promised.get(worker_id, amount.NOTHING)
+            promised[worker_id] = before + part
+        yield from _unit(engine, unit)
+    for worker_id, part in promised.items():
+        room = engine.topology.workers.get(worker_id)
+        if room and not amount.of_worker(room.spec).covers(part):
+            yield f"cells on {worker_id} overlap"
+
+
+def _unit(
+    engine: engine_module.Engine, unit: ledger.Unit
+) -> abc.Iterator[str]:
+    present = engine.topology.workers
+    specs = [present[w].spec for w in unit.cell if w in present]
+    within = unit.guarantee.within
+    if len({placement.group_of(spec, within) for spec in specs}) > 1:
+        yield f"the cell of {unit.key} spans more than {within}"
+    for worker_id in unit.cell:
+        if not unit.room_on(worker_id).covers(amount.NOTHING):
+            yield f"{unit.key} is used beyond its cell"
+        if worker_id not in present and not unit.users:
+            yield f"the cell of {unit.key} is on a worker that is gone"
+    for job_id in unit.users:
+        record = engine.records[job_id]
+        if record.job.account != unit.guarantee.account:
+            yield f"{job_id} uses a guarantee of another account"
+        if record.attempt_id and record.guarantee != unit.guarantee.name:
+            yield f"{job_id} does not know its guarantee"
+
+
+@CHECKS.register("nothing-lost")
+def _nothing_lost(engine: engine_module.Engine) -> abc.Iterator[str]:
+    state = engine.state
+    for job_id, record in engine.records.items():
+        waits = job_id in state.waiting
+        claims = job_id in state.claims.by_job
+        queued = record.state == record_module.QUEUED
+        if queued != (waits or claims) or (waits and claims):
+            yield f"{job_id} is {record.state}; {waits=} {claims=}"
+    for job_id, claim in state.claims.by_job.items():
+        stopping = [
+            state.job_of_attempt(attempt_id) for attempt_id in claim.victims
+        ]
+        if not all(r and r.state == "stopping" for r in stopping):
+            yield f"the claim of {job_id} waits for nothing"
+    for job_id in state.reservations.by_job:
+        if job_id not in state.waiting:
+            yield f"{job_id} has a reservation and does not wait"
+
+
+@CHECKS.register("accounts")
+def _accounts(engine: engine_module.Engine) -> abc.Iterator[str]:
+    held: dict[str, int] = {}
+    for record in engine.records.values():
+        if not record.attempt_id:
+            continue
+        job = record.job
+        held[job.account] = held.get(job.account, 0) + job.accelerators
+    used = {a: n for a, n in engine.state.used.items() if n}
+    if used != {a: n for a, n in held.items() if n}:
+        yield f"accounts hold {held}, noted are {used}"
+
+
+@CHECKS.register("index")
+def _index(engine: engine_module.Engine) -> abc.Iterator[str]:
+    topology = engine.topology
+    free = open_count = 0
+    for worker_id, room in topology.workers.items():
+        expected = room.free - room.held - room.reserved
+        if not room.usable:
+            expected = amount.NOTHING
+        if room.open != expected:
+            yield f"open room of {worker_id} is {room.open}, not {expected}"
+        free += len(room.accelerators) if room.usable else 0
+        open_count += max(room.open.accelerators, 0)
+        listed = [k for k, b in topology.buckets.items() if worker_id in b]
+        if listed != ([room.key] if room.key is not None else []):
+            yield f"{worker_id} is listed in {listed}"
+    if free != topology.free_accelerators():
+        yield f"{free} accelerators are free, not counted so"
+    racks = sum(r.open_accelerators for r in topology.racks.values())
+    if not open_count == racks == topology.open_accelerators:
+        yield f"{open_count} accelerators are open, racks say {racks}"
+    yield from _holds(engine)
+
+
+def _holds(engine: engine_module.Engine) -> abc.Iterator[str]:
+    state = engine.state
+    for attribute, asides in (
+        ("held", state.claims.by_job),
+        ("reserved", state.reservations.by_job),
+    ):
+        expected: dict[str, amount.Amount] = {}
+        for aside in asides.values():
+            need = amount.of_task(aside.job)
+            for worker_id, count in aside.tasks.items():
+                before = expected.get(worker_id, amount.NOTHING)
+                expected[worker_id] = before + need.times(count)
+        for worker_id, room in engine.topology.workers.items():
+            wanted = expected.get(worker_id, amount.NOTHING)
+            if getattr(room, attribute) != wanted:
+                yield f"{worker_id} has the wrong amount {attribute}"
+
+
+@CHECKS.register("reasons")
+def _reasons(engine: engine_module.Engine) -> abc.Iterator[str]:
+    for record in engine.records.values():
+        if not record.reasons:
+            yield f"{record.job.job_id} has no reason"
+        if len(record.reasons) > record_module.MAX_REASONS:
+            yield f"{record.job.job_id} has too many reasons"
--- /dev/null
+++ b/src/knapweedwharf/core/lifecycle.py
@@ -0,0 +1,305 @@
+"""What events of jobs and gangs do to their records."""
+
+from __future__ import annotations
+
+from knapweedwharf.core import decision
+from knapweedwharf.core import event
+from knapweedwharf.core import feasibility
+from knapweedwharf.core import model
+from knapweedwharf.core import reclaim
+from knapweedwharf.core import record as record_module
+from knapweedwharf.core import state as state_module
+from knapweedwharf.core import usage
+
+RETRY_S = 1.0
+MAX_RETRY_S = 30.0
+
+
+class Lifecycle:
+    """Steps of the job chart.
+
+    Events of attempts that are no longer held are ignored, so late and
+    repeated ones do no harm.
+    """
+
+    def __init__(
+        self, state: state_module.State, inside: reclaim.Reclaim
+    ) -> None:
+        self._state = state
+        self._reclaim = inside
+        self._usage = usage.Usage()
+        self._refusals: dict[str, int] = {}
+        self._unseated: dict[str, None] = {}
+        self.feasibility = feasibility.Feasibility(state)
+
+    # Records of an earlier epoch
+
+    def restore(self, record: record_module.JobRecord) -> None:
+        """Take over a record."""
+        job_id = record.job.job_id
+        self._state.records[job_id] = record
+        if record.attempt_id:
+            self._state.hold(record)
+            if record.guarantee:
+                self._unseated[job_id] = None
+        elif record.state == record_module.QUEUED:
+            self._state.enqueue(record)
+
+    def seat(self) -> None:
+        """Put restored work back inside its guarantees."""
+        state = self._state
+        if not self._unseated or not state.configuration.revision:
+            return
+        for job_id in list(self._unseated):
+            record = state.records[job_id]
+            if not record.attempt_id:
+                del self._unseated[job_id]
+                continue
+            unit = state.ledger.units.get((record.guarantee, record.unit))
+            known = all(
+                place.worker_id in state.topology.workers
+                for place in record.assignments
+            )
+            if unit is not None and not known:
+                continue
+            places = record.assignments
+            if unit is None or not state.ledger.seat(unit, job_id, places):
+                record.guarantee = ""
+                record.unit = 0
+            del self._unseated[job_id]
+        state.ledger.repair()
+
+    # Submission and cancellation
+
+    def submitted(self, job: model.JobSpec) -> None:
+        """Let a new job wait, or reject it."""
+        state = self._state
+        if job.job_id in state.records:
+            return
+        record = record_module.JobRecord(job=job, state=state.chart.initial)
+        state.records[job.job_id] = record
+        never = self.feasibility.never(job)
+        if never:
+            state.move(record, "reject", state.reason("never", never))
+            return
+        state.changed(record, state.reason("accepted", "The job waits."))
+        state.enqueue(record)
+        self._tell_absent(record)
+
+    def recheck(self) -> None:
+        """Look again at whether waiting jobs can ever run."""
+        state = self._state
+        self.feasibility.hardware_changed()
+        for job_class, head in list(state.waiting.class_heads()):
+            job = state.records[head].job
+            never = self.feasibility.never(job)
+            if never:
+                for order in list(job_class.jobs):
+                    self._reject(state.records[order[2]], never)
+            elif self.feasibility.absent(job):
+                for order in job_class.jobs:
+                    self._tell_absent(state.records[order[2]])
+
+    def _reject(self, record: record_module.JobRecord, never: str) -> None:
+        state = self._state
+        state.waiting.discard(record.job.job_id)
+        state.reservations.drop(record.job.job_id)
+        state.move(record, "reject", state.reason("never", never))
+
+    def _tell_absent(self, record: record_module.JobRecord) -> None:
+        if not self.feasibility.absent(record.job):
+            return
+        text = (
+            "The hardware present cannot run this job; it waits for "
+            "declared hardware to return."
+        )
+        state = self._state
+        state.changed(record, state.reason("hardware-absent", text))
+
+    def cancelled(self, job_id: str) -> None:
+        """Cancel a job in whatever state it is."""
+        state = self._state
+        record = state.records.get(job_id)
+        if record is None or record.state in state.chart.final:
+            return
+        reason = state.reason("cancelled", "The job was cancelled.")
+        if record.state == record_module.QUEUED:
+            state.waiting.discard(job_id)
+            state.drop_claim(job_id)
+            state.reservations.drop(job_id)
+            state.move(record, "cancel", reason)
+        elif record.state == record_module.STOPPING:
+            record.after_stop = "cancel"
+            state.changed(record, reason)
+        else:
+            state.stop(record, "cancel", reason)
+
+    # Gangs
+
+    def gang_started(self, attempt_id: str) -> None:
+        """All members run."""
+        state = self._state
+        record = state.job_of_attempt(attempt_id)
+        if record is None or record.state != record_module.STARTING:
+            return
+        record.started_s = state.now_s
+        self._refusals.pop(record.job.job_id, None)
+        state.move(record, "started", state.reason("started", "All run."))
+
+    def gang_adopted(self, happened: event.GangAdopted) -> None:
+        """An earlier epoch's gang was found running."""
+        state = self._state
+        record = state.records.get(happened.job_id)
+        if record is None or record.state != record_module.QUEUED:
+            return
+        state.waiting.discard(happened.job_id)
+        state.drop_claim(happened.job_id)
+        state.reservations.drop(happened.job_id)
+        record.attempt_id = happened.attempt_id
+        record.assignments = happened.assignments
+        record.ended_tasks = frozenset()
+        record.started_s = state.now_s
+        state.hold(record)
+        state.move(record, "adopt", state.reason("adopted", "Found running."))
+        self._reclaim.promote(record.job.account)
+
+    def gang_refused(self, happened: event.GangRefused) -> None:
+        """A start failed; every member was released."""
+        state = self._state
+        record = state.job_of_attempt(happened.attempt_id)
+        if record is None:
+            return
+        reason = state.reason("start-refused", happened.reason)
+        if record.state == record_module.STOPPING:
+            self._end_stop(record, reason)
+            return
+        if record.state != record_module.STARTING:
+            return
+        self._release(record)
+        state.move(record, "refused", reason)
+        count = self._refusals.get(record.job.job_id, 0)
+        self._refusals[record.job.job_id] = count + 1
+        delay_s = min(RETRY_S * 2 ** min(count, 10), MAX_RETRY_S)
+        # A refusing worker rests itself; the job need not.
+        state.enqueue(record, delay_s=0.0 if happened.worker_id else delay_s)
+
+    def gang_stopped(self, happened: event.GangStopped) -> None:
+        """Every member of an attempt has stopped."""
+        state = self._state
+        record = state.job_of_attempt(happened.attempt_id)
+        if record is None or record.state != record_module.STOPPING:
+            return
+        text = "Checkpointed." if happened.checkpointed else "Not saved."
+        self._end_stop(record, state.reason("stopped", text))
+
+    def _end_stop(
+        self, record: record_module.JobRecord, reason: model.Reason
+    ) -> None:
+        self._release(record)
+        self._state.move(record, record.after_stop, reason)
+        if record.state == record_module.QUEUED:
+            self._state.enqueue(record)
+
+    # Tasks
+
+    def awaits(self, happened: event.TaskEnded) -> bool:
+        """Tell whether the end of this task is news."""
+        record = self._state.job_of_attempt(happened.attempt_id)
+        return (
+            record is not None
+            and record.state in record_module.HOLDING_STATES
+            and happened.task_index not in record.ended_tasks
+            and 0 <= happened.task_index < record.job.tasks
+        )
+
+    def task_ended(self, happened: event.TaskEnded) -> None:
+        """One task ended; the last one finishes the job."""
+        state = self._state
+        record = state.job_of_attempt(happened.attempt_id)
+        if not happened.succeeded:
+            self._task_failed(record, happened)
+            return
+        record.ended_tasks |= {happened.task_index}
+        if len(record.ended_tasks) < record.job.tasks:
+            state.topology.release_task(record.attempt_id, happened.task_index)
+            return
+        if record.state == record_module.STOPPING:
+            record.after_stop = "finish"
+            return
+        if record.state == record_module.RUNNING:
+            ran_s = state.now_s - record.started_s
+            state.estimates.learn(record.job, ran_s)
+        self._release(record)
+        state.move(record, "finish", state.reason("finished", "Done."))
+
+    def _task_failed(
+        self, record: record_module.JobRecord, happened: event.TaskEnded
+    ) -> None:
+        state = self._state
+        if record.state == record_module.STOPPING:
+            return
+        if happened.lapsed:
+            text = f"The lease of task {happened.task_index} lapsed."
+            reason = state.reason("lease-lapsed", text)
+            state.stop(record, "requeue", reason)
+            return
+        text = f"Task {happened.task_index} failed: {happened.detail}"
+        self._stop_failed(record, state.reason("task-failed", text))
+
+    def _stop_failed(
+        self, record: record_module.JobRecord, reason: model.Reason
+    ) -> None:
+        record.failures += 1
+        limit = self._state.configuration.policy.max_attempts
+        after = "fail" if record.failures >= limit else "requeue"
+        self._state.stop(record, after, reason)
+
+    def usage_reported(self, happened: event.UsageReported) -> None:
+        """Throttle an attempt beyond its size; stop it if that lasts."""
+        state = self._state
+        record = state.job_of_attempt(happened.attempt_id)
+        if record is None or record.state != record_module.RUNNING:
+            return
+        verdict = self._usage.judge(record.job, happened)
+        text = (
+            f"Task {happened.task_index} uses {happened.cores:.1f} cores "
+            f"and {happened.memory_mib} MiB, beyond its declared size."
+        )
+        if verdict == usage.THROTTLE:
+            reason = state.reason("throttled", text)
+            state.changed(record, reason)
+            state.decisions.append(
+                decision.ThrottleGang(
+                    job_id=record.job.job_id,
+                    attempt_id=record.attempt_id,
+                    reason=reason,
+                )
+            )
+        elif verdict == usage.STOP:
+            self._stop_failed(record, state.reason("oversized", text))
+
+    def _release(self, record: record_module.JobRecord) -> None:
+        account = record.job.account
+        self._usage.forget(record.attempt_id)
+        self._unseated.pop(record.job.job_id, None)
+        was_inside = bool(record.guarantee)
+        self._state.release(record)
+        if was_inside:
+            self._reclaim.promote(account)
+
+    def expel(self, job_ids: list[str]) -> None:
+        """Count jobs as borrowers whose guarantee is gone."""
+        state = self._state
+        for job_id in job_ids:
+            record = state.records[job_id]
+            record.guarantee = ""
+            record.unit = 0
+            if state.claims.drop(job_id):
+                state.enqueue(record)
+                continue
+            text = "Its guarantee changed; the job borrows its room now."
+            state.changed(record, state.reason("outside-guarantee", text))
+
+    def promote(self, account: str) -> None:
+        """Put borrowed work of an account inside free units."""
+        self._reclaim.promote(account)
--- a/src/knapweedwharf/core/model.py
+++ b/src/knapweedwharf/core/model.py
@@ -59,7 +59,8 @@
     """A client account: who it is and what it may use.
 
     :ivar token_sha256: hash of the account's token, in hex.
-    :ivar quota_accelerators: accelerators its jobs may hold at once.
+    :ivar quota_accelerators: accelerators its jobs may hold at once;
+        0 sets no limit, and guarantees are met beyond it.
     :ivar request_share: weight of the account at the door.
     """
 
--- /dev/null
+++ b/src/knapweedwharf/core/packing.py
@@ -0,0 +1,249 @@
+"""Cells of guarantees packed onto workers, by shape.
+
+A cell is what one unit of a guarantee occupies. It takes as few
+workers as the hardware allows: whole workers first, then one part for
+the rest, all within the guarantee's distance.
+"""
+
+from __future__ import annotations
+
+from collections import abc
+
+from knapweedwharf.core import amount
+from knapweedwharf.core import model
+
+Cell = dict[str, int]
+"""Worker id to accelerators."""
+
+MAX_STEPS = 5000
+
+
+class Packing:
+    """Room that is not yet promised, worker by worker."""
+
+    def __init__(self, specs: abc.Iterable[model.WorkerSpec] = ()) -> None:
+        self.specs: dict[str, model.WorkerSpec] = {}
+        self.spare: dict[str, amount.Amount] = {}
+        self._racks: dict[str, dict[str, None]] = {}
+        for spec in specs:
+            self.add(spec)
+
+    def add(self, spec: model.WorkerSpec) -> None:
+        """Add an empty worker."""
+        self.specs[spec.worker_id] = spec
+        self.spare[spec.worker_id] = amount.of_worker(spec)
+        self._racks.setdefault(spec.rack, {})[spec.worker_id] = None
+
+    def remove(self, worker_id: str) -> None:
+        """Take a worker out; its parts must have been given back."""
+        spec = self.specs.pop(worker_id, None)
+        if spec is not None:
+            del self.spare[worker_id]
+            del self._racks[spec.rack][worker_id]
+
+    def take(self, guarantee: model.GuaranteeSpec, cell: Cell) -> None:
+        """Promise a cell."""
+        for worker_id, count in cell.items():
+            if worker_id in self.spare:
+                part = amount.of_part(guarantee, count)
+                self.spare[worker_id] = self.spare[worker_id] - part
+
+    def give(self, guarantee: model.GuaranteeSpec, cell: Cell) -> None:
+        """Take a promise back."""
+        for worker_id, count in cell.items():
+            if worker_id in self.spare:
+                part = amount.of_part(guarantee, count)
+                self.spare[worker_id] = self.spare[worker_id] + part
+
+    def rack_of(self, worker_id: str) -> str:
+        """Return a worker's rack, or an empty text."""
+        spec = self.specs.get(worker_id)
+        return spec.rack if spec else ""
+
+    def workers_of(self, rack: str) -> list[str]:
+        """Return a rack's workers."""
+        return list(self._racks.get(rack, ()))
+
+    def cells(
+        self,
+        guarantee: model.GuaranteeSpec,
+        *,
+        racks: abc.Iterable[str] | None = None,
+    ) -> abc.Iterator[Cell]:
+        """Yield cells that fit the spare room, the tightest first.
+
+        Cells on workers that are alike are yielded once.
+        """
+        seen: set[tuple] = set()
+        found: list[tuple[int, Cell]] = []
+        for workers in self._groups(guarantee.within, racks):
+            signature = self._signature(guarantee, workers)
+            if signature in seen:
+                continue
+            seen.add(signature)
+            cell = self.carve(guarantee, workers)
+            if cell is not None:
+                spare = sum(self.spare[w].accelerators for w in workers)
+                found.append((spare, cell))
+        found.sort(key=lambda item: item[0])
+        return (cell for _spare, cell in found)
+
+    def carve(
+        self,
+        guarantee: model.GuaranteeSpec,
+        workers: abc.Iterable[str],
+        *,
+        base: Cell | None = None,
+    ) -> Cell | None:
+        """Cut a compact cell out of workers' spare room.
+
+        :param base: parts that the cell must contain.
+        """
+        cell = dict(base or {})
+        left = guarantee.accelerators - sum(cell.values())
+        members = dict.fromkeys([*cell, *workers])
+        for worker_id in self._by_spare(members):
+            whole = self._whole(guarantee, worker_id)
+            missing = whole - cell.get(worker_id, 0)
+            chosen = worker_id in cell or left >= whole
+            if not chosen or not 0 < missing <= left:
+                continue
+            if self._room(guarantee, worker_id) >= whole:
+                cell[worker_id] = whole
+                left -= missing
+        if left > 0 and not self._add_rest(guarantee, members, cell, left):
+            return None
+        return cell if left >= 0 else None
+
+    def _add_rest(
+        self,
+        guarantee: model.GuaranteeSpec,
+        workers: abc.Iterable[str],
+        cell: Cell,
+        left: int,
+    ) -> bool:
+        """Add the last part on the tightest worker that holds it."""
+        tightest = sorted(workers, key=lambda w: self.spare[w].accelerators)
+        for worker_id in tightest:
+            part = cell.get(worker_id, 0) + left
+            if part > self._whole(guarantee, worker_id):
+                continue
+            if self._room(guarantee, worker_id) >= part:
+                cell[worker_id] = part
+                return True
+        return False
+
+    def covers(self, guarantee: model.GuaranteeSpec, cell: Cell) -> bool:
+        """Tell whether the spare room holds a cell."""
+        return all(
+            worker_id in self.spare
+            and self._room(guarantee, worker_id) >= count
+            for worker_id, count in cell.items()
+        )
+
+    def _by_spare(self, workers: abc.Iterable[str]) -> list[str]:
+        # Full workers come first, then the tightest ones.
+        return sorted(
+            workers,
+            key=lambda w: (
+                self.spare[w].accelerators < self.specs[w].accelerators,
+                self.spare[w].accelerators,
+            ),
+        )
+
+    def _whole(self, guarantee: model.GuaranteeSpec, worker_id: str) -> int:
+        """Return the largest part a worker of this kind can hold."""
+        part = amount.of_part(guarantee, 1)
+        return amount.of_worker(self.specs[worker_id]).holds(part)
+
+    def _room(self, guarantee: model.GuaranteeSpec, worker_id: str) -> int:
+        return self.spare[worker_id].holds(amount.of_part(guarantee, 1))
+
+    def _signature(
+        self, guarantee: model.GuaranteeSpec, workers: list[str]
+    ) -> tuple:
+        return tuple(
+            sorted(
+                (
+                    self._room(guarantee, w),
+                    self._whole(guarantee, w),
+                    self.spare[w].accelerators,
+                    self.spare[w].cores,
+                    self.spare[w].memory_mib,
+                )
+                for w in workers
+            )
+        )
+
+    def _groups(
+        self, within: str, racks: abc.Iterable[str] | None
+    ) -> abc.Iterator[list[str]]:
+        names = self._racks if racks is None else racks
+        chosen = [list(self._racks.get(name, ())) for name in names]
+        if within == model.WITHIN_WORKER:
+            for workers in chosen:
+                yield from ([worker_id] for worker_id in workers)
+        elif within == model.WITHIN_RACK:
+            yield from chosen
+        else:
+            yield [w for workers in chosen for w in workers]
+
+
+def pack(
+    packing: Packing, guarantees: abc.Sequence[model.GuaranteeSpec]
+) -> list[Cell] | None:
+    """Find cells for all units at once by a bounded search.
+
+    The cells are in the order of ``guarantees``. The packing is left
+    as it was.
+    """
+    order = sorted(
+        range(len(guarantees)), key=lambda i: _hardest_first(guarantees[i])
+    )
+    chosen: list[Cell] = []
+    choices: list[abc.Iterator[Cell]] = []
+    steps = 0
+    while len(chosen) < len(order) and steps < MAX_STEPS:
+        steps += 1
+        guarantee = guarantees[order[len(chosen)]]
+        if len(choices) == len(chosen):
+            choices.append(packing.cells(guarantee))
+        cell = next(choices[-1], None)
+        if cell is not None:
+            packing.take(guarantee, cell)
+            chosen.append(cell)
+            continue
+        choices.pop()
+        if not chosen:
+            break
+        packing.give(guarantees[order[len(chosen) - 1]], chosen.pop())
+    for index, cell in zip(order, chosen):
+        packing.give(guarantees[index], cell)
+    if len(chosen) < len(order):
+        return None
+    cells = dict(zip(order, chosen))
+    return [cells[index] for index in range(len(guarantees))]
+
+
+def _hardest_first(guarantee: model.GuaranteeSpec) -> tuple:
+    level = model.WITHIN_LEVELS.index(guarantee.within)
+    return (-guarantee.accelerators, level, guarantee.name)
+
+
+def declared_workers(
+    configuration: model.Configuration, data_centre: str
+) -> list[model.WorkerSpec]:
+    """Return the workers that the operators' racks declare."""
+    return [
+        model.WorkerSpec(
+            worker_id=f"{rack.name}/{number}",
+            rack=rack.name,
+            data_centre=data_centre,
+            accelerators=rack.accelerators_per_worker,
+            cores=rack.cores_per_worker,
+            memory_mib=rack.memory_mib_per_worker,
+        )
+        for rack in configuration.racks.values()
+        if rack.data_centre == data_centre
+        for number in range(rack.workers)
+    ]
--- a/src/knapweedwharf/core/placement.py
+++ b/src/knapweedwharf/core/placement.py
@@ -1,94 +1,241 @@
-"""Search for places of a gang within a distance."""
+"""Search for places of a gang within a distance.
+
+Policies are registered by name. ``guaranteed`` and ``best-fit`` fill
+the tightest room first, ``first-fit`` takes workers in their order.
+"""
 
 from __future__ import annotations
 
 from collections import abc
+import dataclasses
+import itertools
+import typing
 
+from knapweedwharf.core import amount
 from knapweedwharf.core import model
 from knapweedwharf.core import topology as topology_module
+from knapweedwharf import registry
+
+Share = list[tuple[topology_module.WorkerRoom, int]]
+"""How many of a gang's tasks go to each worker."""
+
+RACKS_TRIED = 8
+
+Search = typing.Callable[
+    [topology_module.Topology, model.JobSpec], "Share | None"
+]
+
+
+@dataclasses.dataclass(frozen=True)
+class Policy:
+    """One way to decide.
+
+    :ivar search: finds open room for a gang.
+    :ivar preempts: stops borrowers for guarantees and urgent work.
+    :ivar reserves: gives reservations to gangs that wait long.
+    """
+
+    search: Search
+    preempts: bool
+    reserves: bool
+
+
+POLICIES: registry.Registry[Search] = registry.Registry(
+    subject="placement search"
+)
 
 
-def find(
+def policy(name: str) -> Policy:
+    """Return a policy; only ``guaranteed`` preempts and reserves."""
+    ours = name == "guaranteed"
+    return Policy(search=POLICIES.get(name), preempts=ours, reserves=ours)
+
+
+@POLICIES.register("guaranteed")
+def tightest(
     topology: topology_module.Topology, job: model.JobSpec
-) -> tuple[model.Assignment, ...] | None:
-    """Return places for the whole gang, or None."""
-    usable = [room for room in topology.workers.values() if room.usable]
-    for group in _groups(usable, job.within):
-        places = _fill(group, job)
-        if places is not None:
-            return places
-    return None
+) -> Share | None:
+    """Fill the most broken room that the gang fits into.
 
+    Tasks without accelerators leave cores beside free accelerators
+    alone at first.
+    """
+    if not job.accelerators_per_task:
+        share = _search(topology, job, spare_cores=True)
+        if share is not None:
+            return share
+    return _search(topology, job, spare_cores=False)
 
-def could_ever_fit(
+
+@POLICIES.register("best-fit")
+def best_fit(
     topology: topology_module.Topology, job: model.JobSpec
-) -> bool:
-    """Tell whether the empty hardware could run the gang."""
-    groups = _groups(topology.workers.values(), job.within)
-    return any(_capacity(group, job) >= job.tasks for group in groups)
+) -> Share | None:
+    """Fill the most broken room that the gang fits into."""
+    return _search(topology, job, spare_cores=False)
 
 
-def _groups(
-    rooms: abc.Iterable[topology_module.WorkerRoom], within: str
-) -> list[list[topology_module.WorkerRoom]]:
-    groups: dict[str, list[topology_module.WorkerRoom]] = {}
-    for room in rooms:
-        groups.setdefault(_group_key(room, within), []).append(room)
-    return list(groups.values())
+@POLICIES.register("first-fit")
+def first_fit(
+    topology: topology_module.Topology, job: model.JobSpec
+) -> Share | None:
+    """Take workers in their order."""
+    for group in _groups(topology, job.within):
+        share = fill(group, job)
+        if share is not None:
+            return share
+    return None
 
 
-def _group_key(room: topology_module.WorkerRoom, within: str) -> str:
-    if within == model.WITHIN_WORKER:
-        return room.spec.worker_id
-    if within == model.WITHIN_RACK:
-        return room.spec.rack
-    return room.spec.data_centre
+def _search(
+    topology: topology_module.Topology,
+    job: model.JobSpec,
+    *,
+    spare_cores: bool,
+) -> Share | None:
+    need = amount.of_task(job)
+    if job.within == model.WITHIN_WORKER or job.tasks == 1:
+        whole = need.times(job.tasks)
+        for room in _fitting(topology, whole, spare_cores=spare_cores):
+            return [(room, job.tasks)]
+        return None
+    share = _search_racks(topology, job)
+    if share is not None or job.within == model.WITHIN_RACK:
+        return share
+    rooms = _fitting(topology, need, spare_cores=spare_cores)
+    return fill(rooms, job)
 
 
-def _capacity(
-    group: list[topology_module.WorkerRoom], job: model.JobSpec
-) -> int:
-    return sum(_tasks_on_empty(room.spec, job) for room in group)
+def _search_racks(
+    topology: topology_module.Topology, job: model.JobSpec
+) -> Share | None:
+    racks = topology.racks_with(job.accelerators)
+    if job.within != model.WITHIN_RACK:
+        racks = itertools.islice(racks, RACKS_TRIED)
+    for rack in racks:
+        share = fill(_tightest_first(rack.workers.values()), job)
+        if share is not None:
+            return share
+    return None
 
 
-def _tasks_on_empty(spec: model.WorkerSpec, job: model.JobSpec) -> int:
-    limits = [job.tasks]
-    if job.accelerators_per_task:
-        limits.append(spec.accelerators // job.accelerators_per_task)
-    if job.cores_per_task:
-        limits.append(spec.cores // job.cores_per_task)
-    if job.memory_mib_per_task:
-        limits.append(spec.memory_mib // job.memory_mib_per_task)
-    return min(limits)
+def _tightest_first(
+    rooms: abc.Iterable[topology_module.WorkerRoom],
+) -> list[topology_module.WorkerRoom]:
+    return sorted(
+        (room for room in rooms if room.key is not None),
+        key=lambda room: (room.open.accelerators, room.open.cores),
+    )
+
+
+def _fitting(
+    topology: topology_module.Topology,
+    need: amount.Amount,
+    *,
+    spare_cores: bool,
+) -> abc.Iterator[topology_module.WorkerRoom]:
+    """Yield workers that cover ``need``, tightest bucket first."""
+    cores_level = need.cores.bit_length()
+    memory_level = need.memory_mib.bit_length()
+    for key in sorted(topology.buckets):
+        _promised, accelerators, cores, memory = key
+        if accelerators < need.accelerators:
+            continue
+        if cores < cores_level or memory < memory_level:
+            continue
+        for room in topology.buckets[key].values():
+            kept = amount.NOTHING
+            if spare_cores:
+                kept = cores_beside_accelerators(room)
+            if (room.open - kept).covers(need):
+                yield room
+
+
+def cores_beside_accelerators(
+    room: topology_module.WorkerRoom,
+) -> amount.Amount:
+    """Return half of the cores and memory of free accelerators."""
+    spec = room.spec
+    free = max(room.open.accelerators, 0)
+    if not free:
+        return amount.NOTHING
+    return amount.Amount(
+        accelerators=0,
+        cores=spec.cores * free // spec.accelerators // 2,
+        memory_mib=spec.memory_mib * free // spec.accelerators // 2,
+    )
+
+
+def fill(
+    rooms: abc.Iterable[topology_module.WorkerRoom], job: model.JobSpec
+) -> Share | None:
+    """Spread the gang over the rooms in their order, or return None."""
+    need = amount.of_task(job)
+    left = job.tasks
+    share: Share = []
+    for room in rooms:
+        count = min(left, room.open.holds(need))
+        if count:
+            share.append((room, count))
+            left -= count
+        if not left:
+            return share
+    return None
 
 
-def _fill(
-    group: list[topology_module.WorkerRoom], job: model.JobSpec
-) -> tuple[model.Assignment, ...] | None:
+def assign(share: Share, job: model.JobSpec) -> tuple[model.Assignment, ...]:
+    """Pick the accelerators of each task."""
     places: list[model.Assignment] = []
-    for room in group:
+    for room, count in share:
         free = sorted(room.accelerators)
-        cores = room.cores
-        memory_mib = room.memory_mib
-        while (
-            len(places) < job.tasks
-            and len(free) >= job.accelerators_per_task
-            and cores >= job.cores_per_task
-            and memory_mib >= job.memory_mib_per_task
-        ):
-            taken = tuple(free[: job.accelerators_per_task])
-            free = free[job.accelerators_per_task :]
-            cores -= job.cores_per_task
-            memory_mib -= job.memory_mib_per_task
+        for number in range(count):
+            start = number * job.accelerators_per_task
+            taken = free[start : start + job.accelerators_per_task]
             places.append(
                 model.Assignment(
                     task_index=len(places),
                     worker_id=room.spec.worker_id,
-                    accelerators=taken,
+                    accelerators=tuple(taken),
                     cores=job.cores_per_task,
                     memory_mib=job.memory_mib_per_task,
                 )
             )
-    if len(places) < job.tasks:
-        return None
     return tuple(places)
+
+
+def could_ever_fit(
+    specs: abc.Iterable[model.WorkerSpec], job: model.JobSpec
+) -> bool:
+    """Tell whether empty workers could run the gang."""
+    need = amount.of_task(job)
+    counts: dict[str, int] = {}
+    for spec in specs:
+        group = group_of(spec, job.within)
+        count = counts.get(group, 0)
+        count += min(job.tasks, amount.of_worker(spec).holds(need))
+        if count >= job.tasks:
+            return True
+        counts[group] = count
+    return False
+
+
+def group_of(spec: model.WorkerSpec, within: str) -> str:
+    """Return the worker, rack or data centre a distance ends at."""
+    if within == model.WITHIN_WORKER:
+        return spec.worker_id
+    if within == model.WITHIN_RACK:
+        return spec.rack
+    return spec.data_centre
+
+
+def _groups(
+    topology: topology_module.Topology, within: str
+) -> abc.Iterator[list[topology_module.WorkerRoom]]:
+    if within == model.WITHIN_WORKER:
+        for room in topology.workers.values():
+            yield [room]
+    elif within == model.WITHIN_RACK:
+        for rack in topology.racks.values():
+            yield list(rack.workers.values())
+    else:
+        yield list(topology.workers.values())
--- a/src/knapweedwharf/core/promise.py
+++ b/src/knapweedwharf/core/promise.py
@@ -2,22 +2,65 @@
 
 from __future__ import annotations
 
+import itertools
+import math
+
+from knapweedwharf.core import amount
 from knapweedwharf.core import model
+from knapweedwharf.core import packing
+
+MAX_SUBSETS = 2000
 
 
 def smallest_conflict(
     configuration: model.Configuration, data_centre: str
 ) -> list[model.GuaranteeSpec]:
-    """Return guarantees that cannot be met together, or nothing."""
+    """Return guarantees that cannot be met together, or nothing.
+
+    The set is the smallest one when there are few enough subsets to
+    try; otherwise none of its members can be left out.
+    """
     guarantees = [
         guarantee
         for guarantee in configuration.guarantees.values()
         if guarantee.data_centre == data_centre
     ]
-    total = sum(
-        rack.workers * rack.accelerators_per_worker
-        for rack in configuration.racks.values()
-        if rack.data_centre == data_centre
-    )
-    promised = sum(g.accelerators * g.count for g in guarantees)
-    return guarantees if promised > total else []
+    workers = packing.declared_workers(configuration, data_centre)
+    if feasible(guarantees, workers):
+        return []
+    for size in range(1, len(guarantees)):
+        if math.comb(len(guarantees), size) > MAX_SUBSETS:
+            break
+        for subset in itertools.combinations(guarantees, size):
+            if not feasible(subset, workers):
+                return list(subset)
+    return _irreducible(guarantees, workers)
+
+
+def feasible(
+    guarantees: list[model.GuaranteeSpec] | tuple[model.GuaranteeSpec, ...],
+    workers: list[model.WorkerSpec],
+) -> bool:
+    """Tell whether cells for every unit fit the empty workers at once."""
+    need = amount.NOTHING
+    for guarantee in guarantees:
+        whole = amount.of_part(guarantee, guarantee.accelerators)
+        need = need + whole.times(guarantee.count)
+    have = amount.NOTHING
+    for worker in workers:
+        have = have + amount.of_worker(worker)
+    if not have.covers(need):
+        return False
+    units = [g for g in guarantees for _number in range(g.count)]
+    return packing.pack(packing.Packing(workers), units) is not None
+
+
+def _irreducible(
+    guarantees: list[model.GuaranteeSpec], workers: list[model.WorkerSpec]
+) -> list[model.GuaranteeSpec]:
+    kept = list(guarantees)
+    for guarantee in guarantees:
+        fewer = [other for other in kept if other is not guarantee]
+        if not feasible(fewer, workers):
+            kept = fewer
+    return kept
--- /dev/null
+++ b/src/knapweedwharf/core/record.py
@@ -0,0 +1,50 @@
+"""The record of a job and what became of it; kept in the store."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from knapweedwharf.core import model
+
+QUEUED = "queued"
+STARTING = "starting"
+RUNNING = "running"
+STOPPING = "stopping"
+HOLDING_STATES = (STARTING, RUNNING, STOPPING)
+
+MAX_REASONS = 20
+
+
+@dataclasses.dataclass
+class JobRecord:
+    """A job and what became of it; kept in the store.
+
+    :ivar state: state of the job chart.
+    :ivar attempt_id: the attempt that holds places, or empty.
+    :ivar after_stop: chart event that follows a stop.
+    :ivar guarantee: the guarantee the attempt is inside, or empty.
+    :ivar unit: number of the guarantee's unit, from 1.
+    :ivar preemptions: stops of this job for the sake of others.
+    """
+
+    job: model.JobSpec
+    state: str
+    attempts: int = 0
+    attempt_id: str = ""
+    assignments: tuple[model.Assignment, ...] = ()
+    ended_tasks: frozenset[int] = frozenset()
+    after_stop: str = ""
+    started_s: float = 0.0
+    ended_s: float = 0.0
+    failures: int = 0
+    reasons: tuple[model.Reason, ...] = ()
+    guarantee: str = ""
+    unit: int = 0
+    preemptions: int = 0
+
+    def note(self, reason: model.Reason) -> None:
+        """Add a reason; it replaces the last one of the same code."""
+        earlier = self.reasons
+        if earlier and earlier[-1].code == reason.code:
+            earlier = earlier[:-1]
+        self.reasons = (*earlier, reason)[-MAX_REASONS:]
--- /dev/null
+++ b/src/knapweedwharf/core/scheduler.py
@@ -0,0 +1,157 @@
+"""One pass over the waiting jobs that an event could have helped."""
+
+from __future__ import annotations
+
+from knapweedwharf.core import amount
+from knapweedwharf.core import borrowers
+from knapweedwharf.core import explain
+from knapweedwharf.core import model
+from knapweedwharf.core import reclaim
+from knapweedwharf.core import record as record_module
+from knapweedwharf.core import reserve
+from knapweedwharf.core import state as state_module
+from knapweedwharf.core import topology as topology_module
+from knapweedwharf.core import victims
+
+
+class Scheduler:
+    """Starts waiting jobs, by the policy in force."""
+
+    def __init__(self, state: state_module.State) -> None:
+        self._state = state
+        self.reclaim = reclaim.Reclaim(state)
+        self.reserve = reserve.Reserve(state)
+
+    def tick(self) -> None:
+        """Look at what time alone can change."""
+        state = self._state
+        state.waiting.due(state.now_s)
+        if state.policy.preempts:
+            state.waiting.wake_urgent()
+        if state.policy.reserves:
+            self.reserve.tick()
+
+    def run(self) -> None:
+        """Start what fits now."""
+        state = self._state
+        self._start_claims()
+        if state.topology.freed:
+            self._wake_freed()
+            if state.policy.reserves:
+                self.reserve.start_ready()
+        for job_id in state.waiting.heads():
+            self._try(state.records[job_id])
+
+    def _wake_freed(self) -> None:
+        state = self._state
+        room = amount.NOTHING
+        for worker_id in state.topology.freed:
+            worker = state.topology.workers.get(worker_id)
+            if worker is None or not worker.usable:
+                continue
+            # Inside a guarantee, reserved room may be used.
+            here = borrowers.usable_room(worker)
+            room = amount.Amount(
+                max(room.accelerators, here.accelerators),
+                max(room.cores, here.cores),
+                max(room.memory_mib, here.memory_mib),
+            )
+        state.topology.freed.clear()
+        state.waiting.wake_room(room)
+
+    def _start_claims(self) -> None:
+        state = self._state
+        for job_id in list(state.claims.ready):
+            claim = state.claims.drop(job_id)
+            record = state.records[job_id]
+            need = amount.of_task(claim.job)
+            rooms = state.topology.workers
+            if all(
+                worker_id in rooms
+                and rooms[worker_id].usable
+                and rooms[worker_id].free.covers(need.times(count))
+                for worker_id, count in claim.tasks.items()
+            ):
+                share = [(rooms[w], n) for w, n in claim.tasks.items()]
+                name = claim.reason.guarantee
+                text = "The room it claimed is free."
+                reason = state.reason("placed", text, guarantee=name)
+                state.start(record, share, reason)
+                continue
+            state.ledger.leave(job_id)
+            state.enqueue(record)
+            state.waiting.wake_account(record.job.account)
+
+    def _try(self, record: record_module.JobRecord) -> None:
+        state = self._state
+        job = record.job
+        if state.policy.preempts and self.reclaim.attempt(record):
+            self._start_claims()
+            return
+        if state.over_quota(job):
+            text = explain.over_quota(state, job)
+            self._block(record, state.reason("over-quota", text))
+            return
+        if self._start_on_probation(record):
+            return
+        share = state.policy.search(state.topology, job)
+        if share is not None:
+            text = "Room was found; the job borrows it."
+            state.start(record, share, state.reason("placed", text))
+            return
+        if state.policy.reserves and self.reserve.backfill(record):
+            return
+        if self._preempt_for_urgent(record):
+            return
+        text = explain.no_room(state, job)
+        self._block(record, state.reason("no-room", text))
+
+    def _block(
+        self, record: record_module.JobRecord, reason: model.Reason
+    ) -> None:
+        record.note(reason)
+        self._state.waiting.block(record.job.job_id, reason)
+
+    def _preempt_for_urgent(self, record: record_module.JobRecord) -> bool:
+        state = self._state
+        job = record.job
+        if job.urgency != model.URGENT or not state.policy.preempts:
+            return False
+        if not state.settled:
+            return False
+        choice = reserve.cheapest(
+            state,
+            job,
+            allowed=_not_urgent,
+            open_on=borrowers.usable_room,
+        )
+        if choice is None:
+            return False
+        why = "Urgent work goes before borrowed work."
+        borrowers.claim_room(state, record, choice, why=why)
+        self._start_claims()
+        return True
+
+    def _start_on_probation(self, record: record_module.JobRecord) -> bool:
+        state = self._state
+        job = record.job
+        if job.tasks > 1 or job.urgency == model.URGENT:
+            return False
+        need = amount.of_task(job)
+        for worker_id in state.quarantine.probation:
+            room = state.topology.workers.get(worker_id)
+            if room is None or room.barred != {topology_module.QUARANTINE}:
+                continue
+            allowed = state.quarantine.tasks_allowed(worker_id)
+            if len(room.occupants) < allowed and room.free.covers(need):
+                text = f"Tries worker {worker_id} after its quarantine."
+                reason = state.reason("placed", text)
+                state.start(record, [(room, 1)], reason)
+                return True
+        return False
+
+
+def _not_urgent(
+    record: record_module.JobRecord, _victim: victims.Victim
+) -> bool:
+    return record.job.urgency != model.URGENT
--- /dev/null
+++ b/src/knapweedwharf/core/state.py
@@ -0,0 +1,246 @@
+"""What the engine and the scheduler share: records, room, decisions."""
+
+from __future__ import annotations
+
+from knapweedwharf.charts import chart
+from knapweedwharf.core import amount
+from knapweedwharf.core import claim
+from knapweedwharf.core import decision
+from knapweedwharf.core import estimate
+from knapweedwharf.core import ledger
+from knapweedwharf.core import model
+from knapweedwharf.core import placement
+from knapweedwharf.core import quarantine
+from knapweedwharf.core import record as record_module
+from knapweedwharf.core import topology
+from knapweedwharf.core import waiting
+
+SETTLE_S = 3.0
+MAX_LENGTH_AGEINGS = 4
+
+
+class State:
+    """Scheduling state of one data centre.
+
+    :ivar used: accelerators each account's attempts hold.
+    :ivar now_s: time of the event in hand.
+    """
+
+    def __init__(
+        self, *, data_centre: str, attempt_prefix: str, policy: str
+    ) -> None:
+        self.data_centre = data_centre
+        self.policy = placement.policy(policy)
+        self.configuration = model.Configuration()
+        self.chart = chart.load("job")
+        self.records: dict[str, record_module.JobRecord] = {}
+        self.by_attempt: dict[str, str] = {}
+        self.topology = topology.Topology()
+        self.ledger = ledger.Ledger(self.topology)
+        self.waiting = waiting.Waiting()
+        self.claims = claim.Claims(self.topology)
+        self.reservations = claim.Reservations(self.topology)
+        self.estimates = estimate.Estimates()
+        self.quarantine = quarantine.Quarantine()
+        self.used: dict[str, int] = {}
+        self.holding: dict[str, dict[str, None]] = {}
+        self.decisions: list[decision.Decision] = []
+        self.now_s = 0.0
+        self.first_s: float | None = None
+        self._prefix = attempt_prefix
+        self._counter = 0
+
+    @property
+    def settled(self) -> bool:
+        """Whether enough workers are known to stop work for others."""
+        if self.topology.complete or self.first_s is None:
+            return self.topology.complete
+        return self.now_s - self.first_s >= SETTLE_S
+
+    def job_of_attempt(
+        self, attempt_id: str
+    ) -> record_module.JobRecord | None:
+        """Return the record an attempt belongs to."""
+        job_id = self.by_attempt.get(attempt_id)
+        return self.records.get(job_id) if job_id else None
+
+    # Reasons and states
+
+    def reason(self, code: str, text: str, **links: str) -> model.Reason:
+        """Return a reason of this moment and revision."""
+        return model.Reason(
+            code=code,
+            text=text,
+            at_s=self.now_s,
+            revision=self.configuration.revision,
+            **links,
+        )
+
+    def move(
+        self,
+        record: record_module.JobRecord,
+        chart_event: str,
+        reason: model.Reason,
+    ) -> None:
+        """Take one step of the job's chart."""
+        record.state = self.chart.step(record.state, chart_event)
+        if record.state in self.chart.final:
+            record.ended_s = self.now_s
+            self.quarantine.forget_job(record.job.job_id)
+        self.changed(record, reason)
+
+    def changed(
+        self, record: record_module.JobRecord, reason: model.Reason
+    ) -> None:
+        """Decide that the record is written."""
+        record.note(reason)
+        self.decisions.append(
+            decision.JobChanged(
+                job_id=record.job.job_id, state=record.state, reason=reason
+            )
+        )
+
+    # Waiting
+
+    def enqueue(
+        self, record: record_module.JobRecord, *, delay_s: float = 0.0
+    ) -> None:
+        """Let a job wait for room."""
+        run_s = self.estimates.run_s(record.job)
+        class_key = waiting.class_of(record.job, run_s)
+        order = self.order_of(record.job, run_s)
+        if delay_s:
+            at_s = self.now_s + delay_s
+            self.waiting.add_later(class_key, order, at_s=at_s)
+            return
+        job_class = self.waiting.add(class_key, order)
+        if job_class.blocked is not None:
+            record.note(job_class.blocked)
+
+    def order_of(self, job: model.JobSpec, run_s: float) -> waiting.OrderKey:
+        """Return a job's place in the queue; it does not change.
+
+        Urgent work goes first. A lower urgency counts as an arrival
+        later by one ageing time, and so does a longer run, within a
+        bound; thus nothing is overtaken for ever.
+        """
+        policy = self.configuration.policy
+        if not self.policy.reserves:
+            return (0, job.submitted_s, job.job_id)
+        if job.urgency == model.URGENT:
+            return (0, job.submitted_s, job.job_id)
+        level = model.URGENCIES.index(job.urgency) - 1
+        length_s = min(run_s, MAX_LENGTH_AGEINGS * policy.ageing_s)
+        length_s *= 1.0 - policy.fragmentation_weight
+        later_s = level * policy.ageing_s + length_s
+        return (1, job.submitted_s + later_s, job.job_id)
+
+    # Attempts
+
+    def start(
+        self,
+        record: record_module.JobRecord,
+        share: placement.Share,
+        reason: model.Reason,
+    ) -> None:
+        """Start a gang on the workers of a share."""
+        job = record.job
+        self.waiting.discard(job.job_id)
+        self.reservations.drop(job.job_id)
+        self._counter += 1
+        record.attempt_id = f"{self._prefix}-{self._counter}"
+        record.attempts += 1
+        record.assignments = placement.assign(share, job)
+        record.ended_tasks = frozenset()
+        unit = self.ledger.unit_of(job.job_id)
+        record.guarantee = unit.guarantee.name if unit else ""
+        record.unit = unit.number if unit else 0
+        self.hold(record)
+        self.move(record, "place", reason)
+        self.decisions.append(
+            decision.StartGang(
+                job=job,
+                attempt_id=record.attempt_id,
+                assignments=record.assignments,
+                reason=reason,
+            )
+        )
+
+    def hold(self, record: record_module.JobRecord) -> None:
+        """Note that a record's attempt holds its places."""
+        job = record.job
+        self.by_attempt[record.attempt_id] = job.job_id
+        places = [
+            place
+            for place in record.assignments
+            if place.task_index not in record.ended_tasks
+        ]
+        self.topology.occupy(record.attempt_id, places)
+        self.used[job.account] = (
+            self.used.get(job.account, 0) + job.accelerators
+        )
+        self.holding.setdefault(job.account, {})[job.job_id] = None
+
+    def release(self, record: record_module.JobRecord) -> None:
+        """Give back all that a record's attempt holds."""
+        job = record.job
+        self.topology.release(record.attempt_id)
+        self.by_attempt.pop(record.attempt_id, None)
+        self.used[job.account] -= job.accelerators
+        held = self.holding[job.account]
+        del held[job.job_id]
+        if not held:
+            del self.holding[job.account]
+            del self.used[job.account]
+        self.claims.victim_gone(record.attempt_id)
+        record.attempt_id = ""
+        record.assignments = ()
+        record.guarantee = ""
+        record.unit = 0
+        self.ledger.leave(job.job_id)
+        self.waiting.wake_account(job.account)
+
+    def stop(
+        self,
+        record: record_module.JobRecord,
+        after: str,
+        reason: model.Reason,
+    ) -> None:
+        """Stop an attempt; ``after`` is the chart event that follows."""
+        if not self.chart.allows(record.state, "stop"):
+            return
+        record.after_stop = after
+        self.move(record, "stop", reason)
+        self.decisions.append(
+            decision.StopGang(
+                job_id=record.job.job_id,
+                attempt_id=record.attempt_id,
+                checkpoint=after == "requeue",
+                reason=reason,
+            )
+        )
+
+    def drop_claim(self, job_id: str) -> None:
+        """Give up a claim; its unit is free again."""
+        if self.claims.drop(job_id):
+            self.ledger.leave(job_id)
+
+    # Limits
+
+    def over_quota(self, job: model.JobSpec) -> bool:
+        """Tell whether a job must wait for its account's quota."""
+        account = self.configuration.accounts.get(job.account)
+        if account is None or not account.quota_accelerators:
+            return False
+        used = self.used.get(job.account, 0)
+        return (
+            job.accelerators > 0
+            and used + job.accelerators > account.quota_accelerators
+        )
+
+    def room_for(
+        self, job_id: str, room: topology.WorkerRoom
+    ) -> amount.Amount:
+        """Return open room, a job's own reservation included."""
+        own = self.reservations.on(job_id, room.spec.worker_id)
+        return room.open + own if room.usable else amount.NOTHING
--- a/src/knapweedwharf/core/topology.py
+++ b/src/knapweedwharf/core/topology.py
@@ -1,96 +1,314 @@
-"""Free room of a data centre by worker and rack."""
+"""Free room of a data centre, indexed by worker and rack.
+
+A change touches one worker: its bucket and its rack's sum are brought
+up to date, and a worker with more open room than before is listed in
+``freed``, so that the scheduler looks only at what could have changed.
+"""
 
 from __future__ import annotations
 
+import bisect
 from collections import abc
 import dataclasses
 
+from knapweedwharf.core import amount
 from knapweedwharf.core import model
 
+LOST = "lost"
+LEAVING = "leaving"
+QUARANTINE = "quarantine"
+REFUSED = "refused"
+
+BucketKey = tuple[bool, int, int, int]
+"""(promised to a guarantee, accelerators, level of cores, of memory)"""
+
 
-@dataclasses.dataclass
+@dataclasses.dataclass(slots=True)
 class WorkerRoom:
-    """What is free on one worker."""
+    """What is free on one worker.
+
+    :ivar accelerators: indexes of the free ones.
+    :ivar held: promised to claims whose victims are being stopped.
+    :ivar reserved: promised to reservations.
+    :ivar promised: accelerators of guarantee cells on this worker.
+    :ivar barred: why no new work may be placed here.
+    """
 
     spec: model.WorkerSpec
     accelerators: set[int]
     cores: int
     memory_mib: int
-    usable: bool = True
+    barred: set[str] = dataclasses.field(default_factory=set)
+    occupants: dict[str, list[model.Assignment]] = dataclasses.field(
+        default_factory=dict
+    )
+    held: amount.Amount = amount.NOTHING
+    reserved: amount.Amount = amount.NOTHING
+    promised: int = 0
+    open: amount.Amount = amount.NOTHING
+    key: BucketKey | None = None
+    counted_free: int = 0
+    counted_open: int = 0
+
+    @property
+    def usable(self) -> bool:
+        """Whether new work may be placed here."""
+        return not self.barred
+
+    @property
+    def free(self) -> amount.Amount:
+        """What no attempt occupies."""
+        return amount.Amount(
+            len(self.accelerators), self.cores, self.memory_mib
+        )
+
+    def recount(self) -> None:
+        """Work out the free room from the occupants."""
+        self.accelerators = set(range(self.spec.accelerators))
+        self.cores = self.spec.cores
+        self.memory_mib = self.spec.memory_mib
+        for places in self.occupants.values():
+            for place in places:
+                self.accelerators.difference_update(place.accelerators)
+                self.cores -= place.cores
+                self.memory_mib -= place.memory_mib
+
+
+@dataclasses.dataclass(slots=True)
+class RackRoom:
+    """A rack's workers and its open accelerators."""
+
+    name: str
+    workers: dict[str, WorkerRoom] = dataclasses.field(default_factory=dict)
+    open_accelerators: int = 0
 
 
 class Topology:
     """Workers, their free room and who occupies it.
 
     :ivar complete: every listed worker has been sealed once.
+    :ivar freed: workers with more open room since the last look.
     """
 
     def __init__(self) -> None:
         self.workers: dict[str, WorkerRoom] = {}
+        self.racks: dict[str, RackRoom] = {}
+        self.buckets: dict[BucketKey, dict[str, WorkerRoom]] = {}
         self.complete = False
-        self._occupied: dict[str, tuple[model.Assignment, ...]] = {}
+        self.freed: dict[str, None] = {}
+        self.open_accelerators = 0
+        self._free_accelerators = 0
+        self._by_open: list[tuple[int, str]] = []
+        self._occupied: dict[str, list[model.Assignment]] = {}
+        self._orphans: dict[str, dict[str, list[model.Assignment]]] = {}
 
     def add(self, spec: model.WorkerSpec) -> None:
         """Add a worker, or make a known one usable again."""
-        self.workers[spec.worker_id] = WorkerRoom(
-            spec=spec,
-            accelerators=set(range(spec.accelerators)),
-            cores=spec.cores,
-            memory_mib=spec.memory_mib,
-        )
-        for assignments in self._occupied.values():
-            for place in assignments:
-                if place.worker_id == spec.worker_id:
-                    self._take(place)
+        known = self.workers.get(spec.worker_id)
+        barred: set[str] = set()
+        if known is not None:
+            barred = known.barred - {LOST, LEAVING}
+            self._forget(known)
+        room = WorkerRoom(spec, set(), 0, 0, barred=barred)
+        if known is not None:
+            room.held, room.reserved = known.held, known.reserved
+            room.promised = known.promised
+            room.occupants = known.occupants
+        else:
+            room.occupants = self._orphans.pop(spec.worker_id, {})
+        room.recount()
+        self.workers[spec.worker_id] = room
+        rack = self.racks.setdefault(spec.rack, RackRoom(spec.rack))
+        rack.workers[spec.worker_id] = room
+        if len(rack.workers) == 1:
+            bisect.insort(self._by_open, (0, rack.name))
+        self.refresh(room)
 
     def remove(self, worker_id: str) -> None:
         """Forget a worker that is gone."""
-        self.workers.pop(worker_id, None)
+        room = self.workers.pop(worker_id, None)
+        if room is None:
+            return
+        self._forget(room)
+        if room.occupants:
+            self._orphans[worker_id] = room.occupants
+
+    def bar(self, worker_id: str, why: str) -> None:
+        """Bar new work from a worker."""
+        room = self.workers.get(worker_id)
+        if room is not None and why not in room.barred:
+            room.barred.add(why)
+            self.refresh(room)
+
+    def allow(self, worker_id: str, why: str) -> None:
+        """Take back one bar."""
+        room = self.workers.get(worker_id)
+        if room is not None and why in room.barred:
+            room.barred.discard(why)
+            self.refresh(room)
 
     def set_usable(self, worker_id: str, *, usable: bool) -> None:
-        """Allow or bar new work on a worker."""
-        if worker_id in self.workers:
-            self.workers[worker_id].usable = usable
+        """Mark a worker as answering or lost."""
+        if usable:
+            self.allow(worker_id, LOST)
+        else:
+            self.bar(worker_id, LOST)
 
     def occupy(
         self, attempt_id: str, assignments: abc.Iterable[model.Assignment]
     ) -> None:
         """Take an attempt's places."""
-        places = tuple(assignments)
+        places = list(assignments)
         self._occupied[attempt_id] = places
+        touched: dict[str, WorkerRoom] = {}
         for place in places:
-            self._take(place)
+            occupants = self._occupants(place.worker_id)
+            occupants.setdefault(attempt_id, []).append(place)
+            room = self.workers.get(place.worker_id)
+            if room is not None:
+                touched[place.worker_id] = room
+        for room in touched.values():
+            room.recount()
+            self.refresh(room)
 
     def release(self, attempt_id: str) -> None:
         """Give an attempt's places back."""
-        for place in self._occupied.pop(attempt_id, ()):
-            room = self.workers.get(place.worker_id)
-            if room is None:
-                continue
-            room.accelerators.update(place.accelerators)
-            room.cores += place.cores
-            room.memory_mib += place.memory_mib
+        places = self._occupied.pop(attempt_id, [])
+        for worker_id in dict.fromkeys(place.worker_id for place in places):
+            self._occupants(worker_id).pop(attempt_id, None)
+            self._settle(worker_id)
+
+    def release_task(self, attempt_id: str, task_index: int) -> None:
+        """Give back the place of a task that has ended."""
+        places = self._occupied.get(attempt_id, [])
+        for place in [p for p in places if p.task_index == task_index]:
+            places.remove(place)
+            self._occupants(place.worker_id)[attempt_id].remove(place)
+            self._settle(place.worker_id)
 
     def attempts_on(self, worker_id: str) -> list[str]:
         """Return the attempts that occupy a worker."""
-        return [
-            attempt_id
-            for attempt_id, places in self._occupied.items()
-            if any(place.worker_id == worker_id for place in places)
-        ]
+        room = self.workers.get(worker_id)
+        if room is not None:
+            return list(room.occupants)
+        return list(self._orphans.get(worker_id, ()))
+
+    def places_of(self, attempt_id: str) -> list[model.Assignment]:
+        """Return the places that an attempt occupies now."""
+        return self._occupied.get(attempt_id, [])
+
+    def occupied(self) -> dict[str, list[model.Assignment]]:
+        """Return every attempt's places."""
+        return self._occupied
 
     def free_accelerators(self) -> int:
         """Count free accelerators on usable workers."""
-        return sum(
-            len(room.accelerators)
-            for room in self.workers.values()
-            if room.usable
-        )
+        return self._free_accelerators
+
+    def racks_with(self, accelerators: int) -> abc.Iterator[RackRoom]:
+        """Yield racks with enough open accelerators, tightest first."""
+        start = bisect.bisect_left(self._by_open, (accelerators, ""))
+        for _open, name in self._by_open[start:]:
+            yield self.racks[name]
+
+    def hold(self, worker_id: str, change: amount.Amount) -> None:
+        """Add to what claims hold on a worker."""
+        room = self.workers.get(worker_id)
+        if room is not None:
+            room.held = room.held + change
+            self.refresh(room)
+
+    def reserve(self, worker_id: str, change: amount.Amount) -> None:
+        """Add to what reservations hold on a worker."""
+        room = self.workers.get(worker_id)
+        if room is not None:
+            room.reserved = room.reserved + change
+            self.refresh(room)
+
+    def promise(self, worker_id: str, accelerators: int) -> None:
+        """Add to the accelerators of guarantee cells on a worker."""
+        room = self.workers.get(worker_id)
+        if room is not None:
+            room.promised += accelerators
+            self.refresh(room)
 
-    def _take(self, place: model.Assignment) -> None:
-        room = self.workers.get(place.worker_id)
+    def refresh(self, room: WorkerRoom) -> None:
+        """Bring the index up to date with one worker."""
+        before = room.open
+        room.open = amount.NOTHING
+        if room.usable:
+            room.open = room.free - room.held - room.reserved
+        grown = room.open - before
+        if max(grown.accelerators, grown.cores, grown.memory_mib) > 0:
+            self.freed[room.spec.worker_id] = None
+        counted = len(room.accelerators) if room.usable else 0
+        self._free_accelerators += counted - room.counted_free
+        room.counted_free = counted
+        self._count_open(room, max(room.open.accelerators, 0))
+        self._enter_bucket(room, _key_of(room))
+
+    def _count_open(self, room: WorkerRoom, accelerators: int) -> None:
+        change = accelerators - room.counted_open
+        if not change:
+            return
+        room.counted_open = accelerators
+        self.open_accelerators += change
+        rack = self.racks[room.spec.rack]
+        entry = (rack.open_accelerators, rack.name)
+        del self._by_open[bisect.bisect_left(self._by_open, entry)]
+        rack.open_accelerators += change
+        bisect.insort(self._by_open, (rack.open_accelerators, rack.name))
+
+    def _enter_bucket(self, room: WorkerRoom, key: BucketKey | None) -> None:
+        if key == room.key:
+            return
+        if room.key is not None:
+            bucket = self.buckets[room.key]
+            del bucket[room.spec.worker_id]
+            if not bucket:
+                del self.buckets[room.key]
+        room.key = key
+        if key is not None:
+            self.buckets.setdefault(key, {})[room.spec.worker_id] = room
+
+    def _forget(self, room: WorkerRoom) -> None:
+        self._count_open(room, 0)
+        self._free_accelerators -= room.counted_free
+        room.counted_free = 0
+        self._enter_bucket(room, None)
+        rack = self.racks[room.spec.rack]
+        del rack.workers[room.spec.worker_id]
+        if not rack.workers:
+            self._by_open.remove((0, rack.name))
+            del self.racks[rack.name]
+
+    def _occupants(self, worker_id: str) -> dict[str, list]:
+        room = self.workers.get(worker_id)
+        if room is not None:
+            return room.occupants
+        return self._orphans.setdefault(worker_id, {})
+
+    def _settle(self, worker_id: str) -> None:
+        room = self.workers.get(worker_id)
         if room is None:
+            if not self._orphans.get(worker_id):
+                self._orphans.pop(worker_id, None)
             return
-        room.accelerators.difference_update(place.accelerators)
-        room.cores -= place.cores
-        room.memory_mib -= place.memory_mib
+        places = room.occupants
+        for attempt_id in [a for a, held in places.items() if not held]:
+            del places[attempt_id]
+        room.recount()
+        self.refresh(room)
+
+
+def _key_of(room: WorkerRoom) -> BucketKey | None:
+    if not room.usable:
+        return None
+    if min(room.open.cores, room.open.memory_mib) < 0:
+        return None
+    return (
+        room.promised > 0,
+        max(room.open.accelerators, 0),
+        room.open.cores.bit_length(),
+        room.open.memory_mib.bit_length(),
+    )
--- /dev/null
+++ b/src/knapweedwharf/core/victims.py
@@ -0,0 +1,158 @@
+"""Choice of the jobs to stop so that a gang fits.
+
+The least work is lost and the fewest jobs are disturbed: worker by
+worker, the cheapest set that makes room for one more task is found,
+and the cheapest of these is taken until the whole gang fits. Sets that
+later ones made superfluous are dropped again.
+"""
+
+from __future__ import annotations
+
+from collections import abc
+import dataclasses
+import heapq
+
+from knapweedwharf.core import amount
+from knapweedwharf.core import model
+
+DISTURBANCE_S = 60.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Victim:
+    """An attempt that may be stopped.
+
+    :ivar lost_s: accelerator-seconds lost if its checkpoint fails.
+    :ivar frees: what its stop frees, by worker.
+    """
+
+    attempt_id: str
+    lost_s: float
+    frees: dict[str, amount.Amount]
+
+    @property
+    def cost(self) -> float:
+        """Lost work with the fixed price of a disturbance."""
+        return self.lost_s + DISTURBANCE_S
+
+
+@dataclasses.dataclass(slots=True)
+class Choice:
+    """Victims and the tasks that then fit on each worker."""
+
+    victims: list[Victim]
+    tasks: dict[str, int]
+
+    @property
+    def cost(self) -> tuple[float, int]:
+        """Lost work, then jobs disturbed."""
+        return (sum(v.cost for v in self.victims), len(self.victims))
+
+
+class Search:
+    """One search over a group of workers.
+
+    :param rooms: what is open on each worker.
+    :param limits: most tasks a worker may take, for cells; optional.
+    """
+
+    def __init__(
+        self,
+        *,
+        job: model.JobSpec,
+        rooms: dict[str, amount.Amount],
+        victims: dict[str, list[Victim]],
+        limits: dict[str, int] | None = None,
+    ) -> None:
+        self._tasks = job.tasks
+        self._need = amount.of_task(job)
+        self._rooms = dict(rooms)
+        self._victims = victims
+        self._limits = limits
+        self._chosen: dict[str, Victim] = {}
+
+    def run(self) -> Choice | None:
+        """Return the choice, or None if the gang cannot fit."""
+        counts = {w: self._count(w) for w in self._rooms}
+        total = sum(counts.values())
+        heap = [(*self._step(w)[:2], w) for w in self._rooms]
+        heapq.heapify(heap)
+        while total < self._tasks and heap:
+            cost, size, worker_id = heapq.heappop(heap)
+            if not size:
+                continue
+            step = self._step(worker_id)
+            if step[:2] != (cost, size):
+                heapq.heappush(heap, (*step[:2], worker_id))
+                continue
+            for touched in self._apply(step[2]):
+                total += self._count(touched) - counts[touched]
+                counts[touched] = self._count(touched)
+                heapq.heappush(heap, (*self._step(touched)[:2], touched))
+        if total < self._tasks:
+            return None
+        return self._pruned()
+
+    def _count(self, worker_id: str) -> int:
+        count = min(self._rooms[worker_id].holds(self._need), self._tasks)
+        if self._limits is not None:
+            count = min(count, self._limits.get(worker_id, 0))
+        return count
+
+    def _step(self, worker_id: str) -> tuple[float, int, list[Victim]]:
+        """Return the cheapest set for one more task on a worker."""
+        count = self._count(worker_id)
+        limit = self._tasks
+        if self._limits is not None:
+            limit = min(limit, self._limits.get(worker_id, 0))
+        if count >= limit:
+            return (0.0, 0, [])
+        goal = self._need.times(count + 1)
+        room = self._rooms[worker_id]
+        taken: list[Victim] = []
+        for victim in sorted(
+            self._victims.get(worker_id, ()),
+            key=lambda v: (v.cost, v.attempt_id),
+        ):
+            if room.covers(goal):
+                break
+            if victim.attempt_id not in self._chosen:
+                taken.append(victim)
+                room = room + victim.frees[worker_id]
+        if not room.covers(goal):
+            return (0.0, 0, [])
+        for victim in sorted(taken, key=lambda v: -v.cost):
+            without = room - victim.frees[worker_id]
+            if without.covers(goal):
+                room = without
+                taken.remove(victim)
+        return (sum(v.cost for v in taken), len(taken), taken)
+
+    def _apply(self, victims: list[Victim]) -> abc.Iterable[str]:
+        touched: dict[str, None] = {}
+        for victim in victims:
+            self._chosen[victim.attempt_id] = victim
+            for worker_id, freed in victim.frees.items():
+                if worker_id in self._rooms:
+                    self._rooms[worker_id] = self._rooms[worker_id] + freed
+                    touched[worker_id] = None
+        return touched
+
+    def _pruned(self) -> Choice:
+        for victim in sorted(self._chosen.values(), key=lambda v: -v.cost):
+            for worker_id, freed in victim.frees.items():
+                if worker_id in self._rooms:
+                    self._rooms[worker_id] = self._rooms[worker_id] - freed
+            if sum(self._count(w) for w in self._rooms) >= self._tasks:
+                del self._chosen[victim.attempt_id]
+                continue
+            self._apply([victim])
+        left = self._tasks
+        tasks: dict[str, int] = {}
+        freed = {w for v in self._chosen.values() for w in v.frees}
+        for worker_id in sorted(self._rooms, key=lambda w: w not in freed):
+            count = min(left, self._count(worker_id))
+            if count:
+                tasks[worker_id] = count
+                left -= count
+        return Choice(victims=list(self._chosen.values()), tasks=tasks)
--- /dev/null
+++ b/src/knapweedwharf/core/waiting.py
@@ -0,0 +1,187 @@
+"""Jobs that wait, sorted, in classes that are blocked or ready.
+
+Jobs of a class ask for the same room. Once one of them finds none, the
+whole class is blocked until room that could serve it is freed, so an
+event costs nothing for classes that it cannot help.
+"""
+
+from __future__ import annotations
+
+import bisect
+from collections import abc
+import dataclasses
+import heapq
+import math
+
+from knapweedwharf.core import amount
+from knapweedwharf.core import model
+
+OrderKey = tuple[int, float, str]
+"""(rank, time, job id), the smallest first"""
+
+ClassKey = tuple[str, str, str, int, amount.Amount, int]
+"""(account, urgency, within, tasks, need of a task, level of run time)"""
+
+
+def class_of(job: model.JobSpec, run_s: float) -> ClassKey:
+    """Return the class of a job that is expected to run ``run_s``."""
+    return (
+        job.account,
+        job.urgency,
+        job.within,
+        job.tasks,
+        amount.of_task(job),
+        math.frexp(run_s)[1],
+    )
+
+
+@dataclasses.dataclass(slots=True)
+class JobClass:
+    """Waiting jobs that ask for the same room.
+
+    :ivar blocked: why none of them can start now, or None.
+    """
+
+    key: ClassKey
+    jobs: list[OrderKey] = dataclasses.field(default_factory=list)
+    blocked: model.Reason | None = None
+
+    @property
+    def need(self) -> amount.Amount:
+        """What one task declares."""
+        return self.key[4]
+
+
+class Waiting:
+    """The waiting jobs of a data centre."""
+
+    def __init__(self) -> None:
+        self._classes: dict[ClassKey, JobClass] = {}
+        self._places: dict[str, tuple[ClassKey, OrderKey]] = {}
+        self._ready: dict[ClassKey, None] = {}
+        self._by_account: dict[str, dict[ClassKey, None]] = {}
+        self._later: list[tuple[float, str]] = []
+        self._later_keys: dict[str, tuple[ClassKey, OrderKey]] = {}
+
+    def __len__(self) -> int:
+        return len(self._places) + len(self._later_keys)
+
+    def __contains__(self, job_id: str) -> bool:
+        return job_id in self._places or job_id in self._later_keys
+
+    def add(self, class_key: ClassKey, order: OrderKey) -> JobClass:
+        """Add a job; a blocked class stays blocked."""
+        job_class = self._classes.get(class_key)
+        if job_class is None:
+            job_class = JobClass(class_key)
+            self._classes[class_key] = job_class
+            self._by_account.setdefault(class_key[0], {})[class_key] = None
+            self._ready[class_key] = None
+        bisect.insort(job_class.jobs, order)
+        self._places[order[2]] = (class_key, order)
+        return job_class
+
+    def add_later(
+        self, class_key: ClassKey, order: OrderKey, *, at_s: float
+    ) -> None:
+        """Add a job that may not start before a time."""
+        self._later_keys[order[2]] = (class_key, order)
+        heapq.heappush(self._later, (at_s, order[2]))
+
+    def due(self, now_s: float) -> None:
+        """Let jobs in whose time has come."""
+        while self._later and self._later[0][0] <= now_s:
+            _at_s, job_id = heapq.heappop(self._later)
+            keys = self._later_keys.pop(job_id, None)
+            if keys is not None:
+                self.add(*keys)
+                self.wake_class(keys[0])
+
+    def discard(self, job_id: str) -> None:
+        """Take a job out, if it waits."""
+        self._later_keys.pop(job_id, None)
+        place = self._places.pop(job_id, None)
+        if place is None:
+            return
+        class_key, order = place
+        jobs = self._classes[class_key].jobs
+        del jobs[bisect.bisect_left(jobs, order)]
+        if jobs:
+            return
+        del self._classes[class_key]
+        self._ready.pop(class_key, None)
+        classes = self._by_account[class_key[0]]
+        del classes[class_key]
+        if not classes:
+            del self._by_account[class_key[0]]
+
+    def block(self, job_id: str, reason: model.Reason) -> None:
+        """Mark the class of a job as blocked."""
+        class_key, _order = self._places[job_id]
+        self._classes[class_key].blocked = reason
+        self._ready.pop(class_key, None)
+
+    def wake_class(self, class_key: ClassKey) -> None:
+        """Look at a class again."""
+        if class_key in self._classes:
+            self._ready[class_key] = None
+
+    def wake_account(self, account: str) -> None:
+        """Look at an account's classes again."""
+        for class_key in self._by_account.get(account, ()):
+            self._ready[class_key] = None
+
+    def wake_room(self, room: amount.Amount) -> None:
+        """Look again at classes of which one task fits the room."""
+        for class_key, job_class in self._classes.items():
+            if class_key not in self._ready and room.covers(job_class.need):
+                self._ready[class_key] = None
+
+    def wake_urgent(self) -> None:
+        """Look at urgent classes again."""
+        for class_key in self._classes:
+            if class_key[1] == model.URGENT:
+                self._ready[class_key] = None
+
+    def wake_all(self) -> None:
+        """Look at every class again."""
+        self._ready = dict.fromkeys(self._classes)
+
+    def heads(self) -> abc.Iterator[str]:
+        """Yield the first job of ready classes, in order.
+
+        The caller takes the job out, or blocks its class.
+        """
+        heap = [
+            (self._classes[class_key].jobs[0], class_key)
+            for class_key in self._ready
+        ]
+        heap.sort(key=lambda item: item[0])
+        while heap:
+            order, class_key = heap[0]
+            job_class = self._classes.get(class_key)
+            if job_class is None or class_key not in self._ready:
+                heapq.heappop(heap)
+            elif job_class.jobs[0] != order:
+                heapq.heapreplace(heap, (job_class.jobs[0], class_key))
+            else:
+                yield order[2]
+
+    def first(self, count: int) -> list[str]:
+        """Return the first jobs over all classes."""
+        heads = (job_class.jobs[0] for job_class in self._classes.values())
+        return [order[2] for order in heapq.nsmallest(count, heads)]
+
+    def job_ids(self) -> list[str]:
+        """Return every waiting job."""
+        return [*self._places, *self._later_keys]
+
+    def jobs_of(self, account: str) -> list[str]:
+        """Return an account's waiting jobs."""
+        classes = self._by_account.get(account, ())
+        return [o[2] for key in classes for o in self._classes[key].jobs]
+
+    def class_heads(self) -> abc.Iterator[tuple[JobClass, str]]:
+        """Yield each class with its first job."""
+        for job_class in self._classes.values():
+            yield job_class, job_class.jobs[0][2]
--- a/src/knapweedwharf/scheduling/role.py
+++ b/src/knapweedwharf/scheduling/role.py
@@ -339,6 +339,7 @@
                 task_index=happened.task_index,
                 worker_id=worker_id,
                 succeeded=happened.kind == "ended",
+                lapsed=happened.kind == "lapsed",
                 detail=happened.detail or happened.kind,
             )
         )
