Name the source of a wrong setting; build the binary offline

Cause: an error said which field was wrong but not whether the flag or the environment had set it; an unknown adapter kind ended in a KeyError after the start; `make binary` fetched packages again and a pattern had removed click's own parser module.

The binary is now staged from the pinned environment's own file lists. Ruled out: shiv and pex (both unpack to a folder; VMs have no disks). secrets: the peer key is out of the settings' repr and of errors.

--- a/src/knapweedwharf/cli/serve.py
+++ b/src/knapweedwharf/cli/serve.py
@@ -8,6 +8,7 @@
 import typing
 
 import click
+from click import core
 from returns import result
 
 from knapweedwharf.cli import output
@@ -32,10 +33,14 @@
 
 @click.command()
 @_with_settings_options
-def serve(**given: typing.Any) -> None:
+@click.pass_context
+def serve(context: click.Context, **given: typing.Any) -> None:
     """Serve callers and schedule this VM's data centre."""
     raw = {name: value for name, value in given.items() if value is not None}
-    loaded = settings_module.load(raw)
+    sources = {name: _source(context, name) for name in raw}
+    loaded = settings_module.load(raw, sources=sources).bind(
+        node_module.check_kinds
+    )
     if isinstance(loaded, result.Failure):
         output.fail(loaded.failure(), exit_code=output.EXIT_USAGE)
     settings = loaded.unwrap()
@@ -43,5 +48,12 @@
     asyncio.run(_serve(settings))
 
 
+def _source(context: click.Context, field: str) -> str:
+    source = context.get_parameter_source(field)
+    if source is core.ParameterSource.ENVIRONMENT:
+        return f"environment {settings_module.environment_name(field)}"
+    return f"flag {settings_module.flag_name(field)}"
+
+
 async def _serve(settings: settings_module.Settings) -> None:
     await node_module.Node(settings).run()
--- a/src/knapweedwharf/node.py
+++ b/src/knapweedwharf/node.py
@@ -16,6 +16,7 @@
 from knapweedwharf.adapters import worker as worker_module
 from knapweedwharf.charts import chart
 from knapweedwharf.configuration import feed as feed_module
+from knapweedwharf import errors
 from knapweedwharf import log
 from knapweedwharf import metrics
 from knapweedwharf.peer import membership as membership_module
@@ -28,6 +29,31 @@
 from knapweedwharf.web import server as server_module
 
 _DRAIN_POLL_S = 0.05
+_KINDS = {
+    "store_kind": store_module.STORES,
+    "directory_kind": directory_module.DIRECTORIES,
+    "worker_kind": worker_module.WORKERS,
+    "executor_kind": executor_module.EXECUTORS,
+}
+
+
+def check_kinds(
+    settings: settings_module.Settings,
+) -> result.Result[settings_module.Settings, errors.Fault]:
+    """Refuse settings that name an adapter that does not exist."""
+    for field, variants in _KINDS.items():
+        kind = getattr(settings, field)
+        if kind not in variants.names():
+            return result.Failure(
+                errors.InvalidField(
+                    message=f"There is no such {field}.",
+                    remedy=f"Use one of {', '.join(variants.names())}.",
+                    source="settings",
+                    field=field,
+                    value=repr(kind),
+                )
+            )
+    return result.Success(settings)
 
 
 class InFlight:
--- a/src/knapweedwharf/settings.py
+++ b/src/knapweedwharf/settings.py
@@ -14,6 +14,7 @@
 
 ENVIRONMENT_PREFIX = "KNAPWEEDWHARF"
 MINIMUM_KEY_LENGTH = 16
+SECRET_FIELDS = frozenset({"peer_key"})
 
 _ADDRESS = re.compile(r"^[0-9.]+:[0-9]{1,5}$|^\[[0-9a-f:]+\]:[0-9]{1,5}$")
 _NAME = re.compile(r"^[a-z0-9][a-z0-9-]{0,62}$")
@@ -42,7 +43,7 @@
     http_address: str
     peer_address: str
     platform_url: str
-    peer_key: str
+    peer_key: str = dataclasses.field(repr=False)
     store_kind: str = "etcd-json"
     directory_kind: str = "http-json"
     worker_kind: str = "http-json"
@@ -129,20 +130,30 @@
     return "--" + field.replace("_", "-")
 
 
-def load(raw: dict[str, object]) -> result.Result[Settings, errors.Fault]:
-    """Validate raw values; the first wrong field is the failure."""
+def load(
+    raw: dict[str, object], *, sources: dict[str, str] | None = None
+) -> result.Result[Settings, errors.Fault]:
+    """Validate raw values; the first wrong field is the failure.
+
+    :param sources: field to where its value came from, for the error.
+    """
     try:
         return result.Success(SettingsSchema().load(raw))
     except marshmallow.ValidationError as error:
         messages = error.normalized_messages()
     field = next(iter(messages))
-    shown = "[hidden]" if field == "peer_key" else repr(raw.get(field))
     return result.Failure(
         errors.InvalidField(
             message=" ".join(map(str, messages[field])),
             remedy=f"Set {flag_name(field)} or {environment_name(field)}.",
-            source="settings",
+            source=(sources or {}).get(field, "settings"),
             field=field,
-            value=shown,
+            value=_shown(field, raw),
         )
     )
+
+
+def _shown(field: str, raw: dict[str, object]) -> str:
+    if field not in raw:
+        return "(missing)"
+    return "[hidden]" if field in SECRET_FIELDS else repr(raw[field])
--- a/tools/binary.py
+++ b/tools/binary.py
@@ -1,59 +1,65 @@
 """Build ``dist/knapweedwharf``: one executable zip, one process.
 
 Every runtime dependency is pure Python or falls back to it, so the
-interpreter imports straight from the zip and unpacks nothing.
+interpreter imports straight from the zip and unpacks nothing. The
+dependencies are copied from the environment that ``make`` pinned.
 """
 
 from __future__ import annotations
 
+import importlib.metadata
 import pathlib
+import re
 import shutil
-import subprocess
 import sys
 import tempfile
 import zipapp
 
 _ROOT = pathlib.Path(__file__).resolve().parent.parent
 _TARGET = _ROOT / "dist" / "knapweedwharf"
-# Only sismic's own command line and tests need these.
-_UNUSED = ("behave*", "cucumber*", "parse", "parse.py", "parse_*", "bin")
+_PINNED = _ROOT / "requirements" / "runtime.txt"
+# Only sismic's own command line and its test tools need these.
+_UNUSED = ("behave", "cucumber-expressions", "cucumber-tag-expressions")
+_UNUSED += ("parse", "parse-type", "colorama")
+_LEFT_OUT = re.compile(r"\.(so|pyc|pyi)$|^\.\./|/tests?/|/scripts/")
 
 
-def main() -> None:
+def main(target: pathlib.Path = _TARGET) -> None:
     """Stage the package with its dependencies and zip them."""
     with tempfile.TemporaryDirectory() as scratch:
         stage = pathlib.Path(scratch)
-        _install(stage)
+        for name in _dependencies():
+            _stage_distribution(stage, name)
         shutil.copytree(
-            _ROOT / "src" / "knapweedwharf", stage / "knapweedwharf"
+            _ROOT / "src" / "knapweedwharf",
+            stage / "knapweedwharf",
+            ignore=shutil.ignore_patterns("__pycache__"),
         )
-        for pattern in (*_UNUSED, "**/*.so"):
-            _remove(stage, pattern)
-        _TARGET.parent.mkdir(exist_ok=True)
+        target.parent.mkdir(exist_ok=True)
         zipapp.create_archive(
             stage,
-            _TARGET,
+            target,
             interpreter="/usr/bin/env python3",
             main="knapweedwharf.cli.main:run",
             compressed=True,
         )
-    print(f"{_TARGET.relative_to(_ROOT)}: {_TARGET.stat().st_size} bytes")
+    print(f"{target.name}: {target.stat().st_size} bytes")
 
 
-def _install(stage: pathlib.Path) -> None:
-    command = [sys.executable, "-m", "pip", "install", "--quiet"]
-    command += ["--disable-pip-version-check", "--target", str(stage)]
-    command += ["-r", str(_ROOT / "requirements" / "runtime.txt")]
-    subprocess.run(command, check=True)
+def _dependencies() -> list[str]:
+    lines = _PINNED.read_text("utf-8").split()
+    names = [line.split("==")[0] for line in lines]
+    return [name for name in names if name not in _UNUSED]
 
 
-def _remove(stage: pathlib.Path, pattern: str) -> None:
-    for path in list(stage.glob(pattern)):
-        if path.is_dir():
-            shutil.rmtree(path)
-        else:
-            path.unlink()
+def _stage_distribution(stage: pathlib.Path, name: str) -> None:
+    for file in importlib.metadata.distribution(name).files or ():
+        if _LEFT_OUT.search(str(file)):
+            continue
+        copy = stage / file
+        copy.parent.mkdir(parents=True, exist_ok=True)
+        shutil.copyfile(file.locate(), copy)
 
 
 if __name__ == "__main__":
-    main()
+    main(*map(pathlib.Path, sys.argv[1:]))
