--- a/src/knapweedwharf/node.py
+++ b/src/knapweedwharf/node.py
@@ -26,6 +26,7 @@
 from knapweedwharf.scheduling import role as role_module
 from knapweedwharf.scheduling import view as view_module
 from knapweedwharf import settings as settings_module
+from knapweedwharf import telemetry as telemetry_module
 from knapweedwharf.web import server as server_module
 
 _DRAIN_POLL_S = 0.05
@@ -56,6 +57,30 @@
     return result.Success(settings)
 
 
+class _Adapters:
+    """The outside systems of a node, of the kinds its settings name."""
+
+    def __init__(self, settings: settings_module.Settings) -> None:
+        self.store = store_module.STORES.get(settings.store_kind)(settings)
+        self.directory = directory_module.DIRECTORIES.get(
+            settings.directory_kind
+        )(settings)
+        self.worker = worker_module.WORKERS.get(settings.worker_kind)(settings)
+        self.executor = executor_module.EXECUTORS.get(settings.executor_kind)(
+            settings
+        )
+
+    def close(self) -> None:
+        """Close every connection."""
+        for adapter in (
+            self.executor,
+            self.worker,
+            self.directory,
+            self.store,
+        ):
+            adapter.close()
+
+
 class InFlight:
     """Counts requests that have begun and not been answered."""
 
@@ -80,26 +105,18 @@
         self.state = self._chart.initial
         self.metrics = metrics.create(settings)
         self.in_flight = InFlight()
-        self.store = store_module.STORES.get(settings.store_kind)(settings)
-        self._directory = directory_module.DIRECTORIES.get(
-            settings.directory_kind
-        )(settings)
-        self._worker = worker_module.WORKERS.get(settings.worker_kind)(
-            settings
-        )
-        self._executor = executor_module.EXECUTORS.get(settings.executor_kind)(
-            settings
-        )
+        self._adapters = _Adapters(settings)
+        self.store = self._adapters.store
         self.feed = feed_module.Feed(store=self.store)
         self.role = role_module.Role(
-            settings=settings, store=self.store, worker=self._worker
+            settings=settings, store=self.store, worker=self._adapters.worker
         )
         self.pool = pool_module.Pool(
             data_centre=settings.data_centre,
             seed=zlib.crc32(settings.node_id.encode()),
         )
         self.dispatcher = dispatch.Dispatcher(
-            store=self.store, executor=self._executor, pool=self.pool
+            store=self.store, executor=self._adapters.executor, pool=self.pool
         )
         self.jobs = view_module.JobView(
             role=self.role,
@@ -113,6 +130,9 @@
             own_room=self._own_room,
             job_handler=self.jobs.answer,
         )
+        self._telemetry = telemetry_module.Telemetry(
+            sender=self.metrics, status=self.status
+        )
         self._server = server_module.create(self)
         self._tasks: list[asyncio.Task] = []
         self._stopped = asyncio.Event()
@@ -123,6 +143,7 @@
         await self.feed.start()
         await self.role.start()
         await self.membership.start()
+        await self._telemetry.start()
         self._tasks.append(asyncio.create_task(self._read_directory()))
         host, port = self.settings.http_address.rsplit(":", 1)
         self._server.listen(int(port), host)
@@ -144,16 +165,11 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._telemetry.close()
         await self.role.close()
         await self.membership.close()
         await self.feed.close()
-        for adapter in (
-            self._executor,
-            self._worker,
-            self._directory,
-            self.store,
-        ):
-            adapter.close()
+        self._adapters.close()
 
     def _signalled(self) -> None:
         if not self._chart.allows(self.state, "drain"):
@@ -179,7 +195,7 @@
 
     async def _read_directory(self) -> None:
         while True:
-            listed = await self._directory.list_vms()
+            listed = await self._adapters.directory.list_vms()
             if isinstance(listed, result.Success):
                 vms = listed.unwrap()
                 self.pool.set_listed(vms)
@@ -224,6 +240,7 @@
             "requests_in_flight": self.in_flight.count,
             "executors": len(self.pool.executors),
             "free_accelerators": room.free_accelerators if room else None,
+            "queued_jobs": room.queued_jobs if room else None,
             "peers": [
                 {
                     "node_id": peer.node_id,
