--- a/src/knapweedwharf/core/quarantine.py
+++ b/src/knapweedwharf/core/quarantine.py
@@ -48,6 +48,11 @@
         self._quarantined: dict[str, None] = {}
         self.probation: dict[str, None] = {}
 
+    @property
+    def busy(self) -> bool:
+        """Whether some worker waits for its quarantine or rest to end."""
+        return bool(self._quarantined or self._refused)
+
     def failed(
         self,
         worker_id: str,
