Let reservations give their room to others meanwhile

Cause: a reservation kept its room empty until the gang fitted.

Now anybody may start in reserved room; what started there after the reservation is stopped once everything older has ended. Estimates only choose the room. Ruled out: stricter backfill limits, which leave more idle still.

--- a/src/knapweedwharf/core/claim.py
+++ b/src/knapweedwharf/core/claim.py
@@ -1,8 +1,8 @@
 """Room set aside for a waiting gang: claims and reservations.
 
 A claim has ordered victims to stop; what they free is the claimant's.
-A reservation waits for running work to end; short work may use its
-room meanwhile. Both count against open room, so nobody else takes it.
+A reservation waits for running work to end. Others may use its room
+meanwhile, but what starts there later gives way to the reservation.
 """
 
 from __future__ import annotations
@@ -86,11 +86,13 @@
     """Room that a gang gets once running work has ended.
 
     :ivar expected_s: when that is expected, by estimates.
+    :ivar made_s: what started since then gives way.
     """
 
     job: model.JobSpec
     tasks: dict[str, int]
     expected_s: float
+    made_s: float
 
 
 class Reservations:
@@ -116,14 +118,6 @@
         for worker_id, count in reservation.tasks.items():
             self._topology.reserve(worker_id, need.times(-count))
 
-    def on(self, job_id: str, worker_id: str) -> amount.Amount:
-        """Return what is reserved for a job on a worker."""
-        reservation = self.by_job.get(job_id)
-        if reservation is None:
-            return amount.NOTHING
-        count = reservation.tasks.get(worker_id, 0)
-        return amount.of_task(reservation.job).times(count)
-
     def on_worker(self, worker_id: str) -> list[str]:
         """Return the jobs with a reservation on a worker."""
         return [
--- a/src/knapweedwharf/core/reclaim.py
+++ b/src/knapweedwharf/core/reclaim.py
@@ -217,8 +217,10 @@
         need = amount.of_task(job)
         best: victims.Choice | None = None
         for group in self._cell_groups(cell, job.within):
-            rooms = [state.topology.workers[w] for w in group]
             limits = {w: _room_in(unit, cell, w).holds(need) for w in group}
+            if sum(limits.values()) < job.tasks:
+                continue
+            rooms = [state.topology.workers[w] for w in group]
             choice = victims.Search(
                 job=job,
                 rooms={
--- a/src/knapweedwharf/core/reserve.py
+++ b/src/knapweedwharf/core/reserve.py
@@ -1,7 +1,9 @@
 """Reservations with backfill, and moves that make adjacent room.
 
-A gang that waited long gets the room that is expected free first.
-Short work may use that room meanwhile. When enough accelerators are
+A gang that waited long reserves the room that is expected free first.
+Others may use that room meanwhile; whatever started there after the
+reservation gives way once the rest has ended, so estimates only choose
+the room and never leave it idle. When enough accelerators are
 free but not adjacent, borrowers are moved out of the way once the
 gang's wait outweighs what they would lose.
 """
@@ -15,7 +17,6 @@
 from knapweedwharf.core import borrowers
 from knapweedwharf.core import claim
 from knapweedwharf.core import model
-from knapweedwharf.core import placement
 from knapweedwharf.core import record as record_module
 from knapweedwharf.core import state as state_module
 from knapweedwharf.core import topology as topology_module
@@ -42,100 +43,107 @@
         for job_id, kept in list(state.reservations.by_job.items()):
             if kept.expected_s < state.now_s:
                 state.reservations.drop(job_id)
+                self._reserve(kept.job, made_s=kept.made_s)
         for job_id in state.waiting.first(HEADS_LOOKED_AT):
             record = state.records[job_id]
             if state.over_quota(record.job):
                 continue
-            if self._make_room(record):
+            if self._make_room(record) or self._due(record.job):
                 continue
-            self._reserve(record)
+            self._reserve(record.job, made_s=state.now_s)
 
-    def start_ready(self) -> list[str]:
-        """Start gangs whose reserved room is free."""
+    def start_ready(self, freed: abc.Iterable[str]) -> None:
+        """Claim reserved room once only later starters are in the way."""
         state = self._state
-        started: list[str] = []
-        for job_id, kept in list(state.reservations.by_job.items()):
-            need = amount.of_task(kept.job)
-            rooms = state.topology.workers
-            if state.over_quota(kept.job) or not all(
-                worker_id in rooms
-                and state.room_for(job_id, rooms[worker_id]).covers(
-                    need.times(count)
-                )
-                for worker_id, count in kept.tasks.items()
-            ):
+        touched = {
+            job_id: None
+            for worker_id in freed
+            for job_id in state.reservations.on_worker(worker_id)
+        }
+        for job_id in touched:
+            kept = state.reservations.by_job[job_id]
+            if state.over_quota(kept.job):
                 continue
-            share = [(rooms[w], n) for w, n in kept.tasks.items()]
-            text = "Reserved room is free."
-            state.start(
-                state.records[job_id], share, state.reason("placed", text)
-            )
-            started.append(job_id)
-        return started
-
-    def backfill(self, record: record_module.JobRecord) -> bool:
-        """Start work in reserved room if it should end in time."""
-        state = self._state
-        job = record.job
-        ends_s = state.now_s + state.estimates.run_s(job)
-        need = amount.of_task(job)
-        for kept in state.reservations.by_job.values():
-            if ends_s > kept.expected_s or kept.job.job_id == job.job_id:
+            choice = self._choose_reserved(kept)
+            if choice is None or choice.victims and not state.settled:
                 continue
-            groups: dict[str, placement.Share] = {}
-            for worker_id in kept.tasks:
-                room = state.topology.workers.get(worker_id)
-                if room is None or not room.usable:
-                    continue
-                group = placement.group_of(room.spec, job.within)
-                count = borrowers.usable_room(room).holds(need)
-                if count:
-                    groups.setdefault(group, []).append((room, count))
-            for found in groups.values():
-                share = _cut(found, job.tasks)
-                if share is not None:
-                    text = f"Uses room reserved for {kept.job.job_id}."
-                    reason = state.reason("backfilled", text)
-                    state.start(record, share, reason)
-                    return True
-        return False
-
-    def _reserve(self, record: record_module.JobRecord) -> None:
+            why = "It has reserved this room."
+            record = state.records[job_id]
+            borrowers.claim_room(state, record, choice, why=why)
+
+    def _choose_reserved(
+        self, kept: claim.Reservation
+    ) -> victims.Choice | None:
+        rooms = [
+            self._state.topology.workers[worker_id] for worker_id in kept.tasks
+        ]
+
+        def allowed(
+            other: record_module.JobRecord, _victim: victims.Victim
+        ) -> bool:
+            return self._gives_way(other, kept)
+
+        return victims.Search(
+            job=kept.job,
+            rooms={
+                room.spec.worker_id: borrowers.usable_room(room)
+                for room in rooms
+            },
+            victims=borrowers.victims_on(self._state, rooms, allowed),
+        ).run()
+
+    def _gives_way(
+        self, other: record_module.JobRecord, kept: claim.Reservation
+    ) -> bool:
+        if other.job.urgency == model.URGENT:
+            return False
+        if other.state == record_module.STARTING:
+            return True
+        return other.started_s >= kept.made_s
+
+    def _due(self, job: model.JobSpec) -> bool:
+        """Tell whether a job has no claim to a new reservation yet."""
         state = self._state
-        job = record.job
         wait_s = state.now_s - job.submitted_s
-        if (
+        return (
             job.job_id in state.reservations.by_job
             or len(state.reservations.by_job) >= MAX_RESERVATIONS
             or wait_s < state.configuration.policy.reserve_after_s
-        ):
-            return
-        best: tuple[float, dict[str, int]] | None = None
+        )
+
+    def _reserve(self, job: model.JobSpec, *, made_s: float) -> None:
+        state = self._state
+        best: claim.Reservation | None = None
         groups = borrowers.groups(state.topology, job.within)
         for rooms in itertools.islice(groups, GROUPS_TRIED):
-            found = self._earliest(rooms, job)
-            if found is not None and (best is None or found[0] < best[0]):
+            found = self._earliest(rooms, job, made_s)
+            if found is None:
+                continue
+            if best is None or found.expected_s < best.expected_s:
                 best = found
-        if best is None:
-            return
-        kept = claim.Reservation(job, tasks=best[1], expected_s=best[0])
-        state.reservations.add(kept)
+        if best is not None:
+            state.reservations.add(best)
 
     def _earliest(
-        self, rooms: list[topology_module.WorkerRoom], job: model.JobSpec
-    ) -> tuple[float, dict[str, int]] | None:
+        self,
+        rooms: list[topology_module.WorkerRoom],
+        job: model.JobSpec,
+        made_s: float,
+    ) -> claim.Reservation | None:
         """Return when a group is expected to hold the gang, and how."""
         state = self._state
         need = amount.of_task(job)
-        open_on = {room.spec.worker_id: room.open for room in rooms}
+        kept = claim.Reservation(job, {}, state.now_s, made_s)
+        open_on = {
+            room.spec.worker_id: room.open - room.reserved for room in rooms
+        }
         total = sum(part.holds(need) for part in open_on.values())
         attempts = dict.fromkeys(a for r in rooms for a in r.occupants)
-        ends = sorted((self._end_s(a), a) for a in attempts)
-        at_s = state.now_s
+        ends = sorted((self._end_s(a, kept), a) for a in attempts)
         for end_s, attempt_id in ends:
             if total >= job.tasks:
                 break
-            at_s = end_s
+            kept.expected_s = end_s
             for place in state.topology.places_of(attempt_id):
                 before = open_on.get(place.worker_id)
                 if before is None:
@@ -145,20 +153,21 @@
                 total += after.holds(need) - before.holds(need)
         if total < job.tasks:
             return None
-        tasks: dict[str, int] = {}
         left = job.tasks
         for worker_id, part in open_on.items():
             count = min(left, part.holds(need))
             if count:
-                tasks[worker_id] = count
+                kept.tasks[worker_id] = count
                 left -= count
-        return (at_s, tasks)
+        return kept
 
-    def _end_s(self, attempt_id: str) -> float:
+    def _end_s(self, attempt_id: str, kept: claim.Reservation) -> float:
         state = self._state
         record = state.job_of_attempt(attempt_id)
         if record is None or record.state == record_module.STOPPING:
             return state.now_s
+        if not record.guarantee and self._gives_way(record, kept):
+            return state.now_s
         started_s = record.started_s
         if record.state == record_module.STARTING:
             started_s = state.now_s
@@ -193,7 +202,7 @@
             state,
             job,
             allowed=allowed,
-            open_on=lambda room: state.room_for(job.job_id, room),
+            open_on=borrowers.usable_room,
         )
         if choice is None or choice.cost[0] > allowance_s:
             return False
@@ -233,13 +242,3 @@
             if best is None or choice.cost < best.cost:
                 best = choice
     return best
-
-
-def _cut(found: placement.Share, tasks: int) -> placement.Share | None:
-    share: placement.Share = []
-    for room, count in found:
-        count = min(count, tasks)
-        if count:
-            share.append((room, count))
-            tasks -= count
-    return share if not tasks else None
--- a/src/knapweedwharf/core/scheduler.py
+++ b/src/knapweedwharf/core/scheduler.py
@@ -21,13 +21,15 @@
         self._state = state
         self.reclaim = reclaim.Reclaim(state)
         self.reserve = reserve.Reserve(state)
+        self._settled = False
 
     def tick(self) -> None:
         """Look at what time alone can change."""
         state = self._state
         state.waiting.due(state.now_s)
-        if state.policy.preempts:
-            state.waiting.wake_urgent()
+        if state.settled and not self._settled:
+            self._settled = True
+            state.waiting.wake_all()
         if state.policy.reserves:
             self.reserve.tick()
 
@@ -36,9 +38,10 @@
         state = self._state
         self._start_claims()
         if state.topology.freed:
-            self._wake_freed()
             if state.policy.reserves:
-                self.reserve.start_ready()
+                self.reserve.start_ready(list(state.topology.freed))
+                self._start_claims()
+            self._wake_freed()
         for job_id in state.waiting.heads():
             self._try(state.records[job_id])
 
@@ -49,7 +52,6 @@
             worker = state.topology.workers.get(worker_id)
             if worker is None or not worker.usable:
                 continue
-            # Inside a guarantee, reserved room may be used.
             here = borrowers.usable_room(worker)
             room = amount.Amount(
                 max(room.accelerators, here.accelerators),
@@ -99,8 +101,6 @@
             text = "Room was found; the job borrows it."
             state.start(record, share, state.reason("placed", text))
             return
-        if state.policy.reserves and self.reserve.backfill(record):
-            return
         if self._preempt_for_urgent(record):
             return
         text = explain.no_room(state, job)
--- a/src/knapweedwharf/core/state.py
+++ b/src/knapweedwharf/core/state.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from knapweedwharf.charts import chart
-from knapweedwharf.core import amount
 from knapweedwharf.core import claim
 from knapweedwharf.core import decision
 from knapweedwharf.core import estimate
@@ -237,10 +236,3 @@
             job.accelerators > 0
             and used + job.accelerators > account.quota_accelerators
         )
-
-    def room_for(
-        self, job_id: str, room: topology.WorkerRoom
-    ) -> amount.Amount:
-        """Return open room, a job's own reservation included."""
-        own = self.reservations.on(job_id, room.spec.worker_id)
-        return room.open + own if room.usable else amount.NOTHING
--- a/src/knapweedwharf/core/topology.py
+++ b/src/knapweedwharf/core/topology.py
@@ -20,7 +20,7 @@
 REFUSED = "refused"
 
 BucketKey = tuple[bool, int, int, int]
-"""(promised to a guarantee, accelerators, level of cores, of memory)"""
+"""(set aside, accelerators, level of cores, level of memory)"""
 
 
 @dataclasses.dataclass(slots=True)
@@ -29,7 +29,7 @@
 
     :ivar accelerators: indexes of the free ones.
     :ivar held: promised to claims whose victims are being stopped.
-    :ivar reserved: promised to reservations.
+    :ivar reserved: expected by reservations; others may use it.
     :ivar promised: accelerators of guarantee cells on this worker.
     :ivar barred: why no new work may be placed here.
     """
@@ -219,7 +219,7 @@
             self.refresh(room)
 
     def reserve(self, worker_id: str, change: amount.Amount) -> None:
-        """Add to what reservations hold on a worker."""
+        """Add to what reservations expect on a worker."""
         room = self.workers.get(worker_id)
         if room is not None:
             room.reserved = room.reserved + change
@@ -237,7 +237,7 @@
         before = room.open
         room.open = amount.NOTHING
         if room.usable:
-            room.open = room.free - room.held - room.reserved
+            room.open = room.free - room.held
         grown = room.open - before
         if max(grown.accelerators, grown.cores, grown.memory_mib) > 0:
             self.freed[room.spec.worker_id] = None
@@ -307,7 +307,7 @@
     if min(room.open.cores, room.open.memory_mib) < 0:
         return None
     return (
-        room.promised > 0,
+        room.promised > 0 or room.reserved != amount.NOTHING,
         max(room.open.accelerators, 0),
         room.open.cores.bit_length(),
         room.open.memory_mib.bit_length(),
--- a/src/knapweedwharf/core/waiting.py
+++ b/src/knapweedwharf/core/waiting.py
@@ -137,12 +137,6 @@
             if class_key not in self._ready and room.covers(job_class.need):
                 self._ready[class_key] = None
 
-    def wake_urgent(self) -> None:
-        """Look at urgent classes again."""
-        for class_key in self._classes:
-            if class_key[1] == model.URGENT:
-                self._ready[class_key] = None
-
     def wake_all(self) -> None:
         """Look at every class again."""
         self._ready = dict.fromkeys(self._classes)
