Let the most delayed work stop those who stay less delayed

Delay is the expected completion as a multiple of the run. The most delayed waiting job may stop borrowers that stay less delayed than it is even after giving way, if the expected loss is worth the wait. The loss comes from the share of checkpoints seen to fail. Blocked gangs may still move small borrowers, weighed by the fragmentation weight; a search that found nothing is not repeated at once.

--- a/src/knapweedwharf/core/borrowers.py
+++ b/src/knapweedwharf/core/borrowers.py
@@ -48,7 +48,8 @@
     places = state.topology.places_of(attempt_id)
     victim = victims.Victim(
         attempt_id=attempt_id,
-        lost_s=elapsed_s * max(record.job.accelerators, 1),
+        lost_s=state.estimates.lost_s(elapsed_s)
+        * max(record.job.accelerators, 1),
         frees=ledger.taken_by(places),
     )
     return victim if allowed(record, victim) else None
--- a/src/knapweedwharf/core/estimate.py
+++ b/src/knapweedwharf/core/estimate.py
@@ -14,6 +14,10 @@
 MAX_FACTOR = 16.0
 MAX_KINDS = 2000
 OVERRUN_SHARE = 0.5
+RESTART_S = 20.0
+SHORTEST_S = 10.0
+FAILED_CHECKPOINTS = 0.2
+"""Share of checkpoints that fail, before any was seen."""
 
 
 class Estimates:
@@ -21,6 +25,29 @@
 
     def __init__(self) -> None:
         self._log_factors: dict[tuple[str, str], float] = {}
+        self._failed_checkpoints = FAILED_CHECKPOINTS
+
+    def checkpointed(self, *, saved: bool) -> None:
+        """Take in whether a stopped attempt saved its progress."""
+        change = (0.0 if saved else 1.0) - self._failed_checkpoints
+        self._failed_checkpoints += LEARNING_SHARE / 4 * change
+
+    def lost_s(self, elapsed_s: float) -> float:
+        """Return the expected loss of a stop, for each accelerator."""
+        if not elapsed_s:
+            return 0.0
+        return self._failed_checkpoints * elapsed_s + RESTART_S
+
+    def delay(
+        self, job: model.JobSpec, *, end_s: float, more_s: float = 0.0
+    ) -> float:
+        """Return a job's completion time as a multiple of its run.
+
+        :param end_s: when it is expected to end.
+        :param more_s: what is added to that.
+        """
+        run_s = max(self.run_s(job), SHORTEST_S)
+        return (end_s + more_s - job.submitted_s) / run_s
 
     def learn(self, job: model.JobSpec, ran_s: float) -> None:
         """Take in how long a finished job ran."""
--- a/src/knapweedwharf/core/lifecycle.py
+++ b/src/knapweedwharf/core/lifecycle.py
@@ -189,6 +189,8 @@
         record = state.job_of_attempt(happened.attempt_id)
         if record is None or record.state != record_module.STOPPING:
             return
+        if record.after_stop == "requeue":
+            state.estimates.checkpointed(saved=happened.checkpointed)
         text = "Checkpointed." if happened.checkpointed else "Not saved."
         self._end_stop(record, state.reason("stopped", text))
 
--- a/src/knapweedwharf/core/reserve.py
+++ b/src/knapweedwharf/core/reserve.py
@@ -11,6 +11,7 @@
 from __future__ import annotations
 
 from collections import abc
+import heapq
 import itertools
 
 from knapweedwharf.core import amount
@@ -25,7 +26,10 @@
 MAX_RESERVATIONS = 4
 GROUPS_TRIED = 64
 MOVE_AFTER_S = 10.0
-MAX_MOVES = 3
+IMPATIENT_DELAY = 1.2
+OVERTAKE_PRICE = 2.0
+MOVE_PRICE = 4.0
+RETRY_SHARE = 0.05
 HEADS_LOOKED_AT = 4
 
 OpenOn = abc.Callable[[topology_module.WorkerRoom], amount.Amount]
@@ -36,6 +40,7 @@
 
     def __init__(self, state: state_module.State) -> None:
         self._state = state
+        self._later: dict[str, float] = {}
 
     def tick(self) -> None:
         """Renew late reservations, add one, and move borrowers."""
@@ -44,13 +49,21 @@
             if kept.expected_s < state.now_s:
                 state.reservations.drop(job_id)
                 self._reserve(kept.job, made_s=kept.made_s)
+        self._later = {
+            job_id: at_s
+            for job_id, at_s in self._later.items()
+            if at_s > state.now_s
+        }
+        for job_id in self._most_delayed():
+            self._overtake(state.records[job_id])
         for job_id in state.waiting.first(HEADS_LOOKED_AT):
-            record = state.records[job_id]
-            if state.over_quota(record.job):
+            job = state.records[job_id].job
+            if state.over_quota(job):
                 continue
-            if self._make_room(record) or self._due(record.job):
+            if job_id not in self._later and self._make_room(job):
                 continue
-            self._reserve(record.job, made_s=state.now_s)
+            if not self._due(job):
+                self._reserve(job, made_s=state.now_s)
 
     def start_ready(self, freed: abc.Iterable[str]) -> None:
         """Claim reserved room once only later starters are in the way."""
@@ -168,50 +181,110 @@
             return state.now_s
         if not record.guarantee and self._gives_way(record, kept):
             return state.now_s
-        started_s = record.started_s
-        if record.state == record_module.STARTING:
-            started_s = state.now_s
-        return state.estimates.end_s(
-            record.job, started_s=started_s, now_s=state.now_s
-        )
+        return self._expected_end_s(record)
 
-    def _make_room(self, record: record_module.JobRecord) -> bool:
-        """Move borrowers when free accelerators are not adjacent."""
+    def _most_delayed(self) -> list[str]:
+        """Return the waiting jobs that are delayed the most."""
+        state = self._state
+        delays: list[tuple[float, str]] = []
+        for _job_class, job_id in state.waiting.class_heads():
+            job = state.records[job_id].job
+            if state.now_s - job.submitted_s < MOVE_AFTER_S:
+                continue
+            if job_id in self._later:
+                continue
+            delay = state.estimates.delay(
+                job, end_s=state.now_s, more_s=state.estimates.run_s(job)
+            )
+            if delay >= IMPATIENT_DELAY:
+                delays.append((-delay, job_id))
+        return [job_id for _d, job_id in heapq.nsmallest(2, delays)]
+
+    def _overtake(self, record: record_module.JobRecord) -> bool:
+        """Stop borrowers that stay less delayed than this job is.
+
+        The delay is the completion time as a multiple of the run, so
+        short work does not wait for long work. The work lost must be
+        worth the wait; running time lost is work too.
+        """
         state = self._state
         job = record.job
-        weight = state.configuration.policy.fragmentation_weight
+        wait_s = state.now_s - job.submitted_s
+        if not state.settled or state.over_quota(job):
+            return False
+        run_s = state.estimates.run_s(job)
+        delay = state.estimates.delay(job, end_s=state.now_s, more_s=run_s)
+        allowance_s = OVERTAKE_PRICE * wait_s * max(job.accelerators, 1)
+
+        def allowed(
+            other: record_module.JobRecord, victim: victims.Victim
+        ) -> bool:
+            if other.job.urgency == model.URGENT:
+                return False
+            end_s = self._expected_end_s(other)
+            after = state.estimates.delay(other.job, end_s=end_s, more_s=run_s)
+            return victim.cost <= allowance_s and after < delay
+
+        why = "It was delayed more than they are."
+        return self._stop_for(job, allowance_s, allowed, why)
+
+    def _make_room(self, job: model.JobSpec) -> bool:
+        """Move small borrowers when free accelerators are not adjacent.
+
+        The fragmentation weight sets what the wait is worth.
+        """
+        state = self._state
         wait_s = state.now_s - job.submitted_s
         open_count = state.topology.open_accelerators
         if not state.settled or wait_s < MOVE_AFTER_S:
             return False
-        if not job.accelerators or open_count < job.accelerators:
+        if job.accelerators < 2 or open_count < job.accelerators:
             return False
-        allowance_s = weight * job.accelerators * wait_s
+        weight = state.configuration.policy.fragmentation_weight
+        allowance_s = weight * MOVE_PRICE * wait_s * job.accelerators
 
         def allowed(
             other: record_module.JobRecord, victim: victims.Victim
         ) -> bool:
             return (
                 other.job.urgency != model.URGENT
-                and other.preemptions < MAX_MOVES
                 and 2 * other.job.accelerators <= job.accelerators
                 and victim.cost <= allowance_s
             )
 
+        why = "Free accelerators were not adjacent."
+        return self._stop_for(job, allowance_s, allowed, why)
+
+    def _stop_for(
+        self,
+        job: model.JobSpec,
+        allowance_s: float,
+        allowed: borrowers.Allowed,
+        why: str,
+    ) -> bool:
+        """Stop the cheapest borrowers if the loss is allowed."""
+        state = self._state
         choice = cheapest(
-            state,
-            job,
-            allowed=allowed,
-            open_on=borrowers.usable_room,
+            state, job, allowed=allowed, open_on=borrowers.usable_room
         )
         if choice is None or choice.cost[0] > allowance_s:
+            wait_s = state.now_s - job.submitted_s
+            pause_s = max(MOVE_AFTER_S / 2, RETRY_SHARE * wait_s)
+            self._later[job.job_id] = state.now_s + pause_s
             return False
-        if not choice.victims:
-            return False
-        why = "Free accelerators were not adjacent."
+        record = state.records[job.job_id]
         borrowers.claim_room(state, record, choice, why=why)
         return True
 
+    def _expected_end_s(self, record: record_module.JobRecord) -> float:
+        state = self._state
+        started_s = record.started_s
+        if record.state == record_module.STARTING:
+            started_s = state.now_s
+        return state.estimates.end_s(
+            record.job, started_s=started_s, now_s=state.now_s
+        )
+
 
 def cheapest(
     state: state_module.State,
--- a/src/knapweedwharf/core/victims.py
+++ b/src/knapweedwharf/core/victims.py
@@ -22,7 +22,7 @@
 class Victim:
     """An attempt that may be stopped.
 
-    :ivar lost_s: accelerator-seconds lost if its checkpoint fails.
+    :ivar lost_s: accelerator-seconds it is expected to lose.
     :ivar frees: what its stop frees, by worker.
     """
 
