Measure the core's cost; look for suspended cells only when settled

Cause: each sealed worker repaired the guarantee cells and, while some unit had none, searched a packing of all units, so filling an engine at 16 times the plan did not end within 200 s.

Repair now returns at once when every unit has a cell, and packs all units anew only after the workers have settled. Ruled out: the index of free room, which was not in the profile.

Few jobs wait in this bench.

--- a/bench/core_cost.py
+++ b/bench/core_cost.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
+import os
 import random
 import time
-import tracemalloc
 
 import bench
 from bench import _workload
+from bench import memory
 from knapweedwharf.core import decision
 from knapweedwharf.core import engine as engine_module
 from knapweedwharf.core import event
@@ -118,10 +119,9 @@
     figures: list[bench.Figure] = []
     costs_us: list[float] = []
     for size in SIZES:
-        tracemalloc.start()
+        before_mb = memory.resident_mb(os.getpid())
         plant = Plant(size)
-        memory_mb = tracemalloc.get_traced_memory()[0] / 2**20
-        tracemalloc.stop()
+        memory_mb = memory.resident_mb(os.getpid()) - before_mb
         handled, taken = plant.handled, plant.taken
         began_s = time.process_time()
         plant.churn(EVENTS)
--- a/src/knapweedwharf/core/hardware.py
+++ b/src/knapweedwharf/core/hardware.py
@@ -203,7 +203,7 @@
         room = state.topology.workers.get(worker_id)
         if room is not None and room.barred <= {topology_module.REFUSED}:
             state.ledger.worker_usable(room.spec)
-            state.ledger.repair()
+            state.ledger.repair(repack=state.settled)
         else:
             self._withdraw(worker_id)
 
--- a/src/knapweedwharf/core/ledger.py
+++ b/src/knapweedwharf/core/ledger.py
@@ -128,16 +128,18 @@
         self.packing.remove(worker_id)
         self.repair()
 
-    def repair(self) -> None:
+    def repair(self, *, repack: bool = True) -> None:
         """Give suspended units a cell where there is room.
 
-        Units not in use are moved all together when single moves do
-        not help.
+        :param repack: move units not in use all together when single
+            moves do not help.
         """
+        if all(unit.cell for unit in self.units.values()):
+            return
         missing = [u for u in self._ranked() if not u.cell]
         for unit in missing:
             self._set_cell(unit, self._any_cell(unit))
-        if any(not unit.cell for unit in missing):
+        if repack and any(not unit.cell for unit in missing):
             self._repack()
         for unit in self.units.values():
             if not unit.cell:
--- a/src/knapweedwharf/core/scheduler.py
+++ b/src/knapweedwharf/core/scheduler.py
@@ -29,6 +29,7 @@
         state.waiting.due(state.now_s)
         if state.settled and not self._settled:
             self._settled = True
+            state.ledger.repair()
             state.waiting.wake_all()
         if state.policy.reserves:
             self.reserve.tick()
