Keep jobs off workers they failed on; reserve for gangs only

A job is placed where it has not failed as long as the other workers could hold it. One accelerator needs no adjacent room and gets no reservation.

--- a/bench/_replay.py
+++ b/bench/_replay.py
@@ -184,7 +184,7 @@
 
     def _note_end(self, ended: event.TaskEnded) -> None:
         record = self.engine.job_of_attempt(ended.attempt_id)
-        if record is not None and record.state == "running":
+        if record is not None and record.state in ("running", "stopping"):
             self.jobs[record.job.job_id].ended_s = self._now_s
 
     def _stop(self, stop: decision.StopGang) -> None:
--- a/src/knapweedwharf/core/placement.py
+++ b/src/knapweedwharf/core/placement.py
@@ -22,8 +22,10 @@
 RACKS_TRIED = 8
 
 Search = typing.Callable[
-    [topology_module.Topology, model.JobSpec], "Share | None"
+    [topology_module.Topology, model.JobSpec, abc.Container[str]],
+    "Share | None",
 ]
+"""(topology, job, workers to avoid) to places, or None"""
 
 
 @dataclasses.dataclass(frozen=True)
@@ -53,7 +55,9 @@
 
 @POLICIES.register("guaranteed")
 def tightest(
-    topology: topology_module.Topology, job: model.JobSpec
+    topology: topology_module.Topology,
+    job: model.JobSpec,
+    avoid: abc.Container[str] = (),
 ) -> Share | None:
     """Fill the most broken room that the gang fits into.
 
@@ -61,27 +65,31 @@
     alone at first.
     """
     if not job.accelerators_per_task:
-        share = _search(topology, job, spare_cores=True)
+        share = _search(topology, job, avoid, spare_cores=True)
         if share is not None:
             return share
-    return _search(topology, job, spare_cores=False)
+    return _search(topology, job, avoid, spare_cores=False)
 
 
 @POLICIES.register("best-fit")
 def best_fit(
-    topology: topology_module.Topology, job: model.JobSpec
+    topology: topology_module.Topology,
+    job: model.JobSpec,
+    avoid: abc.Container[str] = (),
 ) -> Share | None:
     """Fill the most broken room that the gang fits into."""
-    return _search(topology, job, spare_cores=False)
+    return _search(topology, job, avoid, spare_cores=False)
 
 
 @POLICIES.register("first-fit")
 def first_fit(
-    topology: topology_module.Topology, job: model.JobSpec
+    topology: topology_module.Topology,
+    job: model.JobSpec,
+    avoid: abc.Container[str] = (),
 ) -> Share | None:
     """Take workers in their order."""
     for group in _groups(topology, job.within):
-        share = fill(group, job)
+        share = fill(_without(group, avoid), job)
         if share is not None:
             return share
     return None
@@ -90,30 +98,42 @@
 def _search(
     topology: topology_module.Topology,
     job: model.JobSpec,
+    avoid: abc.Container[str],
     *,
     spare_cores: bool,
 ) -> Share | None:
     need = amount.of_task(job)
     if job.within == model.WITHIN_WORKER or job.tasks == 1:
         whole = need.times(job.tasks)
-        for room in _fitting(topology, whole, spare_cores=spare_cores):
+        found = _fitting(topology, whole, spare_cores=spare_cores)
+        for room in _without(found, avoid):
             return [(room, job.tasks)]
         return None
-    share = _search_racks(topology, job)
+    share = _search_racks(topology, job, avoid)
     if share is not None or job.within == model.WITHIN_RACK:
         return share
     rooms = _fitting(topology, need, spare_cores=spare_cores)
-    return fill(rooms, job)
+    return fill(_without(rooms, avoid), job)
+
+
+def _without(
+    rooms: abc.Iterable[topology_module.WorkerRoom],
+    avoid: abc.Container[str],
+) -> abc.Iterator[topology_module.WorkerRoom]:
+    return (room for room in rooms if room.spec.worker_id not in avoid)
 
 
 def _search_racks(
-    topology: topology_module.Topology, job: model.JobSpec
+    topology: topology_module.Topology,
+    job: model.JobSpec,
+    avoid: abc.Container[str],
 ) -> Share | None:
     racks = topology.racks_with(job.accelerators)
     if job.within != model.WITHIN_RACK:
         racks = itertools.islice(racks, RACKS_TRIED)
     for rack in racks:
-        share = fill(_tightest_first(rack.workers.values()), job)
+        rooms = _tightest_first(rack.workers.values())
+        share = fill(_without(rooms, avoid), job)
         if share is not None:
             return share
     return None
--- a/src/knapweedwharf/core/quarantine.py
+++ b/src/knapweedwharf/core/quarantine.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+from collections import abc
 import dataclasses
 
 from knapweedwharf.core import model
@@ -154,6 +155,10 @@
         standing = self._standings.get(worker_id)
         return standing.probation_tasks if standing else 0
 
+    def failed_on(self, job_id: str) -> abc.Container[str]:
+        """Return the workers a job has failed on."""
+        return self._failed_on.get(job_id, ())
+
     def forget_job(self, job_id: str) -> None:
         """Forget where a job that ended has failed."""
         self._failed_on.pop(job_id, None)
--- a/src/knapweedwharf/core/reclaim.py
+++ b/src/knapweedwharf/core/reclaim.py
@@ -139,7 +139,7 @@
         self, record: record_module.JobRecord, units: list[ledger.Unit]
     ) -> bool:
         job = record.job
-        share = self._state.policy.search(self._state.topology, job)
+        share = self._state.search(job)
         if share is None:
             return False
         places = placement.assign(share, job)
--- a/src/knapweedwharf/core/reserve.py
+++ b/src/knapweedwharf/core/reserve.py
@@ -62,7 +62,7 @@
                 continue
             if job_id not in self._later and self._make_room(job):
                 continue
-            if not self._due(job):
+            if not self._not_due(job):
                 self._reserve(job, made_s=state.now_s)
 
     def start_ready(self, freed: abc.Iterable[str]) -> None:
@@ -114,9 +114,14 @@
             return True
         return other.started_s >= kept.made_s
 
-    def _due(self, job: model.JobSpec) -> bool:
-        """Tell whether a job has no claim to a new reservation yet."""
+    def _not_due(self, job: model.JobSpec) -> bool:
+        """Tell whether a job gets no new reservation now.
+
+        One accelerator needs no adjacent room, so no reservation.
+        """
         state = self._state
+        if job.tasks == 1 and job.accelerators < 2:
+            return True
         wait_s = state.now_s - job.submitted_s
         return (
             job.job_id in state.reservations.by_job
@@ -299,6 +304,7 @@
     gang can fit decides.
     """
     groups = borrowers.groups(state.topology, job.within)
+    failed_on = state.quarantine.failed_on(job.job_id)
     best: victims.Choice | None = None
     while best is None:
         portion = list(itertools.islice(groups, GROUPS_TRIED))
@@ -307,7 +313,11 @@
         for rooms in portion:
             choice = victims.Search(
                 job=job,
-                rooms={room.spec.worker_id: open_on(room) for room in rooms},
+                rooms={
+                    room.spec.worker_id: open_on(room)
+                    for room in rooms
+                    if room.spec.worker_id not in failed_on
+                },
                 victims=borrowers.victims_on(state, rooms, allowed),
             ).run()
             if choice is None:
--- a/src/knapweedwharf/core/scheduler.py
+++ b/src/knapweedwharf/core/scheduler.py
@@ -97,7 +97,7 @@
             return
         if self._start_on_probation(record):
             return
-        share = state.policy.search(state.topology, job)
+        share = state.search(job)
         if share is not None:
             text = "Room was found; the job borrows it."
             state.start(record, share, state.reason("placed", text))
--- a/src/knapweedwharf/core/state.py
+++ b/src/knapweedwharf/core/state.py
@@ -134,6 +134,22 @@
         later_s = level * policy.ageing_s + length_s
         return (1, job.submitted_s + later_s, job.job_id)
 
+    def search(self, job: model.JobSpec) -> placement.Share | None:
+        """Find open room on workers that the job has not failed on.
+
+        Where those left could never hold it, all are searched.
+        """
+        failed_on = self.quarantine.failed_on(job.job_id)
+        if failed_on:
+            others = (
+                room.spec
+                for room in self.topology.workers.values()
+                if room.spec.worker_id not in failed_on
+            )
+            if not placement.could_ever_fit(others, job):
+                failed_on = ()
+        return self.policy.search(self.topology, job, failed_on)
+
     # Attempts
 
     def start(
--- a/testing/core/test_queue.py
+++ b/testing/core/test_queue.py
@@ -164,3 +164,22 @@
         for one in site.decisions
         if isinstance(one, decision.WorkerChanged)
     ]
+
+
+def test_job_is_not_retried_where_it_failed(site) -> None:
+    site.workers(2)
+    record = site.run("a", "norte", **WHOLE)
+    first = record.assignments[0].worker_id
+    site.end(record, succeeded=False)
+    site.confirm_stops()
+    assert record.assignments[0].worker_id != first
+
+
+def test_only_worker_is_tried_again_after_its_rest(site) -> None:
+    site.workers(1)
+    record = site.run("a", "norte", **WHOLE)
+    site.end(record, succeeded=False)
+    site.confirm_stops()
+    assert record.state == "queued"
+    site.wait(1)
+    assert record.state == "starting"
