Split the fleet; cut data centres from each other by a relay

The fleet could cut a data centre from the platform only. A relay now stands between data centres, so that their entry VMs and executors can be cut from each other. Each data centre's workers are a process of their own.

--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -1,52 +1,33 @@
 """A small fleet of plain processes for demo, tests and benchmarks.
 
-Starts the stand-ins and entry VMs on loopback ports, and kills,
-freezes, thaws and stops each by its process id.
+Starts the stand-ins and entry VMs on loopback ports, kills, freezes,
+thaws and restarts each by its process id, and cuts data centres from
+each other and from the platform.
 """
 
 from __future__ import annotations
 
-from collections import abc
 import dataclasses
 import hashlib
 import json
-import os
 import pathlib
-import signal
-import socket
 import subprocess
-import sys
 import tempfile
-import time
 import typing
-import urllib.error
-import urllib.request
 
 from knapweedwharf.configuration import folder as folder_module
 from knapweedwharf.core import model
+from standins import loopback
+from standins import network
+from standins import processes
 
 PEER_KEY = "loopback-only-peer-key"
 BOOTSTRAP_TOKEN = "bootstrap-token"
-START_TIMEOUT_S = 20.0
-STOP_TIMEOUT_S = 20.0
-POLL_S = 0.05
-_ROOT = pathlib.Path(__file__).resolve().parent.parent
 
-
-@dataclasses.dataclass(frozen=True)
-class Answer:
-    """An HTTP answer; status 0 when none came.
-
-    :ivar headers: names in lower case.
-    """
-
-    status: int
-    headers: dict[str, str]
-    body: bytes
-
-    def json(self) -> typing.Any:
-        """Return the decoded body."""
-        return json.loads(self.body)
+Answer = loopback.Answer
+free_port = loopback.free_port
+http = loopback.call
+until = loopback.until
 
 
 @dataclasses.dataclass
@@ -64,58 +45,10 @@
         """Base URL of the node."""
         return f"http://127.0.0.1:{self.http_port}"
 
-
-def free_port() -> int:
-    """Return a loopback port that is free now."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
-
-
-def http(
-    method: str,
-    url: str,
-    *,
-    document: typing.Any = None,
-    body: bytes | None = None,
-    headers: dict[str, str] | None = None,
-    timeout_s: float = 15.0,
-) -> Answer:
-    """Make one HTTP call; a broken connection is status 0."""
-    data = body if document is None else json.dumps(document).encode()
-    request = urllib.request.Request(
-        url, data=data, method=method, headers=headers or {}
-    )
-    try:
-        with urllib.request.urlopen(request, timeout=timeout_s) as reply:
-            return _answer(reply)
-    except urllib.error.HTTPError as error:
-        return _answer(error)
-    except (OSError, ValueError):
-        return Answer(status=0, headers={}, body=b"")
-    except Exception:
-        return Answer(status=0, headers={}, body=b"")
-
-
-def _answer(reply: typing.Any) -> Answer:
-    headers = {name.lower(): value for name, value in reply.headers.items()}
-    return Answer(status=reply.status, headers=headers, body=reply.read())
-
-
-def until(
-    condition: abc.Callable[[], typing.Any],
-    *,
-    what: str,
-    timeout_s: float = START_TIMEOUT_S,
-) -> typing.Any:
-    """Wait until the condition holds; the limit only ends a hang."""
-    deadline_s = time.monotonic() + timeout_s
-    while time.monotonic() < deadline_s:
-        value = condition()
-        if value:
-            return value
-        time.sleep(POLL_S)
-    raise TimeoutError(f"still waiting for: {what}")
+    @property
+    def running(self) -> bool:
+        """Whether the process has been started and has not ended."""
+        return self.process is not None and self.process.poll() is None
 
 
 class Fleet:
@@ -140,10 +73,13 @@
         self._node_options = node_options or {}
         self._scratch = tempfile.TemporaryDirectory(prefix="fleet-")
         self.scratch = pathlib.Path(self._scratch.name)
-        self._processes: list[subprocess.Popen] = []
+        self.processes = processes.Processes(self.scratch)
         self.platform_ports = {name: free_port() for name in data_centres}
-        self.worker_port = free_port()
+        self.worker_ports = {name: free_port() for name in data_centres}
+        self.worker_processes: dict[str, subprocess.Popen] = {}
         self.executor_urls: dict[str, str] = {}
+        self.executor_processes: dict[str, subprocess.Popen] = {}
+        self.network = network.Network(data_centres)
         self.workers = self._declared_workers()
         self.nodes = [
             NodeProcess(
@@ -171,36 +107,47 @@
         for data_centre in self.data_centres:
             for number in range(1, self._executors_per + 1):
                 self._start_executor(f"{data_centre}-executor-{number}")
-        workers_file = self._write("workers.json", self.workers)
-        self._spawn(
+            self._start_workers(data_centre)
+        self.network.start(
+            self.processes, vms=self.vms(), scratch=self.scratch
+        )
+        self._start_platform()
+        for node in self.nodes:
+            self.start_node(node)
+        for node in self.nodes:
+            self.wait_ready(node)
+
+    def _start_executor(self, vm_id: str) -> None:
+        port = free_port()
+        self.executor_urls[vm_id] = f"http://127.0.0.1:{port}"
+        self.executor_processes[vm_id] = self.processes.start(
+            "standins.executor", f"--port={port}", log_name=vm_id
+        )
+
+    def _start_workers(self, data_centre: str) -> None:
+        listed = [w for w in self.workers if w["data_centre"] == data_centre]
+        path = self._write(f"workers-{data_centre}.json", listed)
+        self.worker_processes[data_centre] = self.processes.start(
             "standins.worker",
-            f"--port={self.worker_port}",
-            f"--workers={workers_file}",
+            f"--port={self.worker_ports[data_centre]}",
+            f"--workers={path}",
+            log_name=f"workers-{data_centre}",
         )
-        vms_file = self._write("vms.json", self.vms())
+
+    def _start_platform(self) -> None:
+        vms_file = self._write("vms.json", self.vms_by_data_centre())
         ports = [f"--port={n}={p}" for n, p in self.platform_ports.items()]
-        self._spawn("standins.platform", *ports, f"--vms={vms_file}")
+        self.processes.start(
+            "standins.platform", *ports, f"--vms={vms_file}", log_name="store"
+        )
         until(
             lambda: self.platform("GET", "/counts").status == 200,
             what="platform",
         )
-        for node in self.nodes:
-            self.start_node(node)
-        for node in self.nodes:
-            self.wait_ready(node)
 
     def close(self) -> None:
         """End every process that was started, by its id."""
-        for process in self._processes:
-            if process.poll() is None:
-                process.send_signal(signal.SIGCONT)
-                process.terminate()
-        for process in self._processes:
-            try:
-                process.wait(STOP_TIMEOUT_S)
-            except subprocess.TimeoutExpired:
-                process.kill()
-                process.wait()
+        self.processes.close()
         self._scratch.cleanup()
 
     def __enter__(self) -> Fleet:
@@ -214,33 +161,11 @@
     def __exit__(self, *_error) -> None:
         self.close()
 
-    def _start_executor(self, vm_id: str) -> None:
-        port = free_port()
-        self.executor_urls[vm_id] = f"http://127.0.0.1:{port}"
-        self._spawn("standins.executor", f"--port={port}")
-
     def _write(self, name: str, document: typing.Any) -> pathlib.Path:
         path = self.scratch / name
         path.write_text(json.dumps(document))
         return path
 
-    def _spawn(self, module: str, *arguments: str, log_name: str = ""):
-        environment = {
-            **os.environ,
-            "PYTHONPATH": f"{_ROOT / 'src'}{os.pathsep}{_ROOT}",
-        }
-        name = log_name or module.rsplit(".", 1)[-1]
-        with open(self.scratch / f"{name}.log", "ab") as log:
-            process = subprocess.Popen(
-                [sys.executable, "-m", module, *arguments],
-                cwd=_ROOT,
-                env=environment,
-                stdout=log,
-                stderr=log,
-            )
-        self._processes.append(process)
-        return process
-
     def vms(self) -> list[dict]:
         """Return the platform's list of VMs."""
         workers = [
@@ -273,9 +198,39 @@
         ]
         return workers + executors + entries
 
+    def vms_by_data_centre(
+        self, vms: list[dict] | None = None
+    ) -> dict[str, list[dict]]:
+        """Return the list as each data centre gets it."""
+        listed = self.vms() if vms is None else vms
+        return {
+            name: self.network.seen_from(name, listed)
+            for name in self.data_centres
+        }
+
+    def list_vms(self, vms: list[dict]) -> None:
+        """Make the platform list these VMs from now on."""
+        self.faults(vms=self.vms_by_data_centre(vms))
+
+    def isolate(self, data_centre: str) -> None:
+        """Cut a data centre from all others and from the platform."""
+        self.network.isolate(data_centre)
+        self.faults(cut=[data_centre])
+
+    def join(self) -> None:
+        """Take every cut away."""
+        self.network.join()
+        self.faults(cut=[])
+
     def worker_url(self, worker_id: str) -> str:
         """Return a worker's base URL."""
-        return f"http://127.0.0.1:{self.worker_port}/{worker_id}"
+        data_centre = next(
+            worker["data_centre"]
+            for worker in self.workers
+            if worker["worker_id"] == worker_id
+        )
+        port = self.worker_ports[data_centre]
+        return f"http://127.0.0.1:{port}/{worker_id}"
 
     def start_node(self, node: NodeProcess) -> None:
         """Start one entry VM's process."""
@@ -295,7 +250,7 @@
             **self._node_options,
         }
         flags = [f"--{name}={value}" for name, value in settings.items()]
-        node.process = self._spawn(
+        node.process = self.processes.start(
             "knapweedwharf", "serve", *flags, log_name=node.node_id
         )
 
@@ -312,8 +267,30 @@
 
     def kill(self, node: NodeProcess) -> None:
         """Kill one node at once."""
-        node.process.kill()
-        node.process.wait()
+        processes.kill(node.process)
+
+    def drain(self, node: NodeProcess) -> None:
+        """Ask one node to end and wait until it has."""
+        node.process.terminate()
+        node.process.wait(processes.STOP_TIMEOUT_S * 2)
+
+    def freeze(self, node: NodeProcess) -> None:
+        """Pause one node."""
+        processes.freeze(node.process)
+
+    def thaw(self, node: NodeProcess) -> None:
+        """Let a paused node go on."""
+        processes.thaw(node.process)
+
+    def restart(self, node: NodeProcess) -> None:
+        """Start a node that has ended again, under the same identity."""
+        if not node.running:
+            self.start_node(node)
+        self.wait_ready(node)
+
+    def log_of(self, name: str) -> str:
+        """Return what a process wrote."""
+        return (self.scratch / f"{name}.log").read_text("utf-8")
 
     def platform_url(self, data_centre: str) -> str:
         """Return the platform's address for a data centre."""
@@ -384,7 +361,7 @@
     def wait_revision(self, revision: int) -> None:
         """Wait until every running node has a revision in force."""
         for node in self.nodes:
-            if node.process is None or node.process.poll() is not None:
+            if not node.running:
                 continue
             until(
                 lambda node=node: self._revision(node) >= revision,
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -91,12 +91,18 @@
 class World:
     """State of the stand-in."""
 
-    def __init__(self, vms: list[dict]) -> None:
+    def __init__(self, vms: list[dict] | dict[str, list[dict]]) -> None:
         self.keys = Keys()
         self.faults = Faults()
         self.counts: dict[str, int] = {}
         self.vms = vms
 
+    def listed(self, data_centre: str) -> list[dict]:
+        """Return the list of VMs as a data centre sees it."""
+        if isinstance(self.vms, dict):
+            return self.vms.get(data_centre, [])
+        return self.vms
+
     async def expire(self) -> None:
         """End leases that have lapsed."""
         while True:
@@ -301,7 +307,7 @@
     async def get(self) -> None:
         """Answer ``/vms``."""
         self.set_header("Content-Type", "application/json")
-        self.write(json.dumps(self.world.vms))
+        self.write(json.dumps(self.world.listed(self.data_centre)))
 
 
 class Control(Handler):
@@ -364,7 +370,7 @@
     )
 
 
-async def _serve(ports: list[tuple[str, int]], vms: list[dict]) -> None:
+async def _serve(ports: list[tuple[str, int]], vms) -> None:
     world = World(vms)
     for data_centre, port in ports:
         application(world, data_centre).listen(port, "127.0.0.1")
