Tell truthfully what a write to the store did

Cause: write_certain returned the last try's fault, so that a lost answer followed by a refused connection read as 'nothing was sent' while the write stood in the store; a lost answer followed by another writer's value read as 'conflict'. Malformed answers of the store raised KeyError or ValueError out of the adapter. Ruled out: repeating more often, which leaves the last try's answer wrong all the same. The list of VMs is asked for with its entity tag, waits between tries grow with jitter, calls are counted by kind.

--- a/src/knapweedwharf/adapters/directory.py
+++ b/src/knapweedwharf/adapters/directory.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import json
 import typing
 
 from returns import result
@@ -13,6 +14,8 @@
 from knapweedwharf import settings as settings_module
 
 _MAX_LIST_BYTES = 4 * 1024 * 1024
+_OK = 200
+_NOT_MODIFIED = 304
 
 ENTRY_KIND = "entry"
 WORKER_KIND = "worker"
@@ -56,7 +59,10 @@
 
 @DIRECTORIES.register("http-json")
 class HttpDirectory:
-    """Reads ``GET /vms``: a JSON list of objects like :class:`Vm`."""
+    """Reads ``GET /vms``: a JSON list of objects like :class:`Vm`.
+
+    The list travels only when its entity tag has changed.
+    """
 
     def __init__(self, settings: settings_module.Settings) -> None:
         self._url = settings.platform_url.rstrip("/") + "/vms"
@@ -64,6 +70,8 @@
         self._transport = transport.HttpTransport(
             max_body_bytes=_MAX_LIST_BYTES
         )
+        self._entity_tag = ""
+        self._vms: list[Vm] = []
 
     def close(self) -> None:
         """Close connections."""
@@ -71,19 +79,34 @@
 
     async def list_vms(self) -> result.Result[list[Vm], errors.Fault]:
         """Return every VM the platform knows of."""
-        answer = await self._transport.get_json(
-            self._url, timeout_s=self._timeout_s
+        known = {"If-None-Match": self._entity_tag}
+        outcome = await self._transport.exchange(
+            method="GET",
+            url=self._url,
+            headers=known if self._entity_tag else None,
+            timeout_s=self._timeout_s,
         )
-        return answer.bind(_parse)
-
-
-def _parse(document: typing.Any) -> result.Result[list[Vm], errors.Fault]:
+        if isinstance(outcome, result.Failure):
+            return outcome
+        reply = outcome.unwrap()
+        if reply.status == _NOT_MODIFIED:
+            return result.Success(self._vms)
+        parsed = _parse(reply)
+        if isinstance(parsed, result.Success):
+            self._entity_tag = reply.headers.get("etag", "")
+            self._vms = parsed.unwrap()
+        return parsed
+
+
+def _parse(reply: transport.Reply) -> result.Result[list[Vm], errors.Fault]:
     try:
-        return result.Success([_vm(item) for item in document])
-    except (KeyError, TypeError):
+        if reply.status != _OK:
+            raise ValueError(f"status {reply.status}")
+        return result.Success([_vm(item) for item in json.loads(reply.body)])
+    except (AttributeError, KeyError, TypeError, ValueError) as error:
         return result.Failure(
             errors.OutcomeUnknown(
-                message="The list of VMs cannot be read.",
+                message=f"The list of VMs cannot be read: {error!r}.",
                 remedy="Check the platform's /vms document.",
             )
         )
--- a/src/knapweedwharf/adapters/etcd.py
+++ b/src/knapweedwharf/adapters/etcd.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import base64
+import functools
 import json
 import math
 import typing
@@ -20,6 +21,7 @@
 
 _MAX_ANSWER_BYTES = 16 * 1024 * 1024
 _WATCH_LIFETIME_S = 3600.0
+_MALFORMED = (AttributeError, KeyError, IndexError, TypeError, ValueError)
 
 
 @store.STORES.register("etcd-json")
@@ -49,14 +51,17 @@
     ) -> result.Result[store.Entry | None, errors.Fault]:
         """Read one key; None when absent."""
         answer = await self._call("/v3/kv/range", {"key": _encode(key)})
-        return answer.map(_first_entry)
+        return answer.bind(functools.partial(_read, _first_entry))
 
     async def list(
-        self, prefix: str
+        self, prefix: str, *, after_key: str = ""
     ) -> result.Result[store.Page, errors.Fault]:
-        """Read every key under a prefix, in key order."""
-        answer = await self._call("/v3/kv/range", _range_of(prefix))
-        return answer.map(_page)
+        """Read the keys under a prefix behind ``after_key``, in order."""
+        document = _range_of(prefix)
+        if after_key:
+            document["key"] = _encode_bytes(after_key.encode() + b"\0")
+        answer = await self._call("/v3/kv/range", document)
+        return answer.bind(functools.partial(_read, _page))
 
     async def write(
         self,
@@ -67,6 +72,8 @@
         lease_id: int = 0,
     ) -> result.Result[store.Entry, errors.Fault]:
         """Write if the key's version is the expected one."""
+        if len(value) > store.MAX_VALUE_BYTES:
+            return result.Failure(_too_large(key, len(value)))
         put = {"key": _encode(key), "value": _encode_bytes(value)}
         if lease_id:
             put["lease"] = str(lease_id)
@@ -100,13 +107,17 @@
             "success": [request],
         }
         answer = await self._call("/v3/kv/txn", document)
-        return answer.bind(lambda reply: _require_success(reply, key))
+        return answer.bind(functools.partial(_read, _txn_version)).bind(
+            lambda version: _require_success(version, key)
+        )
 
     async def grant(self, ttl_s: float) -> result.Result[int, errors.Fault]:
         """Grant a lease and return its id; whole seconds, rounded up."""
         document = {"TTL": str(math.ceil(ttl_s))}
         answer = await self._call("/v3/lease/grant", document)
-        return answer.map(lambda reply: int(reply["ID"]))
+        return answer.bind(
+            functools.partial(_read, lambda reply: int(reply["ID"]))
+        )
 
     async def keep_alive(
         self, lease_id: int
@@ -114,7 +125,9 @@
         """Renew a lease; ``Fenced`` when it has lapsed."""
         document = {"ID": str(lease_id)}
         answer = await self._call("/v3/lease/keepalive", document)
-        return answer.bind(_require_lease)
+        return answer.bind(functools.partial(_read, _lease_ttl_s)).bind(
+            _require_lease
+        )
 
     async def revoke(self, lease_id: int) -> result.Result[None, errors.Fault]:
         """End a lease and delete its keys."""
@@ -144,6 +157,8 @@
             timeout_s=_WATCH_LIFETIME_S,
             on_chunk=reader.feed,
         )
+        if reader.fault is not None:
+            return reader.fault
         if isinstance(outcome, result.Failure):
             return outcome.failure()
         return errors.Unreachable(
@@ -159,31 +174,94 @@
         )
 
 
+class _StreamRefused(Exception):
+    """Ends a stream whose bytes are no use; the reader has the fault."""
+
+
 class _WatchReader:
-    """Cuts the streamed answer into lines and reports each."""
+    """Cuts the streamed answer into lines and reports each.
+
+    :ivar fault: why the stream is of no further use, or None.
+    """
 
     def __init__(self, callback: store.WatchCallback) -> None:
         self._callback = callback
         self._buffer = b""
+        self.fault: errors.Fault | None = None
 
     def feed(self, chunk: bytes) -> None:
         """Take the next bytes of the stream."""
         self._buffer += chunk
         *lines, self._buffer = self._buffer.split(b"\n")
+        if len(self._buffer) > _MAX_ANSWER_BYTES:
+            self._refuse(_malformed("a line that does not end"))
         for line in lines:
             if line.strip():
-                self._report(json.loads(line)["result"])
+                self._report(line)
+
+    def _report(self, line: bytes) -> None:
+        try:
+            answer = json.loads(line)["result"]
+            compacted = int(answer.get("compact_revision", 0))
+            canceled = bool(answer.get("canceled"))
+            changed, deleted = _events(answer)
+            version = int(answer["header"]["revision"])
+        except _MALFORMED as error:
+            self._refuse(_malformed(repr(error)))
+        if compacted:
+            self._refuse(_compacted(compacted))
+        if canceled:
+            self._refuse(_malformed("the watch was cancelled"))
+        if changed or deleted:
+            self._callback(changed, deleted, version)
+
+    def _refuse(self, fault: errors.Fault) -> None:
+        self.fault = fault
+        raise _StreamRefused(fault.message)
+
+
+def _events(answer: dict) -> tuple[list[store.Entry], list[str]]:
+    changed = []
+    deleted = []
+    for event in answer.get("events", []):
+        if event.get("type") == "DELETE":
+            deleted.append(_decode(event["kv"]["key"]).decode())
+        else:
+            changed.append(_entry(event["kv"]))
+    return changed, deleted
+
+
+def _read(
+    parse: typing.Callable[[typing.Any], typing.Any], answer: typing.Any
+) -> result.Result[typing.Any, errors.Fault]:
+    try:
+        return result.Success(parse(answer))
+    except _MALFORMED as error:
+        return result.Failure(_malformed(repr(error)))
+
+
+def _malformed(text: str) -> errors.OutcomeUnknown:
+    return errors.OutcomeUnknown(
+        message=f"The store's answer cannot be read: {text[:200]}.",
+        remedy="Check that platform_url names an etcd v3 JSON gateway.",
+    )
+
 
-    def _report(self, answer: dict) -> None:
-        changed = []
-        deleted = []
-        for event in answer.get("events", []):
-            if event.get("type") == "DELETE":
-                deleted.append(_decode(event["kv"]["key"]).decode())
-            else:
-                changed.append(_entry(event["kv"]))
-        version = int(answer["header"]["revision"])
-        self._callback(changed, deleted, version)
+def _compacted(version: int) -> errors.NotFound:
+    return errors.NotFound(
+        message=f"The store has dropped changes before {version}.",
+        remedy="List the keys again and watch from there.",
+    )
+
+
+def _too_large(key: str, size_bytes: int) -> errors.InvalidField:
+    return errors.InvalidField(
+        message=f"A value holds at most {store.MAX_VALUE_BYTES} bytes.",
+        remedy="Split the change into smaller ones.",
+        source="store",
+        field=key,
+        value=f"{size_bytes} bytes",
+    )
 
 
 def _encode(key: str) -> str:
@@ -224,11 +302,17 @@
     return entries[0] if entries else None
 
 
+def _txn_version(answer: dict) -> int | None:
+    if not answer.get("succeeded"):
+        return None
+    return int(answer["header"]["revision"])
+
+
 def _require_success(
-    answer: dict, key: str
+    version: int | None, key: str
 ) -> result.Result[int, errors.Fault]:
-    if answer.get("succeeded"):
-        return result.Success(int(answer["header"]["revision"]))
+    if version is not None:
+        return result.Success(version)
     return result.Failure(
         errors.Conflict(
             message=f"{key} has changed since it was read.",
@@ -237,8 +321,12 @@
     )
 
 
-def _require_lease(answer: dict) -> result.Result[None, errors.Fault]:
-    if int(answer.get("result", answer).get("TTL", 0)) > 0:
+def _lease_ttl_s(answer: dict) -> int:
+    return int(answer.get("result", answer).get("TTL", 0))
+
+
+def _require_lease(ttl_s: int) -> result.Result[None, errors.Fault]:
+    if ttl_s > 0:
         return result.Success(None)
     return result.Failure(
         errors.Fenced(
--- a/src/knapweedwharf/adapters/store.py
+++ b/src/knapweedwharf/adapters/store.py
@@ -6,16 +6,21 @@
 
 from __future__ import annotations
 
+import asyncio
 import dataclasses
 import typing
 
 from returns import result
 
+from knapweedwharf import backoff
 from knapweedwharf import errors
 from knapweedwharf import registry
 from knapweedwharf import settings as settings_module
 
 ABSENT_VERSION = 0
+MAX_VALUE_BYTES = 1_000_000
+_FIRST_REPEAT_S = 0.05
+_LONGEST_REPEAT_S = 0.4
 
 
 @dataclasses.dataclass(frozen=True)
@@ -49,8 +54,10 @@
     async def get(self, key: str) -> result.Result[Entry | None, errors.Fault]:
         """Read one key; None when absent."""
 
-    async def list(self, prefix: str) -> result.Result[Page, errors.Fault]:
-        """Read every key under a prefix, in key order."""
+    async def list(
+        self, prefix: str, *, after_key: str = ""
+    ) -> result.Result[Page, errors.Fault]:
+        """Read the keys under a prefix behind ``after_key``, in order."""
 
     async def write(
         self,
@@ -81,7 +88,11 @@
     async def watch(
         self, prefix: str, *, after_version: int, callback: WatchCallback
     ) -> errors.Fault:
-        """Report changes until the stream breaks; return why it did."""
+        """Report changes until the stream breaks; return why it did.
+
+        ``NotFound`` says that the changes asked for are compacted: the
+        caller lists the keys again.
+        """
 
     def close(self) -> None:
         """Close connections."""
@@ -105,31 +116,54 @@
     The value must be unique to this attempt. Repeating a
     compare-and-swap at one expected version is safe: a repeat that
     loses reads the key back and recognises its own value.
+
+    ``Conflict`` and ``Unreachable`` say that nothing took effect. A
+    key that was expected to be absent must be changed or deleted by
+    its creator only; then another's value in it proves that.
     """
+    waits = backoff.Backoff(
+        first_s=_FIRST_REPEAT_S, longest_s=_LONGEST_REPEAT_S
+    )
+    unsure = False
     outcome = None
-    for _attempt in range(tries):
+    for attempt in range(tries):
+        if attempt:
+            await asyncio.sleep(waits.next_s())
         outcome = await store.write(
             key, value, expected_version=expected_version, lease_id=lease_id
         )
         if isinstance(outcome, result.Success):
             return outcome
-        if isinstance(outcome.failure(), errors.Conflict):
-            return await _own_or_conflict(store, key, value, outcome)
-    return outcome
+        fault = outcome.failure()
+        if isinstance(fault, errors.Conflict):
+            if not unsure:
+                return outcome
+            certain = expected_version == ABSENT_VERSION
+            return await _read_back(store, key, value, outcome, certain)
+        if isinstance(fault, errors.InvalidField):
+            return outcome
+        unsure |= not isinstance(fault, errors.Unreachable)
+    return result.Failure(_unknown(key)) if unsure else outcome
 
 
-async def _own_or_conflict(
-    store: Store, key: str, value: bytes, conflict: result.Result
+async def _read_back(
+    store: Store,
+    key: str,
+    value: bytes,
+    conflict: result.Result,
+    certain: bool,
 ) -> result.Result[Entry, errors.Fault]:
     found = await store.get(key)
     if isinstance(found, result.Failure):
-        return result.Failure(
-            errors.OutcomeUnknown(
-                message=f"The write of {key} could not be read back.",
-                remedy="Read the key again when the store answers.",
-            )
-        )
+        return result.Failure(_unknown(key))
     entry = found.unwrap()
     if entry is not None and entry.value == value:
         return result.Success(entry)
-    return conflict
+    return conflict if certain else result.Failure(_unknown(key))
+
+
+def _unknown(key: str) -> errors.OutcomeUnknown:
+    return errors.OutcomeUnknown(
+        message=f"Whether the write of {key} took effect is not known.",
+        remedy="Read the key again when the store answers.",
+    )
--- a/src/knapweedwharf/node.py
+++ b/src/knapweedwharf/node.py
@@ -12,6 +12,7 @@
 from knapweedwharf.adapters import directory as directory_module
 from knapweedwharf.adapters import etcd as _etcd  # noqa: F401
 from knapweedwharf.adapters import executor as executor_module
+from knapweedwharf.adapters import observed
 from knapweedwharf.adapters import store as store_module
 from knapweedwharf.adapters import worker as worker_module
 from knapweedwharf.charts import chart
@@ -80,7 +81,7 @@
         self.state = self._chart.initial
         self.metrics = metrics.create(settings)
         self.in_flight = InFlight()
-        self.store = store_module.STORES.get(settings.store_kind)(settings)
+        self.store = observed.create(settings, metrics=self.metrics)
         self._directory = directory_module.DIRECTORIES.get(
             settings.directory_kind
         )(settings)
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -19,6 +19,7 @@
 from tornado import web
 
 MAX_VALUE_BYTES = 1_048_576
+LOG_LENGTH = 10_000
 LEASE_CHECK_S = 0.1
 
 
@@ -48,6 +49,9 @@
     :ivar lose_answers: so many next writes take effect unanswered.
     :ivar drop_events: so many next watch events are not delivered.
     :ivar cut: data centres whose port does not answer.
+    :ivar vms_lag_s: how old the list of VMs is.
+    :ivar vms_outage: the list of VMs is not answered.
+    :ivar vms_empty: the list of VMs holds nothing.
     """
 
     outage: bool = False
@@ -55,6 +59,9 @@
     lose_answers: int = 0
     drop_events: int = 0
     cut: list[str] = dataclasses.field(default_factory=list)
+    vms_lag_s: float = 0.0
+    vms_outage: bool = False
+    vms_empty: bool = False
 
 
 class Keys:
@@ -65,19 +72,33 @@
         self.leases: dict[int, Lease] = {}
         self.version = 1
         self.log: list[tuple[int, str, bytes, Record | None]] = []
+        self.compacted = 0
         self.changed = asyncio.Condition()
 
+    def record(self, kind: str, key: bytes, record: Record | None) -> None:
+        """Note a change for watchers; old ones are compacted."""
+        self.log.append((self.version, kind, key, record))
+        if len(self.log) > 2 * LOG_LENGTH:
+            self.compact(keep=LOG_LENGTH)
+
+    def compact(self, *, keep: int = 0) -> None:
+        """Forget all changes but the last ones."""
+        dropped = self.log[: len(self.log) - keep]
+        if dropped:
+            self.compacted = dropped[-1][0]
+            del self.log[: len(dropped)]
+
     def set(self, key: bytes, value: str, lease_id: int) -> None:
         """Write a key."""
         self.version += 1
         self.records[key] = Record(value, self.version, lease_id)
-        self.log.append((self.version, "PUT", key, self.records[key]))
+        self.record("PUT", key, self.records[key])
 
     def remove(self, key: bytes) -> None:
         """Delete a key."""
         if self.records.pop(key, None) is not None:
             self.version += 1
-            self.log.append((self.version, "DELETE", key, None))
+            self.record("DELETE", key, None)
 
     def end_lease(self, lease_id: int) -> None:
         """Drop a lease and its keys."""
@@ -95,7 +116,19 @@
         self.keys = Keys()
         self.faults = Faults()
         self.counts: dict[str, int] = {}
-        self.vms = vms
+        self.vm_lists = [(0.0, vms)]
+
+    def set_vms(self, vms: list[dict]) -> None:
+        """Replace the list; readers see it once its lag has passed."""
+        self.vm_lists.append((time.monotonic(), vms))
+
+    def vms(self) -> list[dict]:
+        """Return the list as it stood a lag ago."""
+        if self.faults.vms_empty:
+            return []
+        newest_s = time.monotonic() - self.faults.vms_lag_s
+        old = [vms for at_s, vms in self.vm_lists if at_s <= newest_s]
+        return old[-1] if old else self.vm_lists[0][1]
 
     async def expire(self) -> None:
         """End leases that have lapsed."""
@@ -270,6 +303,9 @@
         end = base64.b64decode(asked["range_end"])
         after = int(asked["start_revision"]) - 1
         keys = self.world.keys
+        if after < keys.compacted:
+            self.write(json.dumps({"result": self.compacted()}) + "\n")
+            return
         while self.reachable():
             events = [
                 event_of(kind, key, record, version)
@@ -289,6 +325,14 @@
                     await keys.changed.wait()
         self.request.connection.stream.close()
 
+    def compacted(self) -> dict:
+        """Return the refusal of a watch that starts too early."""
+        return {
+            "header": self.header(),
+            "canceled": True,
+            "compact_revision": str(self.world.keys.compacted + 1),
+        }
+
     def on_connection_close(self) -> None:
         """Nothing waits for the caller any more."""
 
@@ -301,7 +345,10 @@
     async def get(self) -> None:
         """Answer ``/vms``."""
         self.set_header("Content-Type", "application/json")
-        self.write(json.dumps(self.world.vms))
+        if self.world.faults.vms_outage:
+            self.request.connection.stream.close()
+            return
+        self.write(json.dumps(self.world.vms()))
 
 
 class Control(Handler):
@@ -314,7 +361,9 @@
         """Change faults or the list of VMs."""
         asked = self.body()
         if "vms" in asked:
-            self.world.vms = asked.pop("vms")
+            self.world.set_vms(asked.pop("vms"))
+        if asked.pop("compact", False):
+            self.world.keys.compact()
         for name, value in asked.items():
             setattr(self.world.faults, name, value)
         await self.world.wake()
