--- a/src/knapweedwharf/adapters/etcd.py
+++ b/src/knapweedwharf/adapters/etcd.py
@@ -54,12 +54,14 @@
         return answer.bind(functools.partial(_read, _first_entry))
 
     async def list(
-        self, prefix: str, *, after_key: str = ""
+        self, prefix: str, *, after_key: str = "", limit: int = 0
     ) -> result.Result[store.Page, errors.Fault]:
         """Read the keys under a prefix behind ``after_key``, in order."""
         document = _range_of(prefix)
         if after_key:
             document["key"] = _encode_bytes(after_key.encode() + b"\0")
+        if limit:
+            document["limit"] = str(limit)
         answer = await self._call("/v3/kv/range", document)
         return answer.bind(functools.partial(_read, _page))
 
--- a/src/knapweedwharf/adapters/observed.py
+++ b/src/knapweedwharf/adapters/observed.py
@@ -39,11 +39,12 @@
         return await self._observe(READ, self._store.get(key))
 
     async def list(
-        self, prefix: str, *, after_key: str = ""
+        self, prefix: str, *, after_key: str = "", limit: int = 0
     ) -> result.Result[store_module.Page, errors.Fault]:
         """Read the keys under a prefix behind ``after_key``, in order."""
         return await self._observe(
-            READ, self._store.list(prefix, after_key=after_key)
+            READ,
+            self._store.list(prefix, after_key=after_key, limit=limit),
         )
 
     async def write(
--- a/src/knapweedwharf/adapters/store.py
+++ b/src/knapweedwharf/adapters/store.py
@@ -55,9 +55,12 @@
         """Read one key; None when absent."""
 
     async def list(
-        self, prefix: str, *, after_key: str = ""
+        self, prefix: str, *, after_key: str = "", limit: int = 0
     ) -> result.Result[Page, errors.Fault]:
-        """Read the keys under a prefix behind ``after_key``, in order."""
+        """Read the keys under a prefix behind ``after_key``, in order.
+
+        :param limit: read so many keys at most; 0 reads all.
+        """
 
     async def write(
         self,
--- a/src/knapweedwharf/configuration/feed.py
+++ b/src/knapweedwharf/configuration/feed.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 import dataclasses
 import time
 import typing
@@ -11,12 +12,16 @@
 
 from knapweedwharf.adapters import store as store_module
 from knapweedwharf.configuration import folder
+from knapweedwharf.configuration import follower
 from knapweedwharf.configuration import revision as revision_module
+from knapweedwharf.configuration import snapshot as snapshot_module
 from knapweedwharf.core import model
 from knapweedwharf import errors
 from knapweedwharf import mailbox
 
-_RETRY_S = 0.5
+HISTORY_REVISIONS = 256
+AHEAD_REVISIONS = 512
+STORE = "store"
 
 Listener = typing.Callable[[model.Configuration], None]
 
@@ -26,25 +31,62 @@
     """Revisions from the store or from a peer, in any order."""
 
     revisions: tuple[revision_module.Revision, ...]
+    source: str = STORE
 
 
-class Feed(mailbox.Actor[EntriesSeen]):
+@dataclasses.dataclass(frozen=True)
+class SnapshotSeen:
+    """The whole folder at a revision, from the store or from peers."""
+
+    snapshot: snapshot_module.Snapshot
+    source: str = STORE
+
+
+@dataclasses.dataclass(frozen=True)
+class Barrier:
+    """Resolved once all messages before it are handled."""
+
+    reached: asyncio.Future
+
+
+Message = EntriesSeen | SnapshotSeen | Barrier
+
+
+class Feed(mailbox.Actor[Message]):
     """Follows the log of revisions and applies each in turn.
 
     :ivar current: the configuration in force.
     :ivar files: the folder's files at that revision.
+    :ivar history: the last revisions, without holes.
+    :ivar known: a configuration is known, if only the empty one.
+    :ivar confirmed: the store has been read since the node's start.
+    :ivar confirmed_at_s: monotonic time of the last read, or 0.
     """
 
     name = "configuration-feed"
 
-    def __init__(self, *, store: store_module.Store) -> None:
+    def __init__(
+        self, *, store: store_module.Store, seed: int | None = None
+    ) -> None:
         super().__init__()
         self._store = store
         self._listeners: list[Listener] = []
         self._ahead: dict[int, revision_module.Revision] = {}
+        self._write_id = ""
+        self._suspect = False
+        self._follower = follower.Follower(
+            store=store,
+            load_new=self.catch_up,
+            seen=self._seen,
+            seed=seed,
+        )
         self.current = model.Configuration()
         self.files: folder.Files = {}
-        self.history: list[revision_module.Revision] = []
+        self.history: collections.deque[revision_module.Revision] = (
+            collections.deque(maxlen=HISTORY_REVISIONS)
+        )
+        self.known = False
+        self.confirmed = False
         self.confirmed_at_s = 0.0
 
     def listen(self, listener: Listener) -> None:
@@ -54,103 +96,161 @@
     async def start(self) -> None:
         """Start to follow the store."""
         await super().start()
-        self.spawn(self._follow())
+        self.spawn(self._follower.follow())
+        self.spawn(self._follower.relist())
+
+    @property
+    def snapshot(self) -> snapshot_module.Snapshot:
+        """The folder in force, for peers and the store."""
+        return snapshot_module.Snapshot(
+            revision=self.current.revision,
+            write_id=self._write_id,
+            files=dict(self.files),
+        )
+
+    def entries_after(
+        self, number: int
+    ) -> list[revision_module.Revision] | None:
+        """Return the revisions behind one, or None if not all are kept."""
+        if number == self.current.revision:
+            return []
+        if not self.history or self.history[0].number > number + 1:
+            return None
+        return [r for r in self.history if r.number > number]
+
+    async def handle(self, message: Message) -> None:
+        """Apply what is next in turn; keep what is ahead."""
+        if isinstance(message, Barrier):
+            message.reached.set_result(None)
+        elif isinstance(message, SnapshotSeen):
+            self._apply_snapshot(message.snapshot)
+        elif self.known:
+            for revision in message.revisions:
+                self.apply(revision, source=message.source)
+
+    async def drained(self) -> None:
+        """Wait until what was posted so far is handled."""
+        reached = asyncio.get_running_loop().create_future()
+        self.post(Barrier(reached))
+        await reached
+
+    async def catch_up(self) -> result.Result[int, errors.Fault]:
+        """Read and apply what is new; return the store's version."""
+        loaded = await follower.load(
+            self._store,
+            after=self.current.revision,
+            whole=not self.confirmed or self._suspect,
+        )
+        if isinstance(loaded, result.Failure):
+            return loaded
+        self._take(loaded.unwrap())
+        return result.Success(loaded.unwrap().version)
 
-    async def handle(self, message: EntriesSeen) -> None:
-        """Apply revisions that are next in turn; keep those ahead."""
-        for revision in message.revisions:
+    def _take(self, loaded: follower.Loaded) -> None:
+        self.known = True
+        self.confirmed = True
+        self.confirmed_at_s = time.monotonic()
+        if loaded.snapshot is not None:
+            behind = loaded.last_revision < self.current.revision
+            if behind:
+                self._log.error(
+                    "store-behind-node",
+                    store=loaded.last_revision,
+                    node=self.current.revision,
+                )
+                return
+            self._apply_snapshot(loaded.snapshot)
+            if self._suspect:
+                self._replace(loaded)
+        for revision in loaded.revisions:
             self.apply(revision)
 
-    def apply(self, revision: revision_module.Revision) -> None:
+    def _replace(self, loaded: follower.Loaded) -> None:
+        """Take the store's account of revisions already in force."""
+        files = loaded.snapshot.files
+        write_id = loaded.snapshot.write_id
+        for revision in loaded.revisions:
+            files = changed_files(files, revision.changed)
+            write_id = revision.write_id
+        self._suspect = False
+        self.history.clear()
+        self._ahead.clear()
+        self._set_in_force(loaded.last_revision, files, write_id)
+
+    def apply(
+        self, revision: revision_module.Revision, *, source: str = STORE
+    ) -> None:
         """Take one revision into force once its turn has come."""
         if revision.number <= self.current.revision:
+            self._compare(revision, source)
             return
-        self._ahead[revision.number] = revision
+        if len(self._ahead) < AHEAD_REVISIONS:
+            held = self._ahead.get(revision.number)
+            if held is None or source == STORE:
+                self._ahead[revision.number] = revision
         while self.current.revision + 1 in self._ahead:
             self._apply_next(self._ahead.pop(self.current.revision + 1))
+        if self._ahead:
+            self._follower.gap_seen()
 
     def _apply_next(self, revision: revision_module.Revision) -> None:
+        if revision.parent != self._write_id:
+            self._conflict(revision.number, "parent")
+        self.history.append(revision)
         files = changed_files(self.files, revision.changed)
-        loaded = folder.load(files, revision=revision.number)
+        self._set_in_force(revision.number, files, revision.write_id)
+
+    def _apply_snapshot(self, snapshot: snapshot_module.Snapshot) -> None:
+        self.known = True
+        if snapshot.revision <= self.current.revision:
+            return
+        self.history.clear()
+        for number in [n for n in self._ahead if n <= snapshot.revision]:
+            del self._ahead[number]
+        self._set_in_force(
+            snapshot.revision, snapshot.files, snapshot.write_id
+        )
+
+    def _set_in_force(
+        self, number: int, files: folder.Files, write_id: str
+    ) -> None:
         self.files = files
-        self.history.append(revision)
+        self._write_id = write_id
+        loaded = folder.load(files, revision=number)
         if isinstance(loaded, result.Failure):
             faults = [str(fault) for fault in loaded.failure()]
             self._log.error("revision-unreadable", faults=faults)
-            self.current = dataclasses.replace(
-                self.current, revision=revision.number
-            )
+            self.current = dataclasses.replace(self.current, revision=number)
             return
         self.current = loaded.unwrap()
-        self._log.info("revision-in-force", revision=revision.number)
+        self._log.info("revision-in-force", revision=number)
         for listener in self._listeners:
             listener(self.current)
 
-    async def publish(
-        self,
-        *,
-        base_revision: int,
-        changed: dict[str, str | None],
-        actor: str,
-        message: str,
-    ) -> result.Result[revision_module.Revision, errors.Fault | folder.Faults]:
-        """Check a change and make it the next revision."""
-        if base_revision != self.current.revision:
-            return result.Failure(self._raced(base_revision))
-        number = base_revision + 1
-        files = changed_files(self.files, changed)
-        checked = folder.load(files, revision=number)
-        if isinstance(checked, result.Failure):
-            return checked
-        appended = await revision_module.append(
-            self._store,
-            number=number,
-            actor=actor,
-            at_s=time.time(),
-            message=message,
-            changed=changed,
-        )
-        if isinstance(appended, result.Failure):
-            if isinstance(appended.failure(), errors.Conflict):
-                return result.Failure(self._raced(base_revision))
-            return appended
-        self.apply(appended.unwrap())
-        return appended
-
-    def _raced(self, base_revision: int) -> errors.Conflict:
-        since = [r for r in self.history if r.number > base_revision]
-        names = sorted({name for r in since for name in r.changed})
-        text = ", ".join(names) or "files not seen here yet"
-        return errors.Conflict(
-            message=f"Others changed the folder since revision "
-            f"{base_revision}: {text}.",
-            remedy="Run 'knapweedwharf config diff' and apply again.",
-        )
+    def _compare(
+        self, revision: revision_module.Revision, source: str
+    ) -> None:
+        for held in self.history:
+            if held.number == revision.number:
+                if held.write_id != revision.write_id:
+                    self._conflict(revision.number, source)
+                return
 
-    async def _follow(self) -> None:
-        while True:
-            page = await self._store.list(revision_module.LOG_PREFIX)
-            if isinstance(page, result.Success):
-                listing = page.unwrap()
-                self._seen(listing.entries, [], listing.version)
-                await self._store.watch(
-                    revision_module.LOG_PREFIX,
-                    after_version=listing.version,
-                    callback=self._seen,
-                )
-            await asyncio.sleep(_RETRY_S)
+    def _conflict(self, number: int, source: str) -> None:
+        self._log.error("revision-conflict", revision=number, source=source)
+        self._suspect = True
+        self._follower.gap_seen()
 
-    def _seen(
-        self,
-        entries: list[store_module.Entry],
-        _deleted: list[str],
-        _version: int,
-    ) -> None:
+    def _seen(self, entries: list[store_module.Entry]) -> None:
         self.confirmed_at_s = time.monotonic()
-        revisions = tuple(
-            revision_module.decode(entry.value) for entry in entries
-        )
-        self.post(EntriesSeen(revisions=revisions))
+        revisions = []
+        for entry in entries:
+            decoded = revision_module.decode(entry.value)
+            if isinstance(decoded, result.Failure):
+                self._log.error("entry-unreadable", key=entry.key)
+            else:
+                revisions.append(decoded.unwrap())
+        self.post(EntriesSeen(revisions=tuple(revisions)))
 
 
 def changed_files(
--- a/src/knapweedwharf/log.py
+++ b/src/knapweedwharf/log.py
@@ -7,7 +7,9 @@
 
 import structlog
 
-SECRET_FIELDS = frozenset({"token", "peer_key", "authorization"})
+SECRET_FIELDS = frozenset(
+    {"token", "peer_key", "peer_key_previous", "authorization"}
+)
 REDACTED = "[redacted]"
 
 
--- a/src/knapweedwharf/node.py
+++ b/src/knapweedwharf/node.py
@@ -17,11 +17,13 @@
 from knapweedwharf.adapters import worker as worker_module
 from knapweedwharf.charts import chart
 from knapweedwharf.configuration import feed as feed_module
+from knapweedwharf.configuration import publish
 from knapweedwharf import errors
 from knapweedwharf import log
 from knapweedwharf import metrics
 from knapweedwharf.peer import membership as membership_module
 from knapweedwharf.peer.messages import ttypes
+from knapweedwharf.peer import status as status_module
 from knapweedwharf.routing import dispatch
 from knapweedwharf.routing import pool as pool_module
 from knapweedwharf.scheduling import role as role_module
@@ -92,6 +94,7 @@
             settings
         )
         self.feed = feed_module.Feed(store=self.store)
+        self.publisher = publish.Publisher(store=self.store, feed=self.feed)
         self.role = role_module.Role(
             settings=settings, store=self.store, worker=self._worker
         )
@@ -113,6 +116,7 @@
             feed=self.feed,
             own_room=self._own_room,
             job_handler=self.jobs.answer,
+            store_reachable=lambda: self.store.reachable,
         )
         self._server = server_module.create(self)
         self._tasks: list[asyncio.Task] = []
@@ -147,6 +151,7 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self.role.close()
         await self.membership.close()
+        await self.publisher.close()
         await self.feed.close()
         for adapter in (
             self._executor,
@@ -220,19 +225,10 @@
             "data_centre": self.settings.data_centre,
             "state": self.state,
             "owner_state": self.role.state,
-            "revision": self.feed.current.revision,
-            "revision_age_s": round(now_s - self.feed.confirmed_at_s, 1),
+            **status_module.configuration(self.feed, now_s),
+            **status_module.outside(self.store, self.membership, now_s),
             "requests_in_flight": self.in_flight.count,
             "executors": len(self.pool.executors),
             "free_accelerators": room.free_accelerators if room else None,
-            "peers": [
-                {
-                    "node_id": peer.node_id,
-                    "data_centre": peer.data_centre,
-                    "revision": peer.revision,
-                    "draining": peer.draining,
-                    "heard_s_ago": round(now_s - peer.heard_at_s, 1),
-                }
-                for peer in self.membership.peers.values()
-            ],
+            "peers": status_module.peers(self.membership, now_s),
         }
--- a/src/knapweedwharf/peer/membership.py
+++ b/src/knapweedwharf/peer/membership.py
@@ -1,10 +1,10 @@
-"""Which entry VMs there are and what they last said."""
+"""Heartbeats, pushes and fetches between entry VMs."""
 
 from __future__ import annotations
 
 import asyncio
-import dataclasses
 import json
+import random
 import time
 import typing
 
@@ -13,37 +13,31 @@
 from knapweedwharf.adapters import directory as directory_module
 from knapweedwharf.configuration import feed as feed_module
 from knapweedwharf.configuration import revision as revision_module
+from knapweedwharf.configuration import snapshot as snapshot_module
 from knapweedwharf import log
 from knapweedwharf.peer import link
 from knapweedwharf.peer.messages import ttypes
+from knapweedwharf.peer import recovery as recovery_module
+from knapweedwharf.peer import roster as roster_module
+from knapweedwharf.peer import state as state_module
 from knapweedwharf import settings as settings_module
 
 CALL_TIMEOUT_S = 1.0
 SILENCE_FACTOR = 4
+WHOLE_FOLDER = -1
+_SKIP_SHARE = 0.75
 
 JobHandler = typing.Callable[[str, dict], typing.Awaitable[dict | None]]
 
 
-@dataclasses.dataclass
-class Peer:
-    """Another entry VM.
+class Membership:
+    """Keeps peers current and revisions spreading.
 
-    :ivar heard_at_s: monotonic time of its last heartbeat, or 0.
+    :ivar peers: the peers by node id.
+    :ivar draining: told to peers; they send no new work here.
+    :ivar traffic: bytes of frames so far.
     """
 
-    node_id: str
-    data_centre: str
-    address: str
-    client: link.PeerClient
-    heard_at_s: float = 0.0
-    revision: int = 0
-    draining: bool = False
-    room: ttypes.RoomSummary | None = None
-
-
-class Membership:
-    """Peers from the VM list, kept current by heartbeats."""
-
     def __init__(
         self,
         *,
@@ -51,72 +45,80 @@
         feed: feed_module.Feed,
         own_room: typing.Callable[[], ttypes.RoomSummary | None],
         job_handler: JobHandler,
+        own_shares: typing.Callable[[], dict[str, int]] = dict,
+        store_reachable: typing.Callable[[], bool] = lambda: False,
     ) -> None:
         self._settings = settings
-        self._key = settings.peer_key.encode()
         self._feed = feed
         self._own_room = own_room
+        self._own_shares = own_shares
+        self._store_reachable = store_reachable
         self._job_handler = job_handler
         self._log = log.get("membership")
-        self._tasks: list[asyncio.Task] = []
+        self._random = random.Random(settings.node_id)
+        self._tasks: set[asyncio.Task] = set()
+        self._tellers: dict[str, state_module.Teller] = {}
+        self._state_sequence = int(time.time() * 1000)
+        self._highest_revision = 0
+        self._fetching = False
+        self._recovery = recovery_module.Recovery()
+        self.draining = False
+        self.traffic = link.Traffic()
         self._server = link.PeerServer(
-            node_id=settings.node_id, key=self._key, handler=self._handle
+            keys=[k.encode() for k in settings.peer_keys()],
+            greeter=self._greet,
+            handler=self._handle,
+            traffic=self.traffic,
         )
-        self.peers: dict[str, Peer] = {}
-        self.draining = False
+        self._roster = roster_module.Roster(
+            own_id=settings.node_id, new_client=self._new_client
+        )
+
+    @property
+    def peers(self) -> dict[str, roster_module.Peer]:
+        """The peers by node id."""
+        return self._roster.peers
 
     async def start(self) -> None:
         """Listen for peers and begin to send heartbeats."""
         host, port = self._settings.peer_address.rsplit(":", 1)
         self._server.listen(int(port), host)
-        self._tasks.append(asyncio.create_task(self._beat()))
+        self._spawn(self._beat())
 
     async def close(self) -> None:
         """Stop heartbeats and drop connections."""
-        for task in self._tasks:
+        for task in list(self._tasks):
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
-        for peer in self.peers.values():
-            peer.client.close()
+        self._roster.close()
         self._server.close()
 
     def set_listed(self, vms: list[directory_module.Vm]) -> None:
-        """Take the platform's list of entry VMs."""
-        listed = {
-            vm.vm_id: vm
-            for vm in vms
-            if vm.kind == directory_module.ENTRY_KIND
-            and vm.vm_id != self._settings.node_id
-        }
-        for node_id in self.peers.keys() - listed.keys():
-            self.peers.pop(node_id).client.close()
-        for node_id, vm in listed.items():
-            known = self.peers.get(node_id)
-            if known is None or known.address != vm.address:
-                self._add(vm)
-
-    def _add(self, vm: directory_module.Vm) -> None:
-        known = self.peers.get(vm.vm_id)
-        if known is not None:
-            known.client.close()
-        self.peers[vm.vm_id] = Peer(
-            node_id=vm.vm_id,
-            data_centre=vm.data_centre,
-            address=vm.address,
-            client=link.PeerClient(
-                node_id=self._settings.node_id,
-                address=vm.address,
-                key=self._key,
-            ),
-        )
-
-    def live_peers(self) -> list[Peer]:
+        """Take the platform's list of VMs."""
+        self._roster.set_listed(vms)
+
+    def live_peers(self) -> list[roster_module.Peer]:
         """Return peers heard from lately."""
-        silence_s = SILENCE_FACTOR * self._settings.heartbeat_interval_s
-        oldest_s = time.monotonic() - silence_s
-        return [p for p in self.peers.values() if p.heard_at_s >= oldest_s]
+        oldest_s = time.monotonic() - self._silence_s()
+        return [
+            peer
+            for peer in self.peers.values()
+            if peer.heard_at_s and peer.heard_at_s >= oldest_s
+        ]
+
+    def live_count(self) -> int:
+        """Return how many entry VMs take requests, this one included."""
+        return 1 + sum(not peer.draining for peer in self.live_peers())
 
-    def owner_of(self, data_centre: str) -> Peer | None:
+    def peers_reach_store(self) -> bool:
+        """Tell whether a live peer of this data centre has the store."""
+        return any(
+            peer.store_reachable
+            for peer in self.live_peers()
+            if peer.data_centre == self._settings.data_centre
+        )
+
+    def owner_of(self, data_centre: str) -> roster_module.Peer | None:
         """Return the live peer that schedules a data centre."""
         owners = [
             peer
@@ -126,7 +128,7 @@
         return max(owners, key=lambda peer: peer.room.epoch, default=None)
 
     async def call_job(
-        self, peer: Peer, operation: str, body: dict
+        self, peer: roster_module.Peer, operation: str, body: dict
     ) -> dict | None:
         """Ask a peer's scheduling role; None when it cannot answer."""
         call = ttypes.JobCall(operation=operation, body_json=json.dumps(body))
@@ -140,91 +142,267 @@
             return None
         return json.loads(reply.body_json)
 
-    async def push(self, revision: revision_module.Revision) -> None:
-        """Send an accepted revision to every peer at once."""
+    async def push(self, revision: revision_module.Revision) -> int:
+        """Send an accepted revision to all at once; return who has it."""
         push = ttypes.RevisionPush(entries=[revision.encode()])
-        body = ttypes.Body(revision_push=push)
         calls = [
-            peer.client.call(body, timeout_s=CALL_TIMEOUT_S)
+            self._push_one(peer, push, revision.number)
             for peer in self.peers.values()
         ]
-        await asyncio.gather(*calls)
+        return sum(await asyncio.gather(*calls))
 
-    async def _beat(self) -> None:
-        while True:
-            calls = [self._beat_one(peer) for peer in self.peers.values()]
-            await asyncio.gather(*calls)
-            await asyncio.sleep(self._settings.heartbeat_interval_s)
+    async def _push_one(
+        self,
+        peer: roster_module.Peer,
+        push: ttypes.RevisionPush,
+        number: int,
+    ) -> bool:
+        outcome = await peer.client.call(
+            ttypes.Body(revision_push=push), timeout_s=CALL_TIMEOUT_S
+        )
+        if isinstance(outcome, result.Failure):
+            return False
+        reply = outcome.unwrap().acknowledgement
+        return reply is not None and reply.revision >= number
+
+    def _silence_s(self) -> float:
+        return SILENCE_FACTOR * self._settings.heartbeat_interval_s
+
+    def _spawn(self, coroutine: typing.Coroutine) -> None:
+        task = asyncio.create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
 
-    async def _beat_one(self, peer: Peer) -> None:
-        heartbeat = ttypes.Heartbeat(
+    def _new_client(self, node_id: str, address: str) -> link.PeerClient:
+        def greeted(reply: ttypes.HelloReply) -> None:
+            self._new_session(node_id)
+            for peer in reply.peers or ():
+                self._roster.introduce(
+                    peer.node_id, peer.data_centre, peer.address, moves=False
+                )
+
+        return link.PeerClient(
+            hello=self._hello,
+            address=address,
+            key=self._settings.peer_key.encode(),
+            traffic=self.traffic,
+            greeted=greeted,
+        )
+
+    def _hello(self, nonce: bytes) -> ttypes.Hello:
+        return ttypes.Hello(
             node_id=self._settings.node_id,
             data_centre=self._settings.data_centre,
             address=self._settings.peer_address,
-            revision=self._feed.current.revision,
+            nonce=nonce,
+        )
+
+    def _greet(self, hello: ttypes.Hello) -> ttypes.HelloReply:
+        peer = self._introduce(hello)
+        self._new_session(hello.node_id)
+        if peer is not None:
+            peer.seen_at_s = time.monotonic()
+            peer.client.retry_now()
+        return ttypes.HelloReply(
+            node_id=self._settings.node_id, peers=self._roster.addresses()
+        )
+
+    def _introduce(self, hello: ttypes.Hello) -> roster_module.Peer | None:
+        return self._roster.introduce(
+            hello.node_id, hello.data_centre, hello.address, moves=True
+        )
+
+    def _new_session(self, node_id: str) -> None:
+        """Tell a peer everything again; it may have been restarted."""
+        self._teller(node_id).reset()
+        if node_id in self.peers:
+            self.peers[node_id].state_sequence = 0
+
+    def _teller(self, node_id: str) -> state_module.Teller:
+        if node_id not in self._tellers:
+            self._tellers[node_id] = state_module.Teller(
+                data_centre=self._settings.data_centre
+            )
+        return self._tellers[node_id]
+
+    async def _beat(self) -> None:
+        interval_s = self._settings.heartbeat_interval_s
+        while True:
+            started_s = time.monotonic()
+            for peer in list(self.peers.values()):
+                if started_s - peer.asked_at_s >= _SKIP_SHARE * interval_s:
+                    self._spawn(self._beat_one(peer))
+            if not self._feed.known:
+                self._spawn(self._recover())
+            await asyncio.sleep(
+                interval_s * (0.9 + 0.2 * self._random.random())
+            )
+            self._roster.forget_silent()
+            if time.monotonic() - started_s > self._silence_s():
+                self._resumed(time.monotonic() - started_s)
+
+    def _resumed(self, pause_s: float) -> None:
+        """Drop views that are older than the peers' suspicion."""
+        self._log.warning("node-was-paused", pause_s=round(pause_s, 1))
+        for peer in self.peers.values():
+            peer.heard_at_s = 0.0
+            peer.client.close()
+        self._server.drop_connections()
+
+    def _own_state(self) -> state_module.OwnState:
+        revision = self._feed.current.revision
+        self._highest_revision = max(self._highest_revision, revision)
+        return state_module.OwnState(
+            revision=revision,
+            highest_revision=self._highest_revision,
+            known=self._feed.known,
             draining=self.draining,
+            store_reachable=self._store_reachable(),
             room=self._own_room(),
+            shares=dict(self._own_shares()),
+        )
+
+    def _message_to(self, node_id: str) -> ttypes.Heartbeat:
+        self._state_sequence += 1
+        return self._teller(node_id).message(
+            self._own_state(), self._state_sequence
         )
+
+    async def _beat_one(self, peer: roster_module.Peer) -> None:
+        heartbeat = self._message_to(peer.node_id)
         outcome = await peer.client.call(
             ttypes.Body(heartbeat=heartbeat), timeout_s=CALL_TIMEOUT_S
         )
         if isinstance(outcome, result.Failure):
+            self._teller(peer.node_id).reset()
             return
         reply = outcome.unwrap().heartbeat_reply
-        if reply is not None and reply.revision > self._feed.current.revision:
-            await self._fetch(peer)
+        if reply is not None and reply.state is not None:
+            self._heard(peer, reply.state)
 
-    async def _fetch(self, peer: Peer) -> None:
-        fetch = ttypes.RevisionFetch(
-            after_revision=self._feed.current.revision
+    def _heard(
+        self, peer: roster_module.Peer, heartbeat: ttypes.Heartbeat
+    ) -> None:
+        peer.heard_at_s = time.monotonic()
+        state_module.take(peer, heartbeat)
+        self._highest_revision = max(
+            self._highest_revision,
+            heartbeat.highest_revision or 0,
+            peer.revision,
         )
+        behind = peer.revision > self._feed.current.revision
+        if behind and self._feed.known and not self._fetching:
+            self._spawn(self._fetch(peer))
+
+    async def _fetch(self, peer: roster_module.Peer) -> None:
+        self._fetching = True
+        try:
+            push = await self._ask_for(peer, self._feed.current.revision)
+            if push is not None:
+                self._take(push, peer.node_id)
+        finally:
+            self._fetching = False
+
+    async def _ask_for(
+        self, peer: roster_module.Peer, after_revision: int
+    ) -> ttypes.RevisionPush | None:
+        fetch = ttypes.RevisionFetch(after_revision=after_revision)
         outcome = await peer.client.call(
             ttypes.Body(revision_fetch=fetch), timeout_s=CALL_TIMEOUT_S
         )
-        if isinstance(outcome, result.Success):
-            push = outcome.unwrap().revision_push
-            if push is not None:
-                self._take(push)
+        if isinstance(outcome, result.Failure):
+            return None
+        return outcome.unwrap().revision_push
 
-    def _take(self, push: ttypes.RevisionPush) -> None:
-        revisions = tuple(revision_module.decode(e) for e in push.entries)
-        self._feed.post(feed_module.EntriesSeen(revisions=revisions))
+    async def _recover(self) -> None:
+        """Learn the configuration from peers while the store is out."""
+        peers = list(self.peers.values())
+        pushes = await asyncio.gather(
+            *(self._ask_for(peer, WHOLE_FOLDER) for peer in peers)
+        )
+        for peer, push in zip(peers, pushes):
+            if push is None or push.snapshot is None:
+                continue
+            decoded = snapshot_module.decode(push.snapshot)
+            if isinstance(decoded, result.Success):
+                testimony = recovery_module.Testimony(
+                    decoded.unwrap(), push.highest_revision or 0
+                )
+                self._recovery.note(peer.node_id, testimony)
+        settled = self._recovery.settled(members=1 + len(self.peers))
+        if settled is not None and not self._feed.known:
+            self._log.warning(
+                "configuration-from-peers",
+                revision=settled.revision,
+                answers=self._recovery.answers(),
+            )
+            self._feed.post(feed_module.SnapshotSeen(settled, "peers"))
+
+    def _take(self, push: ttypes.RevisionPush, source: str) -> None:
+        if push.snapshot is not None and self._feed.known:
+            decoded = snapshot_module.decode(push.snapshot)
+            if isinstance(decoded, result.Success):
+                self._feed.post(
+                    feed_module.SnapshotSeen(decoded.unwrap(), source)
+                )
+        decoded = [revision_module.decode(entry) for entry in push.entries]
+        revisions = [
+            one.unwrap() for one in decoded if isinstance(one, result.Success)
+        ]
+        for revision in revisions:
+            self._highest_revision = max(
+                self._highest_revision, revision.number
+            )
+        self._feed.post(feed_module.EntriesSeen(tuple(revisions), source))
 
-    async def _handle(self, envelope: ttypes.Envelope) -> ttypes.Body:
-        body = envelope.body
+    async def _handle(
+        self, hello: ttypes.Hello, body: ttypes.Body
+    ) -> ttypes.Body:
         if body.heartbeat is not None:
-            return self._on_heartbeat(body.heartbeat)
+            return self._on_heartbeat(hello, body.heartbeat)
         if body.revision_push is not None:
-            self._take(body.revision_push)
+            return await self._on_push(hello, body.revision_push)
         if body.revision_fetch is not None:
             return self._on_fetch(body.revision_fetch)
         if body.job_call is not None:
             return await self._on_job_call(body.job_call)
+        return self._acknowledge()
+
+    def _on_heartbeat(
+        self, hello: ttypes.Hello, heartbeat: ttypes.Heartbeat
+    ) -> ttypes.Body:
+        peer = self._introduce(hello)
+        if peer is not None:
+            peer.asked_at_s = time.monotonic()
+            self._heard(peer, heartbeat)
+        reply = ttypes.HeartbeatReply(state=self._message_to(hello.node_id))
+        return ttypes.Body(heartbeat_reply=reply)
+
+    async def _on_push(
+        self, hello: ttypes.Hello, push: ttypes.RevisionPush
+    ) -> ttypes.Body:
+        self._take(push, hello.node_id)
+        await self._feed.drained()
+        return self._acknowledge()
+
+    def _acknowledge(self) -> ttypes.Body:
         acknowledgement = ttypes.Acknowledgement(
             revision=self._feed.current.revision
         )
         return ttypes.Body(acknowledgement=acknowledgement)
 
-    def _on_heartbeat(self, heartbeat: ttypes.Heartbeat) -> ttypes.Body:
-        peer = self.peers.get(heartbeat.node_id)
-        if peer is not None:
-            peer.heard_at_s = time.monotonic()
-            peer.revision = heartbeat.revision
-            peer.draining = heartbeat.draining
-            peer.room = heartbeat.room
-        reply = ttypes.HeartbeatReply(
-            node_id=self._settings.node_id,
-            revision=self._feed.current.revision,
-        )
-        return ttypes.Body(heartbeat_reply=reply)
-
     def _on_fetch(self, fetch: ttypes.RevisionFetch) -> ttypes.Body:
-        entries = [
-            revision.encode()
-            for revision in self._feed.history
-            if revision.number > fetch.after_revision
-        ]
-        return ttypes.Body(revision_push=ttypes.RevisionPush(entries=entries))
+        push = ttypes.RevisionPush(
+            entries=[], highest_revision=self._highest_revision
+        )
+        entries = None
+        if fetch.after_revision != WHOLE_FOLDER:
+            entries = self._feed.entries_after(fetch.after_revision)
+        if entries is not None:
+            push.entries = [revision.encode() for revision in entries]
+        elif self._feed.known:
+            push.snapshot = self._feed.snapshot.encode()
+        return ttypes.Body(revision_push=push)
 
     async def _on_job_call(self, call: ttypes.JobCall) -> ttypes.Body:
         answer = await self._job_handler(
--- a/src/knapweedwharf/peer/messages/ttypes.py
+++ b/src/knapweedwharf/peer/messages/ttypes.py
@@ -186,30 +186,22 @@
         return not (self == other)
 
 
-class Heartbeat(object):
+class Hello(object):
     """
     Attributes:
      - node_id
      - data_centre
      - address
-     - revision
-     - draining
-     - executors
-     - room
-     - store_reachable
+     - nonce
 
     """
 
 
-    def __init__(self, node_id=None, data_centre=None, address=None, revision=None, draining=None, executors=None, room=None, store_reachable=None,):
+    def __init__(self, node_id=None, data_centre=None, address=None, nonce=None,):
         self.node_id = node_id
         self.data_centre = data_centre
         self.address = address
-        self.revision = revision
-        self.draining = draining
-        self.executors = executors
-        self.room = room
-        self.store_reachable = store_reachable
+        self.nonce = nonce
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -236,6 +228,261 @@
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
+                if ftype == TType.STRING:
+                    self.nonce = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Hello')
+        if self.node_id is not None:
+            oprot.writeFieldBegin('node_id', TType.STRING, 1)
+            oprot.writeString(self.node_id.encode('utf-8') if sys.version_info[0] == 2 else self.node_id)
+            oprot.writeFieldEnd()
+        if self.data_centre is not None:
+            oprot.writeFieldBegin('data_centre', TType.STRING, 2)
+            oprot.writeString(self.data_centre.encode('utf-8') if sys.version_info[0] == 2 else self.data_centre)
+            oprot.writeFieldEnd()
+        if self.address is not None:
+            oprot.writeFieldBegin('address', TType.STRING, 3)
+            oprot.writeString(self.address.encode('utf-8') if sys.version_info[0] == 2 else self.address)
+            oprot.writeFieldEnd()
+        if self.nonce is not None:
+            oprot.writeFieldBegin('nonce', TType.STRING, 4)
+            oprot.writeBinary(self.nonce)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.node_id is None:
+            raise TProtocolException(message='Required field node_id is unset!')
+        if self.data_centre is None:
+            raise TProtocolException(message='Required field data_centre is unset!')
+        if self.address is None:
+            raise TProtocolException(message='Required field address is unset!')
+        if self.nonce is None:
+            raise TProtocolException(message='Required field nonce is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class PeerAddress(object):
+    """
+    Attributes:
+     - node_id
+     - data_centre
+     - address
+
+    """
+
+
+    def __init__(self, node_id=None, data_centre=None, address=None,):
+        self.node_id = node_id
+        self.data_centre = data_centre
+        self.address = address
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.node_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.data_centre = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.address = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('PeerAddress')
+        if self.node_id is not None:
+            oprot.writeFieldBegin('node_id', TType.STRING, 1)
+            oprot.writeString(self.node_id.encode('utf-8') if sys.version_info[0] == 2 else self.node_id)
+            oprot.writeFieldEnd()
+        if self.data_centre is not None:
+            oprot.writeFieldBegin('data_centre', TType.STRING, 2)
+            oprot.writeString(self.data_centre.encode('utf-8') if sys.version_info[0] == 2 else self.data_centre)
+            oprot.writeFieldEnd()
+        if self.address is not None:
+            oprot.writeFieldBegin('address', TType.STRING, 3)
+            oprot.writeString(self.address.encode('utf-8') if sys.version_info[0] == 2 else self.address)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.node_id is None:
+            raise TProtocolException(message='Required field node_id is unset!')
+        if self.data_centre is None:
+            raise TProtocolException(message='Required field data_centre is unset!')
+        if self.address is None:
+            raise TProtocolException(message='Required field address is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class HelloReply(object):
+    """
+    Attributes:
+     - node_id
+     - peers
+
+    """
+
+
+    def __init__(self, node_id=None, peers=None,):
+        self.node_id = node_id
+        self.peers = peers
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.node_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.peers = []
+                    (_etype3, _size0) = iprot.readListBegin()
+                    for _i4 in range(_size0):
+                        _elem5 = PeerAddress()
+                        _elem5.read(iprot)
+                        self.peers.append(_elem5)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('HelloReply')
+        if self.node_id is not None:
+            oprot.writeFieldBegin('node_id', TType.STRING, 1)
+            oprot.writeString(self.node_id.encode('utf-8') if sys.version_info[0] == 2 else self.node_id)
+            oprot.writeFieldEnd()
+        if self.peers is not None:
+            oprot.writeFieldBegin('peers', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRUCT, len(self.peers))
+            for iter6 in self.peers:
+                iter6.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.node_id is None:
+            raise TProtocolException(message='Required field node_id is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class Heartbeat(object):
+    """
+    Attributes:
+     - revision
+     - draining
+     - executors
+     - room
+     - store_reachable
+     - highest_revision
+     - known
+     - state_sequence
+
+    """
+
+
+    def __init__(self, revision=None, draining=None, executors=None, room=None, store_reachable=None, highest_revision=None, known=None, state_sequence=None,):
+        self.revision = revision
+        self.draining = draining
+        self.executors = executors
+        self.room = room
+        self.store_reachable = store_reachable
+        self.highest_revision = highest_revision
+        self.known = known
+        self.state_sequence = state_sequence
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 4:
                 if ftype == TType.I64:
                     self.revision = iprot.readI64()
                 else:
@@ -248,11 +495,11 @@
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.executors = []
-                    (_etype3, _size0) = iprot.readListBegin()
-                    for _i4 in range(_size0):
-                        _elem5 = ExecutorShare()
-                        _elem5.read(iprot)
-                        self.executors.append(_elem5)
+                    (_etype10, _size7) = iprot.readListBegin()
+                    for _i11 in range(_size7):
+                        _elem12 = ExecutorShare()
+                        _elem12.read(iprot)
+                        self.executors.append(_elem12)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -267,6 +514,21 @@
                     self.store_reachable = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.I64:
+                    self.highest_revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.BOOL:
+                    self.known = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.I64:
+                    self.state_sequence = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -277,18 +539,6 @@
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
         oprot.writeStructBegin('Heartbeat')
-        if self.node_id is not None:
-            oprot.writeFieldBegin('node_id', TType.STRING, 1)
-            oprot.writeString(self.node_id.encode('utf-8') if sys.version_info[0] == 2 else self.node_id)
-            oprot.writeFieldEnd()
-        if self.data_centre is not None:
-            oprot.writeFieldBegin('data_centre', TType.STRING, 2)
-            oprot.writeString(self.data_centre.encode('utf-8') if sys.version_info[0] == 2 else self.data_centre)
-            oprot.writeFieldEnd()
-        if self.address is not None:
-            oprot.writeFieldBegin('address', TType.STRING, 3)
-            oprot.writeString(self.address.encode('utf-8') if sys.version_info[0] == 2 else self.address)
-            oprot.writeFieldEnd()
         if self.revision is not None:
             oprot.writeFieldBegin('revision', TType.I64, 4)
             oprot.writeI64(self.revision)
@@ -300,8 +550,8 @@
         if self.executors is not None:
             oprot.writeFieldBegin('executors', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.executors))
-            for iter6 in self.executors:
-                iter6.write(oprot)
+            for iter13 in self.executors:
+                iter13.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.room is not None:
@@ -312,20 +562,22 @@
             oprot.writeFieldBegin('store_reachable', TType.BOOL, 8)
             oprot.writeBool(self.store_reachable)
             oprot.writeFieldEnd()
+        if self.highest_revision is not None:
+            oprot.writeFieldBegin('highest_revision', TType.I64, 9)
+            oprot.writeI64(self.highest_revision)
+            oprot.writeFieldEnd()
+        if self.known is not None:
+            oprot.writeFieldBegin('known', TType.BOOL, 10)
+            oprot.writeBool(self.known)
+            oprot.writeFieldEnd()
+        if self.state_sequence is not None:
+            oprot.writeFieldBegin('state_sequence', TType.I64, 11)
+            oprot.writeI64(self.state_sequence)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
     def validate(self):
-        if self.node_id is None:
-            raise TProtocolException(message='Required field node_id is unset!')
-        if self.data_centre is None:
-            raise TProtocolException(message='Required field data_centre is unset!')
-        if self.address is None:
-            raise TProtocolException(message='Required field address is unset!')
-        if self.revision is None:
-            raise TProtocolException(message='Required field revision is unset!')
-        if self.draining is None:
-            raise TProtocolException(message='Required field draining is unset!')
         return
 
     def __repr__(self):
@@ -343,17 +595,13 @@
 class HeartbeatReply(object):
     """
     Attributes:
-     - node_id
-     - revision
-     - store_reachable
+     - state
 
     """
 
 
-    def __init__(self, node_id=None, revision=None, store_reachable=None,):
-        self.node_id = node_id
-        self.revision = revision
-        self.store_reachable = store_reachable
+    def __init__(self, state=None,):
+        self.state = state
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -364,19 +612,10 @@
             (fname, ftype, fid) = iprot.readFieldBegin()
             if ftype == TType.STOP:
                 break
-            if fid == 1:
-                if ftype == TType.STRING:
-                    self.node_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 2:
-                if ftype == TType.I64:
-                    self.revision = iprot.readI64()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 3:
-                if ftype == TType.BOOL:
-                    self.store_reachable = iprot.readBool()
+            if fid == 4:
+                if ftype == TType.STRUCT:
+                    self.state = Heartbeat()
+                    self.state.read(iprot)
                 else:
                     iprot.skip(ftype)
             else:
@@ -389,26 +628,14 @@
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
         oprot.writeStructBegin('HeartbeatReply')
-        if self.node_id is not None:
-            oprot.writeFieldBegin('node_id', TType.STRING, 1)
-            oprot.writeString(self.node_id.encode('utf-8') if sys.version_info[0] == 2 else self.node_id)
-            oprot.writeFieldEnd()
-        if self.revision is not None:
-            oprot.writeFieldBegin('revision', TType.I64, 2)
-            oprot.writeI64(self.revision)
-            oprot.writeFieldEnd()
-        if self.store_reachable is not None:
-            oprot.writeFieldBegin('store_reachable', TType.BOOL, 3)
-            oprot.writeBool(self.store_reachable)
+        if self.state is not None:
+            oprot.writeFieldBegin('state', TType.STRUCT, 4)
+            self.state.write(oprot)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
     def validate(self):
-        if self.node_id is None:
-            raise TProtocolException(message='Required field node_id is unset!')
-        if self.revision is None:
-            raise TProtocolException(message='Required field revision is unset!')
         return
 
     def __repr__(self):
@@ -427,12 +654,16 @@
     """
     Attributes:
      - entries
+     - snapshot
+     - highest_revision
 
     """
 
 
-    def __init__(self, entries=None,):
+    def __init__(self, entries=None, snapshot=None, highest_revision=None,):
         self.entries = entries
+        self.snapshot = snapshot
+        self.highest_revision = highest_revision
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -446,13 +677,23 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.entries = []
-                    (_etype10, _size7) = iprot.readListBegin()
-                    for _i11 in range(_size7):
-                        _elem12 = iprot.readBinary()
-                        self.entries.append(_elem12)
+                    (_etype17, _size14) = iprot.readListBegin()
+                    for _i18 in range(_size14):
+                        _elem19 = iprot.readBinary()
+                        self.entries.append(_elem19)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.snapshot = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.highest_revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -466,10 +707,18 @@
         if self.entries is not None:
             oprot.writeFieldBegin('entries', TType.LIST, 1)
             oprot.writeListBegin(TType.STRING, len(self.entries))
-            for iter13 in self.entries:
-                oprot.writeBinary(iter13)
+            for iter20 in self.entries:
+                oprot.writeBinary(iter20)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.snapshot is not None:
+            oprot.writeFieldBegin('snapshot', TType.STRING, 2)
+            oprot.writeBinary(self.snapshot)
+            oprot.writeFieldEnd()
+        if self.highest_revision is not None:
+            oprot.writeFieldBegin('highest_revision', TType.I64, 3)
+            oprot.writeI64(self.highest_revision)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -762,11 +1011,13 @@
      - job_call
      - job_reply
      - acknowledgement
+     - hello
+     - hello_reply
 
     """
 
 
-    def __init__(self, heartbeat=None, heartbeat_reply=None, revision_push=None, revision_fetch=None, job_call=None, job_reply=None, acknowledgement=None,):
+    def __init__(self, heartbeat=None, heartbeat_reply=None, revision_push=None, revision_fetch=None, job_call=None, job_reply=None, acknowledgement=None, hello=None, hello_reply=None,):
         self.heartbeat = heartbeat
         self.heartbeat_reply = heartbeat_reply
         self.revision_push = revision_push
@@ -774,6 +1025,8 @@
         self.job_call = job_call
         self.job_reply = job_reply
         self.acknowledgement = acknowledgement
+        self.hello = hello
+        self.hello_reply = hello_reply
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -826,6 +1079,18 @@
                     self.acknowledgement.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.STRUCT:
+                    self.hello = Hello()
+                    self.hello.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.STRUCT:
+                    self.hello_reply = HelloReply()
+                    self.hello_reply.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -864,6 +1129,14 @@
             oprot.writeFieldBegin('acknowledgement', TType.STRUCT, 7)
             self.acknowledgement.write(oprot)
             oprot.writeFieldEnd()
+        if self.hello is not None:
+            oprot.writeFieldBegin('hello', TType.STRUCT, 8)
+            self.hello.write(oprot)
+            oprot.writeFieldEnd()
+        if self.hello_reply is not None:
+            oprot.writeFieldBegin('hello_reply', TType.STRUCT, 9)
+            self.hello_reply.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -885,17 +1158,13 @@
 class Envelope(object):
     """
     Attributes:
-     - sender
-     - sent_at_ms
      - sequence
      - body
 
     """
 
 
-    def __init__(self, sender=None, sent_at_ms=None, sequence=None, body=None,):
-        self.sender = sender
-        self.sent_at_ms = sent_at_ms
+    def __init__(self, sequence=None, body=None,):
         self.sequence = sequence
         self.body = body
 
@@ -908,17 +1177,7 @@
             (fname, ftype, fid) = iprot.readFieldBegin()
             if ftype == TType.STOP:
                 break
-            if fid == 1:
-                if ftype == TType.STRING:
-                    self.sender = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 2:
-                if ftype == TType.I64:
-                    self.sent_at_ms = iprot.readI64()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 3:
+            if fid == 3:
                 if ftype == TType.I64:
                     self.sequence = iprot.readI64()
                 else:
@@ -939,14 +1198,6 @@
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
         oprot.writeStructBegin('Envelope')
-        if self.sender is not None:
-            oprot.writeFieldBegin('sender', TType.STRING, 1)
-            oprot.writeString(self.sender.encode('utf-8') if sys.version_info[0] == 2 else self.sender)
-            oprot.writeFieldEnd()
-        if self.sent_at_ms is not None:
-            oprot.writeFieldBegin('sent_at_ms', TType.I64, 2)
-            oprot.writeI64(self.sent_at_ms)
-            oprot.writeFieldEnd()
         if self.sequence is not None:
             oprot.writeFieldBegin('sequence', TType.I64, 3)
             oprot.writeI64(self.sequence)
@@ -959,10 +1210,6 @@
         oprot.writeStructEnd()
 
     def validate(self):
-        if self.sender is None:
-            raise TProtocolException(message='Required field sender is unset!')
-        if self.sent_at_ms is None:
-            raise TProtocolException(message='Required field sent_at_ms is unset!')
         if self.sequence is None:
             raise TProtocolException(message='Required field sequence is unset!')
         if self.body is None:
@@ -993,29 +1240,56 @@
     (3, TType.I32, 'queued_jobs', None, None, ),  # 3
     (4, TType.I64, 'epoch', None, None, ),  # 4
 )
-all_structs.append(Heartbeat)
-Heartbeat.thrift_spec = (
+all_structs.append(Hello)
+Hello.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'node_id', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'data_centre', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'address', 'UTF8', None, ),  # 3
+    (4, TType.STRING, 'nonce', 'BINARY', None, ),  # 4
+)
+all_structs.append(PeerAddress)
+PeerAddress.thrift_spec = (
     None,  # 0
     (1, TType.STRING, 'node_id', 'UTF8', None, ),  # 1
     (2, TType.STRING, 'data_centre', 'UTF8', None, ),  # 2
     (3, TType.STRING, 'address', 'UTF8', None, ),  # 3
+)
+all_structs.append(HelloReply)
+HelloReply.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'node_id', 'UTF8', None, ),  # 1
+    (2, TType.LIST, 'peers', (TType.STRUCT, [PeerAddress, None], False), None, ),  # 2
+)
+all_structs.append(Heartbeat)
+Heartbeat.thrift_spec = (
+    None,  # 0
+    None,  # 1
+    None,  # 2
+    None,  # 3
     (4, TType.I64, 'revision', None, None, ),  # 4
     (5, TType.BOOL, 'draining', None, None, ),  # 5
     (6, TType.LIST, 'executors', (TType.STRUCT, [ExecutorShare, None], False), None, ),  # 6
     (7, TType.STRUCT, 'room', [RoomSummary, None], None, ),  # 7
     (8, TType.BOOL, 'store_reachable', None, None, ),  # 8
+    (9, TType.I64, 'highest_revision', None, None, ),  # 9
+    (10, TType.BOOL, 'known', None, None, ),  # 10
+    (11, TType.I64, 'state_sequence', None, None, ),  # 11
 )
 all_structs.append(HeartbeatReply)
 HeartbeatReply.thrift_spec = (
     None,  # 0
-    (1, TType.STRING, 'node_id', 'UTF8', None, ),  # 1
-    (2, TType.I64, 'revision', None, None, ),  # 2
-    (3, TType.BOOL, 'store_reachable', None, None, ),  # 3
+    None,  # 1
+    None,  # 2
+    None,  # 3
+    (4, TType.STRUCT, 'state', [Heartbeat, None], None, ),  # 4
 )
 all_structs.append(RevisionPush)
 RevisionPush.thrift_spec = (
     None,  # 0
     (1, TType.LIST, 'entries', (TType.STRING, 'BINARY', False), None, ),  # 1
+    (2, TType.STRING, 'snapshot', 'BINARY', None, ),  # 2
+    (3, TType.I64, 'highest_revision', None, None, ),  # 3
 )
 all_structs.append(RevisionFetch)
 RevisionFetch.thrift_spec = (
@@ -1049,12 +1323,14 @@
     (5, TType.STRUCT, 'job_call', [JobCall, None], None, ),  # 5
     (6, TType.STRUCT, 'job_reply', [JobReply, None], None, ),  # 6
     (7, TType.STRUCT, 'acknowledgement', [Acknowledgement, None], None, ),  # 7
+    (8, TType.STRUCT, 'hello', [Hello, None], None, ),  # 8
+    (9, TType.STRUCT, 'hello_reply', [HelloReply, None], None, ),  # 9
 )
 all_structs.append(Envelope)
 Envelope.thrift_spec = (
     None,  # 0
-    (1, TType.STRING, 'sender', 'UTF8', None, ),  # 1
-    (2, TType.I64, 'sent_at_ms', None, None, ),  # 2
+    None,  # 1
+    None,  # 2
     (3, TType.I64, 'sequence', None, None, ),  # 3
     (4, TType.STRUCT, 'body', [Body, None], None, ),  # 4
 )
--- a/src/knapweedwharf/peer/peer.thrift
+++ b/src/knapweedwharf/peer/peer.thrift
@@ -1,5 +1,5 @@
 // Messages between entry VMs. The generated module is committed:
-//   thrift --gen py -out src/knapweedwharf/peer/gen peer.thrift
+//   make generate
 // Field numbers are never reused; new fields are optional.
 
 namespace py messages
@@ -18,29 +18,50 @@
   4: required i64 epoch
 }
 
-// Sent to every peer at a fixed interval and when something changed.
-struct Heartbeat {
+// First frame of a connection. Field numbers 1 to 3 of Heartbeat and
+// HeartbeatReply once named the sender; the connection does now.
+struct Hello {
   1: required string node_id
   2: required string data_centre
   3: required string address
-  4: required i64 revision
-  5: required bool draining
+  4: required binary nonce
+}
+
+struct PeerAddress {
+  1: required string node_id
+  2: required string data_centre
+  3: required string address
+}
+
+struct HelloReply {
+  1: required string node_id
+  2: optional list<PeerAddress> peers
+}
+
+// What a node says of itself; absent fields are as said before.
+struct Heartbeat {
+  4: optional i64 revision
+  5: optional bool draining
   6: optional list<ExecutorShare> executors
   7: optional RoomSummary room
   8: optional bool store_reachable
+  9: optional i64 highest_revision
+  10: optional bool known
+  11: optional i64 state_sequence
 }
 
 struct HeartbeatReply {
-  1: required string node_id
-  2: required i64 revision
-  3: optional bool store_reachable
+  4: optional Heartbeat state
 }
 
-// One accepted configuration revision, as it stands in the store.
+// Accepted revisions as they stand in the store, or the whole folder.
 struct RevisionPush {
   1: required list<binary> entries
+  2: optional binary snapshot
+  3: optional i64 highest_revision
 }
 
+// after_revision -1 asks for the whole folder.
 struct RevisionFetch {
   1: required i64 after_revision
 }
@@ -68,12 +89,13 @@
   5: JobCall job_call
   6: JobReply job_reply
   7: Acknowledgement acknowledgement
+  8: Hello hello
+  9: HelloReply hello_reply
 }
 
-// The digest covers the encoded envelope; it is not part of it.
+// The digest covers the encoded envelope; it is not part of it. Field
+// numbers 1 and 2 once named the sender and its clock.
 struct Envelope {
-  1: required string sender
-  2: required i64 sent_at_ms
   3: required i64 sequence
   4: required Body body
 }
--- a/src/knapweedwharf/settings.py
+++ b/src/knapweedwharf/settings.py
@@ -14,7 +14,7 @@
 
 ENVIRONMENT_PREFIX = "KNAPWEEDWHARF"
 MINIMUM_KEY_LENGTH = 16
-SECRET_FIELDS = frozenset({"peer_key"})
+SECRET_FIELDS = frozenset({"peer_key", "peer_key_previous"})
 
 _ADDRESS = re.compile(r"^[0-9.]+:[0-9]{1,5}$|^\[[0-9a-f:]+\]:[0-9]{1,5}$")
 _NAME = re.compile(r"^[a-z0-9][a-z0-9-]{0,62}$")
@@ -27,6 +27,9 @@
 )
 
 
+_KEY_RULE = validate.Length(min=MINIMUM_KEY_LENGTH)
+
+
 def _positive(maximum: float) -> validate.Range:
     return validate.Range(min=0, max=maximum, min_inclusive=False)
 
@@ -44,6 +47,7 @@
     peer_address: str
     platform_url: str
     peer_key: str = dataclasses.field(repr=False)
+    peer_key_previous: str = dataclasses.field(default="", repr=False)
     store_kind: str = "etcd-json"
     directory_kind: str = "http-json"
     worker_kind: str = "http-json"
@@ -66,6 +70,10 @@
     max_header_bytes: int = 16_384
     max_connections: int = 1_024
 
+    def peer_keys(self) -> list[str]:
+        """Return the keys that peers may present."""
+        return [key for key in (self.peer_key, self.peer_key_previous) if key]
+
 
 class SettingsSchema(marshmallow.Schema):
     """Validation of :class:`Settings` at the border."""
@@ -75,8 +83,9 @@
     http_address = fields.Str(required=True, validate=_ADDRESS_RULE)
     peer_address = fields.Str(required=True, validate=_ADDRESS_RULE)
     platform_url = fields.Str(required=True, validate=_URL_RULE)
-    peer_key = fields.Str(
-        required=True, validate=validate.Length(min=MINIMUM_KEY_LENGTH)
+    peer_key = fields.Str(required=True, validate=_KEY_RULE)
+    peer_key_previous = fields.Str(
+        validate=lambda value: value == "" or _KEY_RULE(value)
     )
     store_kind = fields.Str()
     directory_kind = fields.Str()
--- a/src/knapweedwharf/web/base.py
+++ b/src/knapweedwharf/web/base.py
@@ -16,6 +16,7 @@
     from knapweedwharf import node as node_module
 
 OUTCOME_HEADER = "Knapweedwharf-Outcome"
+UNKNOWN_RETRY_AFTER_S = 5.0
 REQUEST_ID_HEADER = "Knapweedwharf-Request-Id"
 
 
@@ -43,6 +44,15 @@
 
     def caller(self, *, operator: bool = False) -> auth.Caller:
         """Return the authenticated caller or refuse the call."""
+        if not self.node.feed.known:
+            raise Refused(
+                errors.DidNotRun(
+                    message="This VM has no configuration yet: neither the "
+                    "store nor enough peers have answered.",
+                    remedy="Call another VM, or this one again later.",
+                    retry_after_s=UNKNOWN_RETRY_AFTER_S,
+                )
+            )
         identified = auth.identify(
             self.node.feed.current,
             self.request.headers.get("Authorization", ""),
--- a/src/knapweedwharf/web/configuration.py
+++ b/src/knapweedwharf/web/configuration.py
@@ -2,13 +2,20 @@
 
 from __future__ import annotations
 
+import typing
+
 import marshmallow
 from marshmallow import fields
 from marshmallow import validate
 from returns import result
 
+from knapweedwharf.configuration import audit
+from knapweedwharf.configuration import publish
+from knapweedwharf import errors
 from knapweedwharf.web import base
 
+HISTORY_LIMIT = 500
+
 
 class ChangeSchema(marshmallow.Schema):
     """Body of ``POST /v1/config``."""
@@ -22,6 +29,8 @@
         required=True,
     )
     message = fields.Str(load_default="", validate=validate.Length(max=500))
+    force = fields.Bool(load_default=False, truthy={True}, falsy={False})
+    dry_run = fields.Bool(load_default=False, truthy={True}, falsy={False})
 
 
 class ConfigurationHandler(base.Handler):
@@ -31,26 +40,38 @@
         """Return the files in force."""
         self.caller(operator=True)
         feed = self.node.feed
-        self.answer({"revision": feed.current.revision, "files": feed.files})
+        self.answer(
+            {
+                "revision": feed.current.revision,
+                "confirmed": feed.confirmed,
+                "files": feed.files,
+            }
+        )
 
     async def post(self) -> None:
         """Make a change the next revision; answered once durable."""
         caller = self.caller(operator=True)
-        change = self.document(ChangeSchema())
-        published = await self.node.feed.publish(
-            base_revision=change["base_revision"],
-            changed=change["changed"],
-            actor=caller.account,
-            message=change["message"],
-        )
+        document = self.document(ChangeSchema())
+        change = publish.Change(actor=caller.account, **document)
+        published = await self.node.publisher.publish(change)
         if isinstance(published, result.Failure):
             self._refuse_change(published.failure())
             return
-        revision = published.unwrap()
-        await self.node.membership.push(revision)
-        self.answer({"revision": revision.number})
+        accepted = published.unwrap()
+        answer = {
+            "revision": accepted.number,
+            "accepted": accepted.revision is not None,
+            "dry_run": change.dry_run,
+        }
+        if accepted.revision is not None:
+            answer["write_id"] = accepted.revision.write_id
+            answer["peers_in_force"] = await self.node.membership.push(
+                accepted.revision
+            )
+            answer["peers"] = len(self.node.membership.peers)
+        self.answer(answer)
 
-    def _refuse_change(self, failure) -> None:
+    def _refuse_change(self, failure: typing.Any) -> None:
         if not isinstance(failure, list):
             self.refuse(failure)
             return
@@ -62,17 +83,53 @@
     """``GET /v1/config/history``: the audit trail."""
 
     async def get(self) -> None:
-        """List accepted revisions, oldest first."""
+        """List accepted revisions after ``?after``, oldest first.
+
+        Without the store, only what this node remembers is listed and
+        ``complete`` is false.
+        """
         self.caller(operator=True)
-        revisions = [
+        after = self._number("after", 0)
+        limit = max(1, min(HISTORY_LIMIT, self._number("limit", 100)))
+        read = await audit.read(self.node.store, after=after, limit=limit)
+        if isinstance(read, result.Failure):
+            self._answer_remembered(after, limit)
+            return
+        trail = read.unwrap()
+        self.answer(
             {
-                "revision": revision.number,
-                "revision_before": revision.number - 1,
-                "actor": revision.actor,
-                "at_s": revision.at_s,
-                "message": revision.message,
-                "files": sorted(revision.changed),
+                "revisions": [record.to_dict() for record in trail.records],
+                "next_after": trail.next_after,
+                "first_kept": trail.first_kept,
+                "complete": True,
             }
+        )
+
+    def _answer_remembered(self, after: int, limit: int) -> None:
+        records = [
+            audit.record_of(revision).to_dict()
             for revision in self.node.feed.history
+            if revision.number > after
         ]
-        self.answer({"revisions": revisions})
+        self.answer(
+            {
+                "revisions": records[:limit],
+                "next_after": None,
+                "first_kept": None,
+                "complete": False,
+            }
+        )
+
+    def _number(self, name: str, default: int) -> int:
+        text = self.get_query_argument(name, str(default))
+        if not text.isascii() or not text.isdigit() or len(text) > 15:
+            raise base.Refused(
+                errors.InvalidField(
+                    message="Not a whole number.",
+                    remedy="Use digits only.",
+                    source="query",
+                    field=name,
+                    value=text[:40],
+                )
+            )
+        return int(text)
--- a/src/knapweedwharf/web/status.py
+++ b/src/knapweedwharf/web/status.py
@@ -17,8 +17,8 @@
     """``GET /readyz``: the balancer may send callers here."""
 
     async def get(self) -> None:
-        """Answer 200 while serving, 503 otherwise."""
-        ready = self.node.state == "serving"
+        """Answer 200 while serving by a known configuration."""
+        ready = self.node.state == "serving" and self.node.feed.known
         self.answer({"ready": ready}, status=200 if ready else 503)
 
 
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -203,7 +203,7 @@
             (key, record)
             for key, record in sorted(keys.records.items())
             if key == start or (end and start <= key < end)
-        ]
+        ][: int(asked.get("limit", 0)) or None]
         self.write(
             {
                 "header": self.header(),
--- a/testing/adapters/memory_store.py
+++ b/testing/adapters/memory_store.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+
 from returns import result
 
 from knapweedwharf.adapters import store as store_module
@@ -31,6 +33,8 @@
         self.down = False
         self.calls: list[str] = []
         self.sizes_bytes: list[int] = []
+        self.drop_events = 0
+        self._watches: dict[asyncio.Future, tuple] = {}
 
     def _fate(self, call: str) -> str:
         self.calls.append(call)
@@ -46,7 +50,9 @@
         self.sizes_bytes.append(len(entry.value) if entry else 0)
         return result.Success(entry)
 
-    async def list(self, prefix: str, *, after_key: str = "") -> result.Result:
+    async def list(
+        self, prefix: str, *, after_key: str = "", limit: int = 0
+    ) -> result.Result:
         """Read keys in order."""
         if self._fate("read") != DONE:
             return result.Failure(_UNREACHABLE)
@@ -54,7 +60,7 @@
             self.entries[key]
             for key in sorted(self.entries)
             if key.startswith(prefix) and key > after_key
-        ]
+        ][: limit or None]
         self.sizes_bytes.extend(len(entry.value) for entry in found)
         return result.Success(store_module.Page(found, self.version))
 
@@ -79,6 +85,7 @@
         self.version += 1
         entry = store_module.Entry(key, value, self.version)
         self.entries[key] = entry
+        self._report(entry)
         return result.Failure(_UNKNOWN) if fate == LOST else _done(entry)
 
     async def delete(self, key: str, *, expected_version: int):
@@ -91,6 +98,32 @@
             del self.entries[key]
         return result.Success(None)
 
+    async def watch(self, prefix: str, *, after_version: int, callback):
+        """Report changes until the watch is cut."""
+        self._fate("watch")
+        for entry in list(self.entries.values()):
+            if entry.key.startswith(prefix) and entry.version > after_version:
+                callback([entry], [], self.version)
+        ended = asyncio.get_running_loop().create_future()
+        self._watches[ended] = (prefix, callback)
+        await ended
+        return _UNREACHABLE
+
+    def cut_watches(self) -> None:
+        """End every watch."""
+        for ended in self._watches:
+            ended.set_result(None)
+        self._watches.clear()
+
+    def _report(self, entry: store_module.Entry) -> None:
+        for prefix, callback in self._watches.values():
+            if not entry.key.startswith(prefix):
+                continue
+            if self.drop_events:
+                self.drop_events -= 1
+            else:
+                callback([entry], [], self.version)
+
     def close(self) -> None:
         """Nothing is open."""
 
