--- a/src/knapweedwharf/adapters/worker.py
+++ b/src/knapweedwharf/adapters/worker.py
@@ -2,7 +2,7 @@
 
 A worker refuses orders whose epoch is older than the newest it has
 seen, and ends tasks whose lease lapses. All orders are idempotent by
-attempt id.
+attempt id. docs/reference/worker.md is the whole contract.
 """
 
 from __future__ import annotations
@@ -13,6 +13,7 @@
 from returns import result
 
 from knapweedwharf.adapters import transport
+from knapweedwharf import codec
 from knapweedwharf import errors
 from knapweedwharf import registry
 from knapweedwharf import settings as settings_module
@@ -26,6 +27,14 @@
 THROTTLE = "throttle"
 STOP = "stop"
 
+HELD = "held"
+PROVISIONAL = "provisional"
+RUNNING = "running"
+ENDED = "ended"
+
+TASK_ENDED = "ended"
+TASK_ENDS = ("ended", "failed", "lapsed")
+
 
 @dataclasses.dataclass(frozen=True)
 class TaskSlice:
@@ -48,6 +57,8 @@
     :ivar lease_s: how long a hold or a start lasts without renewal.
     :ivar descriptor: the job's record, kept by the worker so that a
         new scheduling node can adopt the attempt; JSON text.
+    :ivar number: rises with each attempt of an epoch; a worker that
+        has forgotten stopped attempts refuses holds up to theirs.
     """
 
     kind: str
@@ -55,6 +66,7 @@
     tasks: tuple[TaskSlice, ...] = ()
     lease_s: float = 0.0
     descriptor: str = ""
+    number: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -66,9 +78,21 @@
     reason: str = ""
 
 
+@dataclasses.dataclass(frozen=True)
+class TaskOutcome:
+    """How a task ended, kept until the owner releases the attempt.
+
+    :ivar kind: one of ``TASK_ENDS``.
+    """
+
+    task_index: int
+    kind: str
+    detail: str = ""
+
+
 @dataclasses.dataclass(frozen=True)
 class HeldTask:
-    """A task as the worker sees it.
+    """An attempt's tasks as the worker sees them.
 
     :ivar state: ``held``, ``provisional``, ``running``, ``ended``.
     """
@@ -77,11 +101,15 @@
     state: str
     tasks: tuple[TaskSlice, ...]
     descriptor: str = ""
+    outcomes: tuple[TaskOutcome, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True)
 class WorkerState:
-    """Capacity and tasks of a worker, returned by a seal."""
+    """Capacity and tasks of a worker, returned by a seal.
+
+    :ivar clock_s: the worker's clock, for the next renewal.
+    """
 
     worker_id: str
     rack: str
@@ -91,6 +119,7 @@
     memory_mib: int
     attempts: tuple[HeldTask, ...]
     sequence: int
+    clock_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -110,10 +139,35 @@
 
 @dataclasses.dataclass(frozen=True)
 class Renewal:
-    """Answer to a renewal: what happened since the last one."""
+    """Answer to a renewal: what happened since the last one.
+
+    :ivar clock_s: the worker's clock, for the next renewal.
+    """
 
     events: tuple[WorkerEvent, ...]
     sequence: int
+    clock_s: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True)
+class RenewalOrder:
+    """What a renewal asks for.
+
+    The leases run until ``as_of_s + lease_s`` on the worker's clock,
+    so that a renewal that arrives late extends nothing.
+
+    :ivar as_of_s: the worker's clock in its last answer.
+    :ivar release: attempts that are not renewed, and forgotten if they
+        have ended.
+    :ivar after_sequence: the newest event that is known.
+    :ivar wait_s: how long the answer may wait for an event.
+    """
+
+    lease_s: float
+    as_of_s: float
+    after_sequence: int
+    wait_s: float
+    release: tuple[str, ...] = ()
 
 
 class Worker(typing.Protocol):
@@ -130,15 +184,9 @@
         """Carry out orders in turn; ``Fenced`` if the epoch is old."""
 
     async def renew(
-        self,
-        address: str,
-        *,
-        epoch: int,
-        lease_s: float,
-        after_sequence: int,
-        wait_s: float,
+        self, address: str, *, epoch: int, order: RenewalOrder
     ) -> result.Result[Renewal, errors.Fault]:
-        """Renew all confirmed attempts; wait for events up to wait_s."""
+        """Renew confirmed attempts; wait for events."""
 
     def close(self) -> None:
         """Close connections."""
@@ -169,63 +217,49 @@
         answer = await self._transport.post_json(
             f"{address}/seal", {"epoch": epoch}, timeout_s=self._timeout_s
         )
-        return answer.map(_parse_state)
+        return answer.bind(lambda reply: _parse(WorkerState, reply))
 
     async def send(
         self, address: str, *, epoch: int, orders: typing.Sequence[Order]
     ) -> result.Result[list[OrderResult], errors.Fault]:
         """Carry out orders in turn; ``Fenced`` if the epoch is old."""
-        document = {
-            "epoch": epoch,
-            "orders": [dataclasses.asdict(order) for order in orders],
-        }
+        document = {"epoch": epoch, "orders": codec.plain(orders)}
         answer = await self._transport.post_json(
             f"{address}/orders", document, timeout_s=self._timeout_s
         )
-        return answer.map(
-            lambda reply: [OrderResult(**item) for item in reply["results"]]
+        return answer.bind(lambda reply: _parse(_Results, reply)).map(
+            lambda reply: list(reply.results)
         )
 
     async def renew(
-        self,
-        address: str,
-        *,
-        epoch: int,
-        lease_s: float,
-        after_sequence: int,
-        wait_s: float,
+        self, address: str, *, epoch: int, order: RenewalOrder
     ) -> result.Result[Renewal, errors.Fault]:
-        """Renew all confirmed attempts; wait for events up to wait_s."""
-        document = {
-            "epoch": epoch,
-            "lease_s": lease_s,
-            "after_sequence": after_sequence,
-            "wait_s": wait_s,
-        }
+        """Renew confirmed attempts; wait for events."""
+        document = {"epoch": epoch, **codec.plain(order)}
         answer = await self._transport.post_json(
-            f"{address}/renew", document, timeout_s=wait_s + self._timeout_s
+            f"{address}/renew",
+            document,
+            timeout_s=order.wait_s + self._timeout_s,
         )
-        return answer.map(_parse_renewal)
-
+        return answer.bind(lambda reply: _parse(Renewal, reply))
 
-def _parse_state(document: dict) -> WorkerState:
-    attempts = tuple(_parse_held(item) for item in document["attempts"])
-    return WorkerState(**{**document, "attempts": attempts})
 
-
-def _parse_held(item: dict) -> HeldTask:
-    tasks = tuple(parse_slice(entry) for entry in item["tasks"])
-    return HeldTask(**{**item, "tasks": tasks})
-
-
-def parse_slice(item: dict) -> TaskSlice:
-    """Build a slice from its JSON object."""
-    accelerators = tuple(item["accelerators"])
-    return TaskSlice(**{**item, "accelerators": accelerators})
-
-
-def _parse_renewal(document: dict) -> Renewal:
-    return Renewal(
-        events=tuple(WorkerEvent(**item) for item in document["events"]),
-        sequence=document["sequence"],
-    )
+@dataclasses.dataclass(frozen=True)
+class _Results:
+    """Answer to orders."""
+
+    results: tuple[OrderResult, ...]
+
+
+def _parse(
+    kind: type, document: typing.Any
+) -> result.Result[typing.Any, errors.Fault]:
+    try:
+        return result.Success(codec.build(kind, document))
+    except (AttributeError, KeyError, TypeError):
+        return result.Failure(
+            errors.OutcomeUnknown(
+                message=f"The worker's answer is no {kind.__name__}.",
+                remedy="Compare it with docs/reference/worker.md.",
+            )
+        )
--- a/src/knapweedwharf/scheduling/gang.py
+++ b/src/knapweedwharf/scheduling/gang.py
@@ -4,12 +4,14 @@
 store (the commit point), start every member provisionally, confirm
 every member. A member that is not confirmed ends by itself when its
 provisional lease lapses, so no started part stays behind, whoever dies.
+docs/explanation/ownership.md walks a failure through each step.
 """
 
 from __future__ import annotations
 
 import asyncio
 import dataclasses
+import itertools
 import typing
 
 from returns import result
@@ -17,9 +19,12 @@
 from knapweedwharf.adapters import worker as worker_module
 from knapweedwharf.core import model
 from knapweedwharf import errors
+from knapweedwharf.scheduling import roster as roster_module
 from knapweedwharf import settings as settings_module
 
 _STOP_RETRY_S = 0.5
+_MAX_STOP_RETRY_S = 5.0
+_ORDER_TRIES = 2
 
 Commit = typing.Callable[
     [], typing.Awaitable[result.Result[None, errors.Fault]]
@@ -28,15 +33,17 @@
 
 @dataclasses.dataclass(frozen=True)
 class Gang:
-    """One attempt and where its tasks go.
-
-    :ivar addresses: worker id to address.
-    """
+    """One attempt and where its tasks go."""
 
     attempt_id: str
     assignments: tuple[model.Assignment, ...]
-    addresses: dict[str, str]
-    descriptor: str
+    job_id: str = ""
+    descriptor: str = ""
+
+    @property
+    def worker_ids(self) -> list[str]:
+        """The workers that take part, sorted."""
+        return sorted({place.worker_id for place in self.assignments})
 
     def slices(self, worker_id: str) -> tuple[worker_module.TaskSlice, ...]:
         """Return what the gang takes on one worker."""
@@ -69,18 +76,30 @@
         worker: worker_module.Worker,
         settings: settings_module.Settings,
         epoch: int,
+        roster: roster_module.Roster,
     ) -> None:
         self._worker = worker
         self._settings = settings
         self._epoch = epoch
+        self._roster = roster
+        self._count = itertools.count(1)
+        self._numbers: dict[str, int] = {}
 
     async def start(self, gang: Gang, commit: Commit) -> Refusal | None:
         """Start a gang; on a refusal every member has been stopped."""
+        self._numbers[gang.attempt_id] = next(self._count)
         refusal = await self._start_steps(gang, commit)
         if refusal is not None:
             await self.stop(gang, checkpoint=False)
         return refusal
 
+    async def finish_start(self, gang: Gang) -> Refusal | None:
+        """Confirm a gang that a former owner has started."""
+        refusal = await self._confirm(gang)
+        if refusal is not None:
+            await self.stop(gang, checkpoint=False)
+        return refusal
+
     async def _start_steps(self, gang: Gang, commit: Commit) -> Refusal | None:
         hold_s = self._settings.gang_hold_s
         refusal = await self._order_all(gang, worker_module.HOLD, hold_s)
@@ -92,9 +111,16 @@
         refusal = await self._order_all(gang, worker_module.START, hold_s)
         if refusal is not None:
             return refusal
+        return await self._confirm(gang)
+
+    async def _confirm(self, gang: Gang) -> Refusal | None:
         lease_s = self._settings.worker_lease_s
         return await self._order_all(gang, worker_module.CONFIRM, lease_s)
 
+    async def throttle(self, gang: Gang) -> None:
+        """Hold every member to its declared size."""
+        await self._order_all(gang, worker_module.THROTTLE, 0)
+
     async def stop(self, gang: Gang, *, checkpoint: bool) -> bool:
         """Stop every member and wait until each is surely released.
 
@@ -103,10 +129,9 @@
         saved = False
         if checkpoint:
             saved = await self._checkpoint(gang)
-        stops = [
-            self._stop_one(gang, worker_id) for worker_id in gang.addresses
-        ]
+        stops = [self._stop_one(gang, worker) for worker in gang.worker_ids]
         await asyncio.gather(*stops)
+        self._numbers.pop(gang.attempt_id, None)
         return saved
 
     async def _checkpoint(self, gang: Gang) -> bool:
@@ -121,19 +146,30 @@
 
     async def _stop_one(self, gang: Gang, worker_id: str) -> None:
         loop = asyncio.get_running_loop()
-        lapsed_at_s = loop.time() + self._settings.worker_lease_s
-        while loop.time() < lapsed_at_s:
+        self._roster.release(worker_id, gang.attempt_id)
+        lapses_at_s = loop.time() + self._roster.lapse_s
+        pause_s = _STOP_RETRY_S
+        while not self._surely_ended(worker_id, lapses_at_s):
             refusal = await self._order(gang, worker_id, worker_module.STOP, 0)
             if refusal is None or isinstance(refusal.fault, errors.Fenced):
                 return
-            await asyncio.sleep(_STOP_RETRY_S)
+            await asyncio.sleep(pause_s)
+            pause_s = min(2 * pause_s, _MAX_STOP_RETRY_S)
+
+    def _surely_ended(self, worker_id: str, lapses_at_s: float) -> bool:
+        if self._roster.is_lapsed(worker_id):
+            return True
+        # A worker that was never sealed may still be renewed by a
+        # former owner; only the roster knows when that has ended.
+        sealed = self._roster.settled([worker_id])
+        return sealed and asyncio.get_running_loop().time() >= lapses_at_s
 
     async def _order_all(
         self, gang: Gang, kind: str, lease_s: float
     ) -> Refusal | None:
         orders = [
             self._order(gang, worker_id, kind, lease_s)
-            for worker_id in gang.addresses
+            for worker_id in gang.worker_ids
         ]
         refusals = await asyncio.gather(*orders)
         return next((r for r in refusals if r is not None), None)
@@ -148,10 +184,9 @@
             tasks=gang.slices(worker_id) if holding else (),
             lease_s=lease_s,
             descriptor=gang.descriptor if holding else "",
+            number=self._numbers.get(gang.attempt_id, 0),
         )
-        sent = await self._worker.send(
-            gang.addresses[worker_id], epoch=self._epoch, orders=[order]
-        )
+        sent = await self._send(worker_id, order)
         if isinstance(sent, result.Failure):
             return Refusal(worker_id=worker_id, fault=sent.failure())
         answer = sent.unwrap()[0]
@@ -162,3 +197,27 @@
             remedy="The job is placed again.",
         )
         return Refusal(worker_id=worker_id, fault=fault)
+
+    async def _send(
+        self, worker_id: str, order: worker_module.Order
+    ) -> result.Result[list[worker_module.OrderResult], errors.Fault]:
+        # Orders are idempotent: one whose answer was lost is repeated.
+        address = self._roster.address(worker_id)
+        if not address:
+            return result.Failure(_unlisted(worker_id))
+        for _try in range(_ORDER_TRIES):
+            sent = await self._worker.send(
+                address, epoch=self._epoch, orders=[order]
+            )
+            if isinstance(sent, result.Success):
+                return sent
+            if not isinstance(sent.failure(), errors.OutcomeUnknown):
+                return sent
+        return sent
+
+
+def _unlisted(worker_id: str) -> errors.Unreachable:
+    return errors.Unreachable(
+        message=f"Worker {worker_id} is not in the list of VMs.",
+        remedy="Its leases lapse; list it again if it still runs.",
+    )
--- a/src/knapweedwharf/scheduling/inbox.py
+++ b/src/knapweedwharf/scheduling/inbox.py
@@ -12,6 +12,7 @@
 from returns import result
 
 from knapweedwharf.adapters import store as store_module
+from knapweedwharf import codec
 from knapweedwharf.core import model
 from knapweedwharf import errors
 
@@ -47,7 +48,7 @@
         version=entry.version,
         kind=document["kind"],
         job_id=document["job_id"],
-        job=model.JobSpec(**job) if job else None,
+        job=codec.build(model.JobSpec, job) if job else None,
     )
 
 
--- a/src/knapweedwharf/scheduling/owner.py
+++ b/src/knapweedwharf/scheduling/owner.py
@@ -57,19 +57,27 @@
     async def _claim(
         self, lease_id: int
     ) -> result.Result[Ownership, errors.Fault]:
-        claimed = await store_module.write_certain(
+        claimed = await self._write_owner(lease_id)
+        if isinstance(claimed, result.Failure):
+            return claimed
+        raised = await self._raise_epoch()
+        if isinstance(raised, result.Failure):
+            await self._store.revoke(lease_id)
+            return raised
+        return result.Success(
+            Ownership(epoch=raised.unwrap(), lease_id=lease_id)
+        )
+
+    async def _write_owner(
+        self, lease_id: int
+    ) -> result.Result[store_module.Entry, errors.Fault]:
+        return await store_module.write_certain(
             self._store,
             self._owner_key,
             self._signature(epoch=0),
             expected_version=store_module.ABSENT_VERSION,
             lease_id=lease_id,
         )
-        if isinstance(claimed, result.Failure):
-            return claimed
-        raised = await self._raise_epoch()
-        return raised.map(
-            lambda epoch: Ownership(epoch=epoch, lease_id=lease_id)
-        )
 
     async def _raise_epoch(self) -> result.Result[int, errors.Fault]:
         found = await self._store.get(self._epoch_key)
@@ -99,6 +107,38 @@
         """Renew the lease; ``Fenced`` when it has lapsed."""
         return await self._store.keep_alive(ownership.lease_id)
 
+    async def reclaim(
+        self, ownership: Ownership
+    ) -> result.Result[Ownership, errors.Fault]:
+        """Take a new lease under the same epoch after an outage.
+
+        ``Fenced`` or ``Conflict`` when another VM has been elected.
+        """
+        granted = await self._store.grant(self._settings.owner_lease_s)
+        if isinstance(granted, result.Failure):
+            return granted
+        lease_id = granted.unwrap()
+        claimed = await self._write_owner(lease_id)
+        if isinstance(claimed, result.Failure):
+            await self._store.revoke(lease_id)
+            return claimed
+        found = await self._store.get(self._epoch_key)
+        if isinstance(found, result.Failure):
+            await self._store.revoke(lease_id)
+            return found
+        entry = found.unwrap()
+        if entry and json.loads(entry.value)["epoch"] == ownership.epoch:
+            return result.Success(
+                dataclasses.replace(ownership, lease_id=lease_id)
+            )
+        await self._store.revoke(lease_id)
+        return result.Failure(
+            errors.Fenced(
+                message="Another VM has raised the epoch.",
+                remedy="Step down; the new owner goes on.",
+            )
+        )
+
     async def resign(self, ownership: Ownership) -> None:
         """Give the ownership up so that another VM need not wait."""
         await self._store.revoke(ownership.lease_id)
--- a/src/knapweedwharf/scheduling/record.py
+++ b/src/knapweedwharf/scheduling/record.py
@@ -5,39 +5,29 @@
 import dataclasses
 import json
 
+from knapweedwharf import codec
 from knapweedwharf.core import engine
-from knapweedwharf.core import model
 
 
 def to_dict(record: engine.JobRecord) -> dict:
     """Return a record as JSON values."""
-    document = dataclasses.asdict(record)
-    document["ended_tasks"] = sorted(record.ended_tasks)
-    return document
+    return codec.plain(record)
 
 
 def from_dict(document: dict) -> engine.JobRecord:
     """Build a record from its JSON values."""
-    return engine.JobRecord(
-        **{
-            **document,
-            "job": model.JobSpec(**document["job"]),
-            "assignments": tuple(
-                _assignment(item) for item in document["assignments"]
-            ),
-            "ended_tasks": frozenset(document["ended_tasks"]),
-            "reasons": tuple(
-                model.Reason(**item) for item in document["reasons"]
-            ),
-        }
-    )
-
-
-def _assignment(item: dict) -> model.Assignment:
-    accelerators = tuple(item["accelerators"])
-    return model.Assignment(**{**item, "accelerators": accelerators})
+    return codec.build(engine.JobRecord, document)
 
 
 def describe(record: engine.JobRecord) -> str:
     """Return the descriptor a worker keeps with an attempt."""
-    return json.dumps(to_dict(record), separators=(",", ":"))
+    short = dataclasses.replace(record, reasons=())
+    return json.dumps(to_dict(short), separators=(",", ":"))
+
+
+def parse_descriptor(descriptor: str) -> engine.JobRecord | None:
+    """Read a descriptor; None when it is not one."""
+    try:
+        return from_dict(json.loads(descriptor))
+    except (KeyError, TypeError, ValueError):
+        return None
--- a/src/knapweedwharf/scheduling/role.py
+++ b/src/knapweedwharf/scheduling/role.py
@@ -1,9 +1,14 @@
-"""The scheduling role: decides for a data centre while it is owner."""
+"""The scheduling role: decides for a data centre while it is owner.
+
+The role stands for election, and hands everything that happens to its
+tenure, which lasts from an election to the step-down.
+"""
 
 from __future__ import annotations
 
 import asyncio
 import dataclasses
+import functools
 import time
 import typing
 
@@ -13,22 +18,42 @@
 from knapweedwharf.adapters import store as store_module
 from knapweedwharf.adapters import worker as worker_module
 from knapweedwharf.charts import chart
-from knapweedwharf.core import decision
 from knapweedwharf.core import engine as engine_module
-from knapweedwharf.core import event
 from knapweedwharf.core import model
 from knapweedwharf import errors
 from knapweedwharf import mailbox
-from knapweedwharf.scheduling import gang as gang_module
+from knapweedwharf.scheduling import flusher as flusher_module
 from knapweedwharf.scheduling import inbox as inbox_module
+from knapweedwharf.scheduling import orders as orders_module
 from knapweedwharf.scheduling import owner as owner_module
 from knapweedwharf.scheduling import pages as pages_module
-from knapweedwharf.scheduling import record as record_module
 from knapweedwharf.scheduling import session as session_module
+from knapweedwharf.scheduling import tenure as tenure_module
 from knapweedwharf import settings as settings_module
 
 _RETRY_S = 0.5
 _TICK_S = 1.0
+_LEAST_LISTED_SHARE = 0.5
+
+
+@dataclasses.dataclass(frozen=True)
+class Elected:
+    """This VM has won the election and rewritten the pages.
+
+    :ivar suspects: see :meth:`tenure.Tenure.begin`.
+    """
+
+    ownership: owner_module.Ownership
+    pages: pages_module.Pages
+    records: pages_module.Records
+    suspects: bool
+
+
+@dataclasses.dataclass(frozen=True)
+class OwnershipLost:
+    """Another VM has been elected."""
+
+    epoch: int
 
 
 @dataclasses.dataclass(frozen=True)
@@ -53,29 +78,40 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class GangEvent:
-    """A gang's start or stop has ended."""
-
-    happened: event.Event
+class TimePassed:
+    """Regular tick."""
 
 
 @dataclasses.dataclass(frozen=True)
-class TimePassed:
-    """Regular tick."""
+class FromTenure:
+    """A report of a tenure's task; void once that tenure has ended."""
+
+    epoch: int
+    report: typing.Any
 
 
 Message = typing.Union[
+    Elected,
+    OwnershipLost,
     InboxSeen,
     ConfigurationInForce,
     Listed,
-    GangEvent,
     TimePassed,
-    session_module.Report,
+    FromTenure,
+    flusher_module.StoreSeen,
 ]
 
 
+def _no_peer_reaches_store() -> bool:
+    return False
+
+
 class Role(mailbox.Actor[Message]):
-    """Owns the engine and the workers' sessions while active."""
+    """Owns the tenure while active.
+
+    :param peers_reach_store: whether another VM of the data centre
+        reaches the store, or may do so.
+    """
 
     name = "scheduling-role"
 
@@ -85,23 +121,24 @@
         settings: settings_module.Settings,
         store: store_module.Store,
         worker: worker_module.Worker,
+        peers_reach_store: typing.Callable[[], bool] = _no_peer_reaches_store,
+        clock: tenure_module.Clock = time.time,
     ) -> None:
         super().__init__()
         self._settings = settings
         self._store = store
         self._worker = worker
+        self._peers_reach_store = peers_reach_store
+        self._clock = clock
         self._election = owner_module.Election(store=store, settings=settings)
         self._chart = chart.load("owner")
-        self._sessions: dict[str, session_module.Session] = {}
-        self._vms: dict[str, directory_module.Vm] = {}
+        self._vms: tuple[directory_module.Vm, ...] = ()
         self._configuration = model.Configuration()
-        self._pages: pages_module.Pages | None = None
-        self._runner: gang_module.GangRunner | None = None
         self._watcher: asyncio.Task | None = None
-        self._dirty: set[str] = set()
+        self._store_seen_since_s: float | None = None
+        self.tenure: tenure_module.Tenure | None = None
         self.state = self._chart.initial
         self.ownership: owner_module.Ownership | None = None
-        self.engine: engine_module.Engine | None = None
 
     async def start(self) -> None:
         """Stand for election from now on."""
@@ -112,8 +149,10 @@
     async def close(self) -> None:
         """Resign and stop."""
         ownership = self.ownership
-        await self._step_down("close")
         await super().close()
+        await self._end_tenure()
+        if self._chart.allows(self.state, "close"):
+            self.state = self._chart.step(self.state, "close")
         if ownership is not None:
             await self._election.resign(ownership)
 
@@ -125,9 +164,14 @@
     @property
     def active(self) -> bool:
         """Whether this node decides for its data centre now."""
-        return self.engine is not None
+        return self.tenure is not None
+
+    @property
+    def engine(self) -> engine_module.Engine | None:
+        """The engine while active."""
+        return self.tenure.engine if self.tenure else None
 
-    # Election
+    # Election, in a task of its own
 
     async def _stand(self) -> None:
         pause_s = self._settings.owner_lease_s / 3
@@ -135,19 +179,17 @@
             if self.ownership is None:
                 await self._try_election()
             else:
-                await self._renew()
+                await self._renew(self.ownership)
             await asyncio.sleep(pause_s if self.ownership else _RETRY_S)
 
     async def _try_election(self) -> None:
         won = await self._election.run()
         if isinstance(won, result.Failure):
+            self._note_store(reached=_is_conflict(won))
             return
-        self.ownership = won.unwrap()
+        ownership = won.unwrap()
+        self._log.info("elected", epoch=ownership.epoch)
         self.state = self._chart.step(self.state, "elected")
-        self._log.info("elected", epoch=self.ownership.epoch)
-        await self._take_over(self.ownership)
-
-    async def _take_over(self, ownership: owner_module.Ownership) -> None:
         pages = pages_module.Pages(
             store=self._store,
             data_centre=self._settings.data_centre,
@@ -156,265 +198,217 @@
         taken = await pages.take_over()
         if isinstance(taken, result.Failure):
             self._log.warning("take-over-failed", why=str(taken.failure()))
-            await self._step_down("deposed")
+            self.state = self._chart.step(self.state, "deposed")
             await self._election.resign(ownership)
             return
-        self._pages = pages
-        self._runner = gang_module.GangRunner(
-            worker=self._worker,
-            settings=self._settings,
-            epoch=ownership.epoch,
-        )
-        self.engine = engine_module.Engine(
-            data_centre=self._settings.data_centre,
-            attempt_prefix=f"{self._settings.data_centre}-{ownership.epoch}",
-        )
-        for record in taken.unwrap().values():
-            self.engine.restore(record)
-        self.state = self._chart.step(self.state, "sealed")
-        self.post(ConfigurationInForce(self._configuration))
-        self.post(Listed(tuple(self._vms.values())))
-        self._watcher = self.spawn(self._watch_inbox())
-
-    async def _renew(self) -> None:
-        renewed = await self._election.renew(self.ownership)
-        if isinstance(renewed, result.Success):
-            if self._chart.allows(self.state, "store_back"):
-                self.state = self._chart.step(self.state, "store_back")
-            return
-        if isinstance(renewed.failure(), errors.Fenced):
-            await self._step_down("deposed")
-        elif self._chart.allows(self.state, "store_lost"):
-            self.state = self._chart.step(self.state, "store_lost")
+        self.ownership = ownership
+        suspects = self._former_owner_may_have_started()
+        self.post(Elected(ownership, pages, taken.unwrap(), suspects))
+
+    def _note_store(self, *, reached: bool) -> None:
+        if not reached:
+            self._store_seen_since_s = None
+        elif self._store_seen_since_s is None:
+            self._store_seen_since_s = _now_s()
+
+    def _former_owner_may_have_started(self) -> bool:
+        """Tell whether a former owner may have started without the store.
+
+        It may only while no other VM of its data centre reaches the
+        store; this one did all the time since the last renewal.
+        """
+        if self._store_seen_since_s is None:
+            return True
+        seen_s = _now_s() - self._store_seen_since_s
+        return seen_s < 2 * self._settings.owner_lease_s
+
+    async def _renew(self, ownership: owner_module.Ownership) -> None:
+        renewed = await self._election.renew(ownership)
+        if isinstance(renewed, result.Failure):
+            if isinstance(renewed.failure(), errors.Fenced):
+                await self._reclaim(ownership)
+                return
+        reachable = isinstance(renewed, result.Success)
+        self._note_store(reached=reachable)
+        self.post(flusher_module.StoreSeen(reachable=reachable))
+
+    async def _reclaim(self, ownership: owner_module.Ownership) -> None:
+        reclaimed = await self._election.reclaim(ownership)
+        if isinstance(reclaimed, result.Success):
+            if self.ownership is ownership:
+                self.ownership = reclaimed.unwrap()
+                self._log.info("lease-reclaimed", epoch=ownership.epoch)
+            self.post(flusher_module.StoreSeen(reachable=True))
+        elif _is_conflict(reclaimed):
+            self.post(OwnershipLost(ownership.epoch))
+        else:
+            self.post(flusher_module.StoreSeen(reachable=False))
 
-    async def _step_down(self, why: str) -> None:
-        self._log.info("step-down", why=why)
-        self.state = self._chart.step(self.state, why)
-        self.ownership = None
-        self.engine = None
-        self._pages = None
-        if self._watcher is not None:
-            self._watcher.cancel()
-            self._watcher = None
-        sessions = list(self._sessions.values())
-        self._sessions.clear()
-        for session in sessions:
-            await session.close()
+    async def _tick(self) -> None:
+        while True:
+            await asyncio.sleep(_TICK_S)
+            self.post(TimePassed())
 
-    async def _watch_inbox(self) -> None:
+    async def _watch_inbox(self, epoch: int) -> None:
         prefix = inbox_module.prefix_of(self._settings.data_centre)
         while True:
             listed = await self._store.list(prefix)
             if isinstance(listed, result.Success):
                 page = listed.unwrap()
-                self._inbox_seen(page.entries, [], page.version)
+                self._post_inbox(epoch, page.entries)
                 await self._store.watch(
                     prefix,
                     after_version=page.version,
-                    callback=self._inbox_seen,
+                    callback=lambda changed, _deleted, _version: (
+                        self._post_inbox(epoch, changed)
+                    ),
                 )
             await asyncio.sleep(_RETRY_S)
 
-    def _inbox_seen(self, entries, _deleted, _version) -> None:
-        items = tuple(inbox_module.decode(entry) for entry in entries)
-        if items:
-            self.post(InboxSeen(items))
-
-    async def _tick(self) -> None:
-        while True:
-            await asyncio.sleep(_TICK_S)
-            self.post(TimePassed())
+    def _post_inbox(
+        self, epoch: int, entries: list[store_module.Entry]
+    ) -> None:
+        seen = InboxSeen(tuple(map(inbox_module.decode, entries)))
+        self.post(FromTenure(epoch, seen))
 
     # Messages
 
     async def handle(self, message: Message) -> None:
-        """Handle one message; a standby only remembers."""
-        if isinstance(message, ConfigurationInForce):
-            self._configuration = message.configuration
-        if isinstance(message, Listed):
-            self._remember(message.vms)
-        if self.engine is None:
-            return
-        if isinstance(message, ConfigurationInForce):
-            self._tell(event.ConfigurationChanged(message.configuration))
-        elif isinstance(message, Listed):
-            await self._open_sessions()
-        elif isinstance(message, InboxSeen):
-            await self._take_inbox(message.items)
-        elif isinstance(message, GangEvent):
-            self._tell(message.happened)
-        elif isinstance(message, TimePassed):
-            self._tell(event.Tick())
-        else:
-            await self._take_report(message)
-        await self._flush()
+        """Handle one message; waits for no store and no worker."""
+        await self._take(message)
 
-    def _remember(self, vms: tuple[directory_module.Vm, ...]) -> None:
-        workers = {
-            vm.vm_id: vm
-            for vm in vms
-            if vm.kind == directory_module.WORKER_KIND
-            and vm.data_centre == self._settings.data_centre
-        }
-        self._vms.update(workers)
-
-    async def _open_sessions(self) -> None:
-        for vm_id in self._vms.keys() - self._sessions.keys():
-            session = session_module.Session(
-                vm=self._vms[vm_id],
-                epoch=self.ownership.epoch,
-                worker=self._worker,
-                settings=self._settings,
-                report=self.post,
-            )
-            self._sessions[vm_id] = session
-            await session.start()
-
-    async def _take_inbox(self, items: tuple[inbox_module.Item, ...]) -> None:
-        for item in items:
-            if item.kind == inbox_module.SUBMIT:
-                self._tell(event.JobSubmitted(item.job))
-            else:
-                self._tell(event.JobCancelled(item.job_id))
-        if not await self._flush():
+    @functools.singledispatchmethod
+    async def _take(self, message: Message) -> None:
+        raise TypeError(f"unknown message {type(message).__name__}")
+
+    @_take.register
+    async def _(self, message: Elected) -> None:
+        epoch = message.ownership.epoch
+        if self.ownership is None or self.ownership.epoch != epoch:
             return
-        for item in items:
-            await self._store.delete(item.key, expected_version=item.version)
-
-    async def _take_report(self, report: session_module.Report) -> None:
-        if isinstance(report, session_module.Sealed):
-            self._take_sealed(report)
-        elif isinstance(report, session_module.Happened):
-            for worker_event in report.events:
-                self._take_worker_event(report.worker_id, worker_event)
-        elif isinstance(report, session_module.Silent):
-            self._tell(event.WorkerLost(report.worker_id))
-        elif isinstance(report, session_module.Lapsed):
-            self._tell(event.WorkerGone(report.worker_id))
-        else:
-            await self._step_down("deposed")
-
-    def _take_sealed(self, report: session_module.Sealed) -> None:
-        state = report.state
-        known = {
-            attempt.attempt_id
-            for attempt in state.attempts
-            if self.engine.job_of_attempt(attempt.attempt_id) is not None
-        }
-        spec = model.WorkerSpec(
-            worker_id=report.worker_id,
-            rack=state.rack,
-            data_centre=state.data_centre,
-            accelerators=state.accelerators,
-            cores=state.cores,
-            memory_mib=state.memory_mib,
+        self.tenure = tenure_module.Tenure(
+            settings=self._settings,
+            store=self._store,
+            worker=self._worker,
+            ownership=message.ownership,
+            pages=message.pages,
+            post=lambda report: self.post(FromTenure(epoch, report)),
+            may_start_storeless=lambda: not self._peers_reach_store(),
+            clock=self._clock,
         )
-        for attempt in state.attempts:
-            if attempt.attempt_id not in known:
-                self._stop_stray(report.worker_id, attempt.attempt_id)
-        self._complete_topology(report.worker_id)
-        self._tell(event.WorkerSealed(spec))
-
-    def _complete_topology(self, worker_id: str) -> None:
-        sealed = self.engine.topology.workers.keys() | {worker_id}
-        self.engine.topology.complete = sealed >= self._vms.keys()
-
-    def _stop_stray(self, worker_id: str, attempt_id: str) -> None:
-        stray = gang_module.Gang(
-            attempt_id=attempt_id,
-            assignments=(),
-            addresses={worker_id: self._vms[worker_id].address},
-            descriptor="",
+        self.state = self._chart.step(self.state, "sealed")
+        await self.tenure.begin(
+            records=message.records,
+            suspects=message.suspects,
+            configuration=self._configuration,
+            vms=self._vms,
         )
-        self.spawn(self._runner.stop(stray, checkpoint=False))
+        self._watcher = self.spawn(self._watch_inbox(epoch))
 
-    def _take_worker_event(
-        self, worker_id: str, happened: worker_module.WorkerEvent
-    ) -> None:
-        if happened.kind not in ("ended", "failed", "lapsed"):
+    @_take.register
+    async def _(self, message: OwnershipLost) -> None:
+        if self.ownership and self.ownership.epoch == message.epoch:
+            await self._step_down("another VM was elected")
+
+    @_take.register
+    async def _(self, message: FromTenure) -> None:
+        if self.tenure is not None and self.tenure.epoch == message.epoch:
+            await self._take(message.report)
+
+    @_take.register
+    async def _(self, message: flusher_module.PagesLost) -> None:
+        await self._step_down("pages written by another epoch")
+
+    @_take.register
+    async def _(self, message: session_module.Deposed) -> None:
+        await self._step_down(f"worker {message.worker_id} is fenced")
+
+    @_take.register
+    async def _(self, message: flusher_module.StoreSeen) -> None:
+        if self.tenure is None:
             return
-        self._tell(
-            event.TaskEnded(
-                attempt_id=happened.attempt_id,
-                task_index=happened.task_index,
-                worker_id=worker_id,
-                succeeded=happened.kind == "ended",
-                detail=happened.detail or happened.kind,
-            )
+        happened = "store_back" if message.reachable else "store_lost"
+        self.tenure.isolated = not message.reachable
+        if self._chart.allows(self.state, happened):
+            self.state = self._chart.step(self.state, happened)
+            self._log.info(happened)
+
+    @_take.register
+    async def _(self, message: ConfigurationInForce) -> None:
+        self._configuration = message.configuration
+        if self.tenure is not None:
+            self.tenure.configured(message.configuration)
+
+    @_take.register
+    async def _(self, message: Listed) -> None:
+        workers = tuple(
+            vm
+            for vm in message.vms
+            if vm.kind == directory_module.WORKER_KIND
+            and vm.data_centre == self._settings.data_centre
         )
+        if len(workers) < _LEAST_LISTED_SHARE * len(self._vms):
+            self._log.warning("list-not-believed", workers=len(workers))
+            return
+        self._vms = workers
+        if self.tenure is not None:
+            await self.tenure.list(workers)
 
-    # Decisions
-
-    def _tell(self, happened: event.Event) -> None:
-        for taken in self.engine.handle(happened, now_s=time.time()):
-            self._carry_out(taken)
-
-    def _carry_out(self, taken: decision.Decision) -> None:
-        if isinstance(taken, decision.JobChanged):
-            self._dirty.add(taken.job_id)
-            self._log.info(
-                "job-changed",
-                job_id=taken.job_id,
-                state=taken.state,
-                reason=taken.reason.code,
-            )
-        elif isinstance(taken, decision.StartGang):
-            self.spawn(self._start_gang(taken))
-        elif isinstance(taken, decision.StopGang):
-            self.spawn(self._stop_gang(taken))
-
-    async def _start_gang(self, start: decision.StartGang) -> None:
-        gang = self._gang_of(start.attempt_id, start.job.job_id)
-        refusal = await self._runner.start(
-            gang, lambda: self._commit(start.job.job_id)
-        )
-        if refusal is None:
-            self.post(GangEvent(event.GangStarted(start.attempt_id)))
+    @_take.register
+    async def _(self, message: InboxSeen) -> None:
+        self.tenure.take_inbox(message.items)
+
+    @_take.register
+    async def _(self, message: TimePassed) -> None:
+        if self.tenure is None:
             return
-        self.post(
-            GangEvent(
-                event.GangRefused(
-                    attempt_id=start.attempt_id,
-                    worker_id=refusal.worker_id,
-                    reason=refusal.fault.message,
-                )
-            )
-        )
+        self.tenure.tick()
+        if self.tenure.cut_off():
+            await self._step_down("cut off from the store and most workers")
 
-    async def _commit(self, job_id: str) -> result.Result[None, errors.Fault]:
-        if self._pages is None:
-            return result.Failure(
-                errors.Fenced(
-                    message="This VM is no longer the owner.",
-                    remedy="The new owner places the job.",
-                )
-            )
-        return await self._pages.flush([job_id], self.engine.records)
-
-    async def _stop_gang(self, stop: decision.StopGang) -> None:
-        gang = self._gang_of(stop.attempt_id, stop.job_id)
-        saved = await self._runner.stop(gang, checkpoint=stop.checkpoint)
-        self.post(GangEvent(event.GangStopped(stop.attempt_id, saved)))
-
-    def _gang_of(self, attempt_id: str, job_id: str) -> gang_module.Gang:
-        record = self.engine.records[job_id]
-        worker_ids = {place.worker_id for place in record.assignments}
-        return gang_module.Gang(
-            attempt_id=attempt_id,
-            assignments=record.assignments,
-            addresses={w: self._vms[w].address for w in sorted(worker_ids)},
-            descriptor=record_module.describe(record),
-        )
+    @_take.register
+    async def _(self, message: orders_module.GangEvent) -> None:
+        self.tenure.gang_event(message.happened)
 
-    async def _flush(self) -> bool:
-        if self._pages is None:
-            return False
-        dirty, self._dirty = self._dirty, set()
-        written = await self._pages.flush(dirty, self.engine.records)
-        if isinstance(written, result.Success):
-            return True
-        self._dirty |= dirty
-        self._log.warning("flush-failed", why=str(written.failure()))
-        if isinstance(written.failure(), errors.Conflict):
-            await self._step_down("deposed")
-        return False
+    @_take.register
+    async def _(self, message: orders_module.StrayStopped) -> None:
+        self.tenure.stray_stopped(message)
+
+    @_take.register
+    async def _(self, message: session_module.Sealed) -> None:
+        self.tenure.sealed(message)
+
+    @_take.register
+    async def _(self, message: session_module.Happened) -> None:
+        self.tenure.happened(message)
+
+    @_take.register
+    async def _(self, message: session_module.Silent) -> None:
+        self.tenure.silent(message)
+
+    async def _step_down(self, why: str) -> None:
+        if self.tenure is None:
+            return
+        self._log.info("step-down", why=why)
+        self.state = self._chart.step(self.state, "deposed")
+        ownership, self.ownership = self.ownership, None
+        await self._end_tenure()
+        if ownership is not None:
+            self.spawn(self._election.resign(ownership))
+
+    async def _end_tenure(self) -> None:
+        if self._watcher is not None:
+            self._watcher.cancel()
+            self._watcher = None
+        tenure, self.tenure = self.tenure, None
+        if tenure is not None:
+            await tenure.close()
+
+
+def _is_conflict(outcome: result.Result) -> bool:
+    lost = (errors.Conflict, errors.Fenced)
+    return isinstance(outcome.failure(), lost)
+
+
+def _now_s() -> float:
+    return asyncio.get_running_loop().time()
--- /dev/null
+++ b/src/knapweedwharf/scheduling/roster.py
@@ -0,0 +1,226 @@
+"""The data centre's workers under one ownership.
+
+Knows of each worker whether it takes this epoch's orders and when
+every lease on it has surely lapsed.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections import abc
+import dataclasses
+import typing
+
+from knapweedwharf.adapters import directory as directory_module
+from knapweedwharf.adapters import worker as worker_module
+from knapweedwharf.charts import chart
+from knapweedwharf.scheduling import session as session_module
+from knapweedwharf import settings as settings_module
+
+
+@dataclasses.dataclass
+class Member:
+    """One worker, listed or named by a record.
+
+    :ivar vm: None for a worker that only a record names.
+    :ivar state: state of the session chart.
+    :ivar lapses_at_s: when its leases have lapsed, if it is silent.
+    :ivar release: attempts that renewals leave out.
+    """
+
+    worker_id: str
+    state: str
+    vm: directory_module.Vm | None = None
+    session: session_module.Session | None = None
+    lapses_at_s: float = 0.0
+    leaving: bool = False
+    release: dict[str, None] = dataclasses.field(default_factory=dict)
+
+
+class Roster:
+    """Sessions with all workers of the data centre."""
+
+    def __init__(
+        self,
+        *,
+        epoch: int,
+        worker: worker_module.Worker,
+        settings: settings_module.Settings,
+        report: typing.Callable[[session_module.Report], None],
+    ) -> None:
+        self._epoch = epoch
+        self._worker = worker
+        self._settings = settings
+        self._report = report
+        self._chart = chart.load("session")
+        self._majority_since_s: float | None = None
+        self.members: dict[str, Member] = {}
+
+    async def close(self) -> None:
+        """End every session."""
+        for member in self.members.values():
+            self._step(member, "close")
+        sessions = [m.session for m in self.members.values() if m.session]
+        await asyncio.gather(*(session.close() for session in sessions))
+
+    def expect(self, worker_ids: abc.Iterable[str]) -> None:
+        """Count workers in that records name."""
+        for worker_id in worker_ids:
+            self._member(worker_id)
+
+    async def list(self, vms: abc.Iterable[directory_module.Vm]) -> None:
+        """Open a session with each listed worker."""
+        for vm in vms:
+            member = self._member(vm.vm_id)
+            if member.vm is not None and member.vm.address == vm.address:
+                continue
+            if member.session is not None:
+                await member.session.close()
+            member.vm = vm
+            member.session = self._session(vm, member)
+            await member.session.start()
+
+    def _session(
+        self, vm: directory_module.Vm, member: Member
+    ) -> session_module.Session:
+        return session_module.Session(
+            vm=vm,
+            epoch=self._epoch,
+            worker=self._worker,
+            settings=self._settings,
+            report=self._report,
+            released=lambda: tuple(member.release),
+        )
+
+    def _member(self, worker_id: str) -> Member:
+        if worker_id not in self.members:
+            self.members[worker_id] = Member(worker_id, self._chart.initial)
+        return self.members[worker_id]
+
+    # Reports of sessions
+
+    def sealed(self, worker_id: str) -> None:
+        """Note that a worker takes this epoch's orders."""
+        self._step(self.members[worker_id], "sealed")
+        if self._majority_since_s is None and self.reaches_majority():
+            self._majority_since_s = _now_s()
+
+    def silent(self, worker_id: str) -> bool:
+        """Note that a worker has stopped to answer; False if known."""
+        member = self.members[worker_id]
+        if not self._chart.allows(member.state, "silent"):
+            return False
+        self._step(member, "silent")
+        member.lapses_at_s = _now_s() + self.lapse_s
+        return True
+
+    def answered(self, report: session_module.Happened) -> None:
+        """Drop the attempts that the worker has forgotten."""
+        member = self.members[report.worker_id]
+        for attempt_id in report.released:
+            member.release.pop(attempt_id, None)
+
+    def _step(self, member: Member, happened: str) -> None:
+        member.state = self._chart.step(member.state, happened)
+
+    # Leases
+
+    @property
+    def lapse_s(self) -> float:
+        """Time from the last order sent until every lease lapsed.
+
+        A confirmation is accepted at most ``gang_hold_s`` after the
+        start before it, which is accepted at most ``gang_hold_s``
+        after the hold; then the long lease begins.
+        """
+        settings = self._settings
+        return settings.worker_lease_s + 2 * settings.gang_hold_s
+
+    @property
+    def former_owner_s(self) -> float:
+        """Time in which a former owner meets a worker that fences it."""
+        settings = self._settings
+        attempt_s = settings.worker_timeout_s + session_module.RETRY_S
+        retries_s = session_module.LOST_AFTER_FAILURES * attempt_s
+        return settings.worker_renewal_s + retries_s
+
+    def take_lapsed(self) -> list[str]:
+        """Return workers whose leases have lapsed since the last call."""
+        lapsed = [
+            member
+            for member in self.members.values()
+            if self._chart.allows(member.state, "lapsed")
+            and self._lapsed_by_now(member)
+        ]
+        for member in lapsed:
+            self._step(member, "lapsed")
+        return [member.worker_id for member in lapsed]
+
+    def _lapsed_by_now(self, member: Member) -> bool:
+        if member.state == "silent":
+            return _now_s() >= member.lapses_at_s
+        if self._majority_since_s is None:
+            # A former owner might still renew this worker's leases.
+            return False
+        waited_s = _now_s() - self._majority_since_s
+        return waited_s >= self.former_owner_s + self.lapse_s
+
+    def is_lapsed(self, worker_id: str) -> bool:
+        """Tell whether nothing of any epoch runs on a worker."""
+        member = self.members.get(worker_id)
+        return member is not None and member.state == "lapsed"
+
+    def settled(self, worker_ids: abc.Iterable[str] | None = None) -> bool:
+        """Tell whether each worker has been sealed or has lapsed."""
+        asked = self.members if worker_ids is None else worker_ids
+        return all(
+            worker_id in self.members
+            and self.members[worker_id].state != self._chart.initial
+            for worker_id in asked
+        )
+
+    def reaches_majority(self) -> bool:
+        """Tell whether more than half of the workers answer."""
+        reached = sum(m.state == "sealed" for m in self.members.values())
+        return 2 * reached > len(self.members)
+
+    def release(self, worker_id: str, attempt_id: str) -> None:
+        """Leave an attempt out of the worker's renewals."""
+        if worker_id in self.members:
+            self.members[worker_id].release[attempt_id] = None
+
+    def address(self, worker_id: str) -> str:
+        """Return a worker's address, or nothing when it is unknown."""
+        member = self.members.get(worker_id)
+        return member.vm.address if member and member.vm else ""
+
+    # Workers that leave
+
+    def take_leaving(
+        self, vms: abc.Collection[directory_module.Vm]
+    ) -> list[str]:
+        """Return workers that newly leave or are listed no more."""
+        staying = {vm.vm_id for vm in vms if not vm.leaving}
+        newly = []
+        for member in self.members.values():
+            leaving = member.worker_id not in staying
+            if leaving and not member.leaving:
+                newly.append(member.worker_id)
+            member.leaving = leaving
+        return newly
+
+    async def drop_gone(
+        self, vms: abc.Collection[directory_module.Vm]
+    ) -> None:
+        """Forget workers that are listed no more and have lapsed."""
+        listed = {vm.vm_id for vm in vms}
+        for member in list(self.members.values()):
+            if member.worker_id in listed or member.state != "lapsed":
+                continue
+            del self.members[member.worker_id]
+            if member.session is not None:
+                await member.session.close()
+
+
+def _now_s() -> float:
+    return asyncio.get_running_loop().time()
--- a/src/knapweedwharf/scheduling/session.py
+++ b/src/knapweedwharf/scheduling/session.py
@@ -4,8 +4,8 @@
 
 import asyncio
 import dataclasses
-import time
 import typing
+import zlib
 
 from returns import result
 
@@ -15,8 +15,10 @@
 from knapweedwharf import mailbox
 from knapweedwharf import settings as settings_module
 
-_RETRY_S = 0.5
-_LOST_AFTER_FAILURES = 3
+RETRY_S = 0.5
+MAX_RETRY_S = 5.0
+LOST_AFTER_FAILURES = 3
+_SPREAD_STEPS = 1_000
 
 
 @dataclasses.dataclass(frozen=True)
@@ -29,10 +31,14 @@
 
 @dataclasses.dataclass(frozen=True)
 class Happened:
-    """Events the worker reported."""
+    """The worker answered a renewal.
+
+    :ivar released: attempts that the renewal asked it to forget.
+    """
 
     worker_id: str
     events: tuple[worker_module.WorkerEvent, ...]
+    released: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True)
@@ -42,13 +48,6 @@
     worker_id: str
 
 
-@dataclasses.dataclass(frozen=True)
-class Lapsed:
-    """Every lease on the silent worker has lapsed."""
-
-    worker_id: str
-
-
 @dataclasses.dataclass(frozen=True)
 class Deposed:
     """The worker has seen a newer epoch."""
@@ -56,11 +55,14 @@
     worker_id: str
 
 
-Report = typing.Union[Sealed, Happened, Silent, Lapsed, Deposed]
+Report = typing.Union[Sealed, Happened, Silent, Deposed]
 
 
 class Session(mailbox.Actor[None]):
-    """Keeps one worker's leases alive and passes its events on."""
+    """Keeps one worker's leases alive and passes its events on.
+
+    :param released: names attempts that are not to be renewed.
+    """
 
     name = "worker-session"
 
@@ -72,6 +74,7 @@
         worker: worker_module.Worker,
         settings: settings_module.Settings,
         report: typing.Callable[[Report], None],
+        released: typing.Callable[[], tuple[str, ...]],
     ) -> None:
         super().__init__()
         self.vm = vm
@@ -79,21 +82,20 @@
         self._worker = worker
         self._settings = settings
         self._report = report
+        self._released = released
         self._sequence = 0
-        self._renewed_at_s = time.monotonic()
+        self._clock_s = 0.0
 
     async def start(self) -> None:
         """Begin with a seal."""
         self.spawn(self._live())
 
     async def _live(self) -> None:
-        while True:
-            if not await self._seal():
-                return
-            if not await self._renew_until_silent():
-                return
+        while await self._seal() and await self._renew_while_heard():
+            pass
 
     async def _seal(self) -> bool:
+        pause_s = RETRY_S
         while True:
             sealed = await self._worker.seal(
                 self.vm.address, epoch=self._epoch
@@ -101,50 +103,64 @@
             if isinstance(sealed, result.Success):
                 state = sealed.unwrap()
                 self._sequence = state.sequence
-                self._renewed_at_s = time.monotonic()
+                self._clock_s = state.clock_s
                 self._report(Sealed(self.vm.vm_id, state))
                 return True
             if isinstance(sealed.failure(), errors.Fenced):
                 self._report(Deposed(self.vm.vm_id))
                 return False
-            self._check_lapse()
-            await asyncio.sleep(_RETRY_S)
+            await asyncio.sleep(pause_s)
+            pause_s = min(2 * pause_s, MAX_RETRY_S)
 
-    async def _renew_until_silent(self) -> bool:
+    async def _renew_while_heard(self) -> bool:
         failures = 0
-        while failures < _LOST_AFTER_FAILURES:
-            sent_at_s = time.monotonic()
-            renewed = await self._worker.renew(
-                self.vm.address,
-                epoch=self._epoch,
-                lease_s=self._settings.worker_lease_s,
-                after_sequence=self._sequence,
-                wait_s=self._settings.worker_renewal_s,
-            )
+        wait_s = self._first_wait_s()
+        while failures < LOST_AFTER_FAILURES:
+            released = self._released()
+            renewed = await self._renew(wait_s, released)
             if isinstance(renewed, result.Success):
                 failures = 0
-                self._renewed_at_s = sent_at_s
-                self._pass_on(renewed.unwrap())
+                wait_s = self._settings.worker_renewal_s
+                if not self._pass_on(renewed.unwrap(), released):
+                    return True
                 continue
             if isinstance(renewed.failure(), errors.Fenced):
                 self._report(Deposed(self.vm.vm_id))
                 return False
             failures += 1
-            await asyncio.sleep(_RETRY_S)
+            wait_s = 0.0
+            await asyncio.sleep(RETRY_S)
         self._report(Silent(self.vm.vm_id))
         return True
 
-    def _pass_on(self, renewal: worker_module.Renewal) -> None:
-        self._sequence = renewal.sequence
-        if renewal.events:
-            self._report(Happened(self.vm.vm_id, renewal.events))
-
-    def _check_lapse(self) -> None:
-        held_until_s = (
-            self._renewed_at_s
-            + self._settings.worker_renewal_s
-            + self._settings.worker_lease_s
+    def _first_wait_s(self) -> float:
+        # Spreads the renewals of many workers over the interval.
+        step = zlib.crc32(self.vm.vm_id.encode()) % _SPREAD_STEPS
+        return self._settings.worker_renewal_s * step / _SPREAD_STEPS
+
+    async def _renew(
+        self, wait_s: float, released: tuple[str, ...]
+    ) -> result.Result[worker_module.Renewal, errors.Fault]:
+        order = worker_module.RenewalOrder(
+            lease_s=self._settings.worker_lease_s,
+            as_of_s=self._clock_s,
+            after_sequence=self._sequence,
+            wait_s=wait_s,
+            release=released,
+        )
+        return await self._worker.renew(
+            self.vm.address, epoch=self._epoch, order=order
         )
-        if time.monotonic() > held_until_s:
-            self._renewed_at_s = time.monotonic()
-            self._report(Lapsed(self.vm.vm_id))
+
+    def _pass_on(
+        self, renewal: worker_module.Renewal, released: tuple[str, ...]
+    ) -> bool:
+        expected = self._sequence + len(renewal.events)
+        if renewal.sequence != expected:
+            # Events were dropped or the worker restarted: the state
+            # that a new seal returns tells what became of each task.
+            return False
+        self._sequence = renewal.sequence
+        self._clock_s = renewal.clock_s
+        self._report(Happened(self.vm.vm_id, renewal.events, released))
+        return True
--- a/src/knapweedwharf/scheduling/view.py
+++ b/src/knapweedwharf/scheduling/view.py
@@ -76,7 +76,7 @@
     def _own(self) -> list[JobDocument]:
         return [
             record_module.to_dict(record)
-            for record in self._role.engine.records.values()
+            for record in self._role.tenure.records.values()
         ]
 
     async def _stored(self, data_centre: str) -> list[JobDocument]:
--- a/src/knapweedwharf/settings.py
+++ b/src/knapweedwharf/settings.py
@@ -60,6 +60,8 @@
     store_timeout_s: float = 2.0
     worker_timeout_s: float = 2.0
     checkpoint_timeout_s: float = 4.0
+    job_retention_s: float = 86_400.0
+    job_retention_count: int = 1_000
     drain_wait_s: float = 2.0
     drain_timeout_s: float = 30.0
     max_body_bytes: int = 1_048_576
@@ -100,6 +102,8 @@
     store_timeout_s = fields.Float(validate=_positive(60))
     worker_timeout_s = fields.Float(validate=_positive(60))
     checkpoint_timeout_s = fields.Float(validate=_positive(600))
+    job_retention_s = fields.Float(validate=_positive(31_536_000))
+    job_retention_count = fields.Int(validate=_positive(10_000))
     drain_wait_s = fields.Float(validate=validate.Range(0, 600))
     drain_timeout_s = fields.Float(validate=_positive(3600))
     max_body_bytes = fields.Int(validate=_positive(16_777_216))
--- a/testing/charts/test_chart.py
+++ b/testing/charts/test_chart.py
@@ -6,7 +6,7 @@
 
 from knapweedwharf.charts import chart
 
-CHARTS = ["job", "node", "owner"]
+CHARTS = ["job", "node", "owner", "session"]
 
 
 def _reachable(machine: chart.Chart, start: str) -> set[str]:
