Route requests by shares, signals and a bounded door

Cause: routing knew only this node's own running requests, so that nine entry VMs could send 72 requests to 8 slots; an answer without a length passed as whole when its connection was cut; a repeated attempt that did not run hid an earlier one that may have run; a refused key could never run; a late body was read before its token was checked.

Ruled out: a central counter (the store's rates), fixed shares without borrowing (a node of nine would use 1/9 of an idle executor), forwarding without a claim while the store is away (a retry through another VM could run twice).

--- /dev/null
+++ b/src/knapweedwharf/adapters/channel.py
@@ -0,0 +1,180 @@
+"""One HTTP connection that carries one exchange at a time.
+
+A channel has one owner from the first byte of a request to the last
+byte of its answer. It is reusable only after a whole answer whose
+length the other side announced; any other end closes it.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import socket
+import typing
+
+from tornado import http1connection
+from tornado import httputil
+from tornado import iostream
+from tornado import netutil
+from tornado import tcpclient
+
+_MAX_HEADER_BYTES = 65_536
+_BODILESS_STATUSES = frozenset({204, 304})
+
+ChunkCallback = typing.Callable[[bytes], None]
+
+
+class Broken(Exception):
+    """The exchange ended without a whole answer."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Reply:
+    """A whole HTTP answer.
+
+    :ivar status: HTTP status code.
+    :ivar headers: header names in lower case.
+    :ivar body: the whole body, its length checked.
+    """
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+
+class _Reader(httputil.HTTPMessageDelegate):
+    """Collects one answer and refuses those of unknown length."""
+
+    def __init__(self, on_chunk: ChunkCallback | None) -> None:
+        self._on_chunk = on_chunk
+        self._body = bytearray()
+        self.finished = False
+        self.keeps_open = False
+        self.status = 0
+        self.headers: dict[str, str] = {}
+
+    def headers_received(self, start_line, headers) -> None:
+        if not 100 <= start_line.code < 600:
+            raise httputil.HTTPInputError("the status is out of range")
+        self.status = start_line.code
+        self.headers = {k.lower(): v for k, v in headers.items()}
+        bodiless = self.status < 200 or self.status in _BODILESS_STATUSES
+        chunked = "transfer-encoding" in self.headers
+        if not (bodiless or chunked or "content-length" in self.headers):
+            raise httputil.HTTPInputError("the answer has no length")
+        connection = self.headers.get("connection", "").lower()
+        self.keeps_open = (
+            start_line.version == "HTTP/1.1" and connection != "close"
+        )
+
+    def data_received(self, chunk: bytes) -> None:
+        if self._on_chunk is None:
+            self._body += chunk
+        else:
+            self._on_chunk(chunk)
+
+    def finish(self) -> None:
+        self.finished = True
+
+    def reply(self) -> Reply:
+        return Reply(self.status, self.headers, bytes(self._body))
+
+
+class Channel:
+    """A connection to one address.
+
+    :ivar sent: whether a byte of the current request may have left.
+    :ivar reusable: whether the last exchange ended whole.
+    :ivar idle_since_s: monotonic time at which its owner let it go.
+    """
+
+    def __init__(
+        self, stream: iostream.IOStream, *, max_body_bytes: int
+    ) -> None:
+        self._stream = stream
+        self._parameters = http1connection.HTTP1ConnectionParameters(
+            max_header_size=_MAX_HEADER_BYTES, max_body_size=max_body_bytes
+        )
+        self.sent = False
+        self.reusable = False
+        self.idle_since_s = 0.0
+
+    def close(self) -> None:
+        """Close the connection."""
+        self.reusable = False
+        self._stream.close()
+
+    def is_quiet(self) -> bool:
+        """Tell whether it is open and no unasked byte has arrived."""
+        if self._stream.closed():
+            return False
+        try:
+            self._stream.socket.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+        return False
+
+    async def exchange(
+        self,
+        *,
+        method: str,
+        path: str,
+        headers: dict[str, str],
+        body: bytes,
+        on_chunk: ChunkCallback | None = None,
+    ) -> Reply:
+        """Send one request and return the whole answer."""
+        self.reusable = False
+        self.sent = False
+        connection = http1connection.HTTP1Connection(
+            self._stream, is_client=True, params=self._parameters
+        )
+        reader = _Reader(on_chunk)
+        length = {"Content-Length": str(len(body))}
+        start_line = httputil.RequestStartLine(method, path, "HTTP/1.1")
+        self.sent = True
+        connection.write_headers(
+            start_line, httputil.HTTPHeaders({**headers, **length}), body
+        )
+        connection.finish()
+        await connection.read_response(reader)
+        if not reader.finished:
+            self.close()
+            raise Broken(_reason(reader))
+        self.reusable = reader.keeps_open and not self._stream.closed()
+        return reader.reply()
+
+
+def _reason(reader: _Reader) -> str:
+    if reader.status:
+        return "the answer is cut short, malformed or too long"
+    return "the connection ended without an answer"
+
+
+async def connect(
+    host: str, port: int, *, timeout_s: float, max_body_bytes: int
+) -> Channel:
+    """Open a connection; OSError when it cannot be made in time.
+
+    IP numbers are connected to without a resolver's thread.
+    """
+    max_buffer_size = max_body_bytes + _MAX_HEADER_BYTES
+    if not netutil.is_valid_ip(host):
+        stream = await tcpclient.TCPClient().connect(
+            host, port, max_buffer_size=max_buffer_size, timeout=timeout_s
+        )
+        return Channel(stream, max_body_bytes=max_body_bytes)
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    stream = iostream.IOStream(
+        socket.socket(family), max_buffer_size=max_buffer_size
+    )
+    try:
+        async with asyncio.timeout(timeout_s):
+            await stream.connect((host, port))
+    except BaseException:
+        stream.close()
+        raise
+    stream.set_nodelay(True)
+    return Channel(stream, max_body_bytes=max_body_bytes)
--- a/src/knapweedwharf/adapters/executor.py
+++ b/src/knapweedwharf/adapters/executor.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import dataclasses
+import re
 import typing
 
 from returns import result
 
+from knapweedwharf.adapters import channel
 from knapweedwharf.adapters import transport
 from knapweedwharf import errors
 from knapweedwharf import registry
@@ -14,15 +16,23 @@
 
 REQUEST_ID_HEADER = "X-Request-Id"
 ATTEMPT_ID_HEADER = "X-Attempt-Id"
+TIMEOUT_HEADER = "X-Timeout-Ms"
 RUNNING_HEADER = "X-Running"
 LEAVING_HEADER = "X-Leaving"
 
+MAX_ANSWER_BYTES = 1_000_000
+REFUSED_STATUS = 503
+REFUSED_RETRY_AFTER_S = 1.0
+_DEFAULT_CONTENT_TYPE = "application/octet-stream"
+_CONTENT_TYPE = re.compile(r"^[\x20-\x7e]{1,200}$")
+
 
 @dataclasses.dataclass(frozen=True)
 class Call:
     """One attempt of a request.
 
     :ivar timeout_s: what is left of the caller's deadline.
+    :ivar idempotent: running it twice does no harm.
     """
 
     request_id: str
@@ -30,21 +40,36 @@
     service: str
     body: bytes
     timeout_s: float
+    idempotent: bool = True
 
 
 @dataclasses.dataclass(frozen=True)
-class Answer:
-    """A whole answer that belongs to the call.
+class Signal:
+    """What an executor says of itself.
 
-    :ivar running: requests the executor says it runs, or None.
-    :ivar leaving: the executor asks for no more work.
+    :ivar running: requests it runs for all entry VMs, or None.
+    :ivar leaving: it asks for no more work.
     """
 
+    running: int | None = None
+    leaving: bool = False
+
+
+@dataclasses.dataclass(frozen=True)
+class Answer:
+    """A whole answer that belongs to the call."""
+
     status: int
     content_type: str
     body: bytes
-    running: int | None
-    leaving: bool
+    signal: Signal = Signal()
+
+
+@dataclasses.dataclass(frozen=True)
+class Refusal(errors.DidNotRun):
+    """The executor refused the call and ran nothing of it."""
+
+    signal: Signal = Signal()
 
 
 class Executor(typing.Protocol):
@@ -55,10 +80,18 @@
     ) -> result.Result[Answer, errors.Fault]:
         """Run one call.
 
-        ``Unreachable`` and ``DidNotRun`` say that it did not run;
+        ``Unreachable`` and ``Refusal`` say that it did not run;
         ``OutcomeUnknown`` that it may have.
         """
 
+    async def probe(
+        self, address: str, *, timeout_s: float
+    ) -> result.Result[Signal, errors.Fault]:
+        """Ask for the executor's signal without giving it work."""
+
+    def set_connection_limit(self, limit: int) -> None:
+        """Limit the open connections to each executor."""
+
     def close(self) -> None:
         """Close connections."""
 
@@ -69,17 +102,28 @@
 
 @EXECUTORS.register("http")
 class HttpExecutor:
-    """Posts the caller's body to ``/run/<service>``."""
+    """Posts the caller's body to ``/run/<service>``.
+
+    Idempotent calls use kept connections. A call that is not
+    idempotent gets a new one: a kept connection can be closed by the
+    other side while the request is on its way, which would leave the
+    outcome unknown without need.
+    """
 
     def __init__(self, settings: settings_module.Settings) -> None:
+        del settings
         self._transport = transport.HttpTransport(
-            max_body_bytes=settings.max_body_bytes
+            max_body_bytes=MAX_ANSWER_BYTES, reuse=True
         )
 
     def close(self) -> None:
         """Close connections."""
         self._transport.close()
 
+    def set_connection_limit(self, limit: int) -> None:
+        """Limit the open connections to each executor."""
+        self._transport.max_per_host = limit
+
     async def run(
         self, address: str, call: Call
     ) -> result.Result[Answer, errors.Fault]:
@@ -90,15 +134,30 @@
             headers={
                 REQUEST_ID_HEADER: call.request_id,
                 ATTEMPT_ID_HEADER: call.attempt_id,
+                TIMEOUT_HEADER: str(int(call.timeout_s * 1000)),
             },
             body=call.body,
             timeout_s=call.timeout_s,
+            fresh=not call.idempotent,
+        )
+        checked = outcome.bind(lambda reply: _check(reply, call))
+        if isinstance(checked, result.Failure):
+            if not isinstance(checked.failure(), Refusal):
+                self._transport.discard(address)
+        return checked
+
+    async def probe(
+        self, address: str, *, timeout_s: float
+    ) -> result.Result[Signal, errors.Fault]:
+        """Ask for the executor's signal without giving it work."""
+        outcome = await self._transport.exchange(
+            method="GET", url=f"{address}/healthz", timeout_s=timeout_s
         )
-        return outcome.bind(lambda reply: _check(reply, call))
+        return outcome.map(_signal)
 
 
 def _check(
-    reply: transport.Reply, call: Call
+    reply: channel.Reply, call: Call
 ) -> result.Result[Answer, errors.Fault]:
     attempt_id = reply.headers.get(ATTEMPT_ID_HEADER.lower())
     if attempt_id != call.attempt_id:
@@ -108,23 +167,33 @@
                 remedy="Ask again by the request's id.",
             )
         )
-    if reply.status == 503:
+    if reply.status == REFUSED_STATUS:
         return result.Failure(
-            errors.DidNotRun(
+            Refusal(
                 message="The executor refused the request.",
                 remedy="Try again after the given time.",
-                retry_after_s=1.0,
+                retry_after_s=REFUSED_RETRY_AFTER_S,
+                signal=_signal(reply),
             )
         )
-    running = reply.headers.get(RUNNING_HEADER.lower())
     return result.Success(
         Answer(
             status=reply.status,
-            content_type=reply.headers.get(
-                "content-type", "application/octet-stream"
-            ),
+            content_type=_content_type(reply),
             body=reply.body,
-            running=int(running) if running else None,
-            leaving=LEAVING_HEADER.lower() in reply.headers,
+            signal=_signal(reply),
         )
     )
+
+
+def _signal(reply: channel.Reply) -> Signal:
+    running = reply.headers.get(RUNNING_HEADER.lower(), "")
+    return Signal(
+        running=int(running) if re.fullmatch(r"[0-9]{1,6}", running) else None,
+        leaving=LEAVING_HEADER.lower() in reply.headers,
+    )
+
+
+def _content_type(reply: channel.Reply) -> str:
+    found = reply.headers.get("content-type", "")
+    return found if _CONTENT_TYPE.match(found) else _DEFAULT_CONTENT_TYPE
--- a/src/knapweedwharf/adapters/transport.py
+++ b/src/knapweedwharf/adapters/transport.py
@@ -7,52 +7,55 @@
 from __future__ import annotations
 
 import asyncio
-import dataclasses
 import json
-import socket
+import time
 import typing
+import urllib.parse
 
 from returns import result
-from tornado import httpclient
-from tornado import simple_httpclient
+from tornado import iostream
 
+from knapweedwharf.adapters import channel as channel_module
 from knapweedwharf import errors
 
 _CONNECT_TIMEOUT_S = 1.0
-_MAX_CLIENTS = 512
+_MAX_PER_HOST = 512
+_IDLE_S = 5.0
 
-
-@dataclasses.dataclass(frozen=True)
-class Reply:
-    """A whole HTTP answer.
-
-    :ivar status: HTTP status code.
-    :ivar headers: header names in lower case.
-    :ivar body: the whole body, its length checked by the library.
-    """
-
-    status: int
-    headers: dict[str, str]
-    body: bytes
+Reply = channel_module.Reply
 
 
 class HttpTransport:
-    """Client whose connections serve one exchange each.
+    """Client that gives each exchange a connection of its own.
 
-    A connection of its own for each exchange rules out that an answer
-    reaches another caller.
+    :param reuse: keep a connection for a later exchange once it has
+        brought a whole answer. It is dropped after a timeout, a cut or
+        surplus bytes, and by ``discard`` of an unwanted answer.
     """
 
-    def __init__(self, *, max_body_bytes: int) -> None:
-        self._client = simple_httpclient.SimpleAsyncHTTPClient(
-            force_instance=True,
-            max_clients=_MAX_CLIENTS,
-            max_body_size=max_body_bytes,
-        )
+    def __init__(self, *, max_body_bytes: int, reuse: bool = False) -> None:
+        self._max_body_bytes = max_body_bytes
+        self._reuse = reuse
+        self._idle: dict[str, list[channel_module.Channel]] = {}
+        self._busy: dict[str, set[channel_module.Channel]] = {}
+        self.max_per_host = _MAX_PER_HOST
 
     def close(self) -> None:
-        """Close the client; running exchanges fail."""
-        self._client.close()
+        """Close all connections; running exchanges fail."""
+        for channels in (*self._idle.values(), *self._busy.values()):
+            for channel in list(channels):
+                channel.close()
+        self._idle.clear()
+
+    def discard(self, url: str) -> None:
+        """Close the idle connections to a host."""
+        for channel in self._idle.pop(_host(url), []):
+            channel.close()
+
+    def open_count(self, url: str) -> int:
+        """Return how many connections to a host are open."""
+        host = _host(url)
+        return len(self._idle.get(host, ())) + len(self._busy.get(host, ()))
 
     async def exchange(
         self,
@@ -62,37 +65,95 @@
         headers: dict[str, str] | None = None,
         body: bytes | None = None,
         timeout_s: float,
-        on_chunk: typing.Callable[[bytes], None] | None = None,
+        on_chunk: channel_module.ChunkCallback | None = None,
+        fresh: bool = False,
     ) -> result.Result[Reply, errors.Fault]:
-        """Send one request; any status is a success."""
-        request = httpclient.HTTPRequest(
-            url,
-            method=method,
-            headers=headers,
-            body=body,
-            connect_timeout=min(_CONNECT_TIMEOUT_S, timeout_s),
-            request_timeout=timeout_s,
-            follow_redirects=False,
-            streaming_callback=on_chunk,
-            allow_nonstandard_methods=True,
-            decompress_response=False,
-        )
+        """Send one request; any status is a success.
+
+        :param fresh: never use a kept connection.
+        """
+        parts = urllib.parse.urlsplit(url)
+        channel = None
         try:
-            response = await self._client.fetch(request, raise_error=False)
-        except (OSError, httpclient.HTTPError) as error:
-            return result.Failure(_classify(error, url))
-        except asyncio.TimeoutError:
-            return result.Failure(_unknown(url, "timed out"))
-        if response.error is not None and response.code == 599:
-            return result.Failure(_classify(response.error, url))
-        return result.Success(
-            Reply(
-                status=response.code,
-                headers={k.lower(): v for k, v in response.headers.items()},
-                body=response.body or b"",
-            )
+            async with asyncio.timeout(timeout_s):
+                channel = await self._take(parts, timeout_s, fresh=fresh)
+                reply = await channel.exchange(
+                    method=method,
+                    path=_target(parts),
+                    headers={**self._own_headers(parts), **(headers or {})},
+                    body=body or b"",
+                    on_chunk=on_chunk,
+                )
+        except (OSError, iostream.StreamClosedError) as error:
+            return result.Failure(_classify(error, url, channel))
+        except channel_module.Broken as error:
+            return result.Failure(_classify(error, url, channel))
+        finally:
+            self._give_back(parts.netloc, channel)
+        return result.Success(reply)
+
+    def _own_headers(self, parts: urllib.parse.SplitResult) -> dict[str, str]:
+        headers = {"Host": parts.netloc}
+        if not self._reuse:
+            headers["Connection"] = "close"
+        return headers
+
+    async def _take(
+        self, parts: urllib.parse.SplitResult, timeout_s: float, *, fresh: bool
+    ) -> channel_module.Channel:
+        host = parts.netloc
+        channel = None if fresh else self._take_idle(host)
+        if channel is None:
+            channel = await self._open(parts, timeout_s)
+        self._busy.setdefault(host, set()).add(channel)
+        return channel
+
+    def _take_idle(self, host: str) -> channel_module.Channel | None:
+        idle = self._idle.get(host, [])
+        while idle:
+            channel = idle.pop()
+            if channel.is_quiet():
+                return channel
+            channel.close()
+        return None
+
+    async def _open(
+        self, parts: urllib.parse.SplitResult, timeout_s: float
+    ) -> channel_module.Channel:
+        idle = self._idle.get(parts.netloc, [])
+        if self.open_count(parts.netloc) >= self.max_per_host:
+            if not idle:
+                raise OSError("all connections to the host are in use")
+            idle.pop(0).close()
+        return await channel_module.connect(
+            parts.hostname or "",
+            parts.port or 80,
+            timeout_s=min(_CONNECT_TIMEOUT_S, timeout_s),
+            max_body_bytes=self._max_body_bytes,
         )
 
+    def _give_back(
+        self, host: str, channel: channel_module.Channel | None
+    ) -> None:
+        if channel is None:
+            return
+        busy = self._busy[host]
+        busy.discard(channel)
+        room = self.open_count(host) < self.max_per_host
+        if not (self._reuse and channel.reusable and room):
+            channel.close()
+            return
+        channel.idle_since_s = time.monotonic()
+        self._idle.setdefault(host, []).append(channel)
+        loop = asyncio.get_running_loop()
+        loop.call_later(_IDLE_S, self._drop_idle, host)
+
+    def _drop_idle(self, host: str) -> None:
+        oldest_s = time.monotonic() - _IDLE_S
+        idle = self._idle.get(host, [])
+        while idle and idle[0].idle_since_s <= oldest_s:
+            idle.pop(0).close()
+
     async def post_json(
         self, url: str, document: object, *, timeout_s: float
     ) -> result.Result[typing.Any, errors.Fault]:
@@ -137,15 +198,17 @@
         return result.Failure(_unknown("answer", "is not JSON"))
 
 
-def _classify(error: BaseException, url: str) -> errors.Fault:
-    unsent = (ConnectionRefusedError, socket.gaierror)
-    text = str(error)
-    if isinstance(error, unsent) or "while connecting" in text:
+def _classify(
+    error: BaseException, url: str, channel: channel_module.Channel | None
+) -> errors.Fault:
+    if channel is None or not channel.sent:
         return errors.Unreachable(
             message=f"No connection to {_host(url)}.",
             remedy="Check that it runs and that the network reaches it.",
         )
-    return _unknown(url, text or type(error).__name__)
+    if isinstance(error, TimeoutError):
+        return _unknown(url, "timed out")
+    return _unknown(url, str(error) or type(error).__name__)
 
 
 def _unknown(url: str, text: str) -> errors.OutcomeUnknown:
@@ -157,3 +220,8 @@
 
 def _host(url: str) -> str:
     return url.split("//", 1)[-1].split("/", 1)[0]
+
+
+def _target(parts: urllib.parse.SplitResult) -> str:
+    query = f"?{parts.query}" if parts.query else ""
+    return (parts.path or "/") + query
--- a/src/knapweedwharf/cli/serve.py
+++ b/src/knapweedwharf/cli/serve.py
@@ -45,7 +45,7 @@
         output.fail(loaded.failure(), exit_code=output.EXIT_USAGE)
     settings = loaded.unwrap()
     log.configure(level=settings.log_level, node_id=settings.node_id)
-    asyncio.run(_serve(settings))
+    raise SystemExit(asyncio.run(_serve(settings)))
 
 
 def _source(context: click.Context, field: str) -> str:
@@ -55,5 +55,5 @@
     return f"flag {settings_module.flag_name(field)}"
 
 
-async def _serve(settings: settings_module.Settings) -> None:
-    await node_module.Node(settings).run()
+async def _serve(settings: settings_module.Settings) -> int:
+    return await node_module.Node(settings).run()
--- a/src/knapweedwharf/errors.py
+++ b/src/knapweedwharf/errors.py
@@ -72,6 +72,22 @@
     http_status = 404
 
 
+@dataclasses.dataclass(frozen=True)
+class TooLarge(Fault):
+    """The body is longer than the node reads."""
+
+    code = "too-large"
+    http_status = 413
+
+
+@dataclasses.dataclass(frozen=True)
+class TooSlow(Fault):
+    """The body did not arrive in time."""
+
+    code = "too-slow"
+    http_status = 408
+
+
 @dataclasses.dataclass(frozen=True)
 class Conflict(Fault):
     """The compare-and-swap lost against another writer."""
--- a/src/knapweedwharf/node.py
+++ b/src/knapweedwharf/node.py
@@ -16,25 +16,30 @@
 from knapweedwharf.adapters import worker as worker_module
 from knapweedwharf.charts import chart
 from knapweedwharf.configuration import feed as feed_module
+from knapweedwharf import drain as drain_module
 from knapweedwharf import errors
 from knapweedwharf import log
 from knapweedwharf import metrics
 from knapweedwharf.peer import membership as membership_module
 from knapweedwharf.peer.messages import ttypes
+from knapweedwharf.routing import choice
 from knapweedwharf.routing import dispatch
 from knapweedwharf.routing import pool as pool_module
+from knapweedwharf.routing import share
 from knapweedwharf.scheduling import role as role_module
 from knapweedwharf.scheduling import view as view_module
 from knapweedwharf import settings as settings_module
 from knapweedwharf import telemetry as telemetry_module
+from knapweedwharf.web import body as body_module
 from knapweedwharf.web import server as server_module
 
-_DRAIN_POLL_S = 0.05
+EXIT_CUT = 5
 _KINDS = {
     "store_kind": store_module.STORES,
     "directory_kind": directory_module.DIRECTORIES,
     "worker_kind": worker_module.WORKERS,
     "executor_kind": executor_module.EXECUTORS,
+    "routing_policy": choice.POLICIES,
 }
 
 
@@ -81,20 +86,6 @@
             adapter.close()
 
 
-class InFlight:
-    """Counts requests that have begun and not been answered."""
-
-    def __init__(self) -> None:
-        self.count = 0
-
-    def __enter__(self) -> InFlight:
-        self.count += 1
-        return self
-
-    def __exit__(self, *_error) -> None:
-        self.count -= 1
-
-
 class Node:
     """Composition of the process; every VM runs the same."""
 
@@ -104,19 +95,27 @@
         self._chart = chart.load("node")
         self.state = self._chart.initial
         self.metrics = metrics.create(settings)
-        self.in_flight = InFlight()
+        self.in_flight = drain_module.InFlight()
         self._adapters = _Adapters(settings)
         self.store = self._adapters.store
         self.feed = feed_module.Feed(store=self.store)
         self.role = role_module.Role(
             settings=settings, store=self.store, worker=self._adapters.worker
         )
+        seed = zlib.crc32(settings.node_id.encode())
         self.pool = pool_module.Pool(
+            node_id=settings.node_id,
             data_centre=settings.data_centre,
-            seed=zlib.crc32(settings.node_id.encode()),
+            seed=seed,
+            policy=settings.routing_policy,
         )
         self.dispatcher = dispatch.Dispatcher(
-            store=self.store, executor=self._adapters.executor, pool=self.pool
+            settings=settings,
+            store=self.store,
+            executor=self._adapters.executor,
+            pool=self.pool,
+            metrics=self.metrics,
+            seed=seed,
         )
         self.jobs = view_module.JobView(
             role=self.role,
@@ -133,9 +132,12 @@
         self._telemetry = telemetry_module.Telemetry(
             sender=self.metrics, status=self.status
         )
+        self.body_budget = body_module.BodyBudget(settings.max_buffered_bytes)
         self._server = server_module.create(self)
         self._tasks: list[asyncio.Task] = []
         self._stopped = asyncio.Event()
+        self._drain: drain_module.Drain | None = None
+        self.exit_code = 0
 
     async def start(self) -> None:
         """Start every part; ready once the HTTP port is open."""
@@ -150,18 +152,20 @@
         self.state = self._chart.step(self.state, "ready")
         self._log.info("serving", address=self.settings.http_address)
 
-    async def run(self) -> None:
-        """Serve until a signal has drained the node."""
+    async def run(self) -> int:
+        """Serve until a signal has drained the node; the exit code."""
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self._signalled)
         await self.start()
         await self._stopped.wait()
         await self.close()
+        return self.exit_code
 
     async def close(self) -> None:
         """Close every part."""
         self._server.stop()
+        await self.dispatcher.close()
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
@@ -172,25 +176,23 @@
         self._adapters.close()
 
     def _signalled(self) -> None:
-        if not self._chart.allows(self.state, "drain"):
-            self._log.warning("second-signal")
-            self._stopped.set()
+        if self._drain is not None:
+            self._drain.force()
             return
         self.state = self._chart.step(self.state, "drain")
         self.membership.draining = True
-        self._tasks.append(asyncio.create_task(self._drain()))
-
-    async def _drain(self) -> None:
-        self._log.info("draining", in_flight=self.in_flight.count)
-        deadline_s = time.monotonic() + self.settings.drain_timeout_s
-        await asyncio.sleep(self.settings.drain_wait_s)
-        while self.in_flight.count and time.monotonic() < deadline_s:
-            await asyncio.sleep(_DRAIN_POLL_S)
-        finished = self.in_flight.count == 0
-        self.state = self._chart.step(
-            self.state, "drained" if finished else "force"
+        self._drain = drain_module.Drain(
+            settings=self.settings,
+            server=self._server,
+            in_flight=self.in_flight,
+            unsettled=lambda: self.dispatcher.unsettled,
         )
-        self._log.info("drained", in_flight=self.in_flight.count)
+        self._tasks.append(asyncio.create_task(self._run_drain(self._drain)))
+
+    async def _run_drain(self, drain: drain_module.Drain) -> None:
+        drained = await drain.run()
+        self.state = self._chart.step(self.state, drained.event)
+        self.exit_code = EXIT_CUT if drained.cut else 0
         self._stopped.set()
 
     async def _read_directory(self) -> None:
@@ -198,11 +200,28 @@
             listed = await self._adapters.directory.list_vms()
             if isinstance(listed, result.Success):
                 vms = listed.unwrap()
-                self.pool.set_listed(vms)
                 self.membership.set_listed(vms)
+                self._divide_executors(vms)
+                self.pool.set_listed(vms)
                 self.role.post(role_module.Listed(tuple(vms)))
             await asyncio.sleep(self.settings.directory_interval_s)
 
+    def _divide_executors(self, vms: list[directory_module.Vm]) -> None:
+        """Share the executors with listed and heard entry VMs."""
+        listed = {
+            share.EntryVm(vm.vm_id, vm.data_centre)
+            for vm in vms
+            if vm.kind == directory_module.ENTRY_KIND
+        }
+        heard = {
+            share.EntryVm(peer.node_id, peer.data_centre)
+            for peer in self.membership.live_peers()
+        }
+        self.pool.set_entry_vms(listed | heard)
+        self._adapters.executor.set_connection_limit(
+            self.pool.connection_limit
+        )
+
     def _configuration_changed(self, configuration) -> None:
         self.role.post(role_module.ConfigurationInForce(configuration))
 
--- a/src/knapweedwharf/routing/claim.py
+++ b/src/knapweedwharf/routing/claim.py
@@ -2,14 +2,17 @@
 
 A claim is created in the store before the first byte goes out; a
 retry with the same key finds it there, on whichever VM it arrives.
+Claims expire with a lease that each VM shares among those of an hour.
 """
 
 from __future__ import annotations
 
-import base64
+import asyncio
+from collections import abc
 import dataclasses
 import hashlib
 import json
+import time
 
 from returns import result
 
@@ -17,7 +20,7 @@
 from knapweedwharf import errors
 
 CLAIM_PREFIX = "/knapweedwharf/claims/"
-MAX_KEPT_ANSWER_BYTES = 262_144
+BUCKET_S = 3600.0
 
 CLAIMED = "claimed"
 RAN = "ran"
@@ -29,26 +32,32 @@
     """Who may run a request and, later, what it answered.
 
     :ivar attempt_id: the one attempt that may run it.
-    :ivar body_sha256: hash of the request, to refuse a reused key.
+    :ivar fingerprint: hash of the request, to refuse a reused key.
     """
 
     request_id: str
     account: str
     attempt_id: str
-    body_sha256: str
+    fingerprint: str
     state: str
     status: int = 0
     content_type: str = ""
-    answer_base64: str = ""
+    answer: bytes = b""
 
     def encode(self) -> bytes:
-        """Return the claim's value in the store."""
-        return json.dumps(dataclasses.asdict(self), sort_keys=True).encode()
+        """Return the value in the store: a JSON line and the answer."""
+        head = {
+            field.name: getattr(self, field.name)
+            for field in dataclasses.fields(self)
+            if field.name != "answer"
+        }
+        return json.dumps(head, sort_keys=True).encode() + b"\n" + self.answer
 
-    @property
-    def answer(self) -> bytes:
-        """The kept body of the answer."""
-        return base64.b64decode(self.answer_base64)
+
+def decode(entry: store_module.Entry) -> Claim:
+    """Read a claim from its entry."""
+    head, answer = entry.value.split(b"\n", 1)
+    return Claim(**json.loads(head), answer=answer)
 
 
 def key_of(account: str, request_id: str) -> str:
@@ -57,35 +66,123 @@
     return f"{CLAIM_PREFIX}{account}/{digest}"
 
 
-def decode(entry: store_module.Entry) -> Claim:
-    """Read a claim from its entry."""
-    return Claim(**json.loads(entry.value))
-
-
-async def take(
-    store: store_module.Store, claim: Claim
-) -> result.Result[store_module.Entry, errors.Fault]:
-    """Create the claim; ``Conflict`` if someone holds it."""
-    return await store_module.write_certain(
-        store,
-        key_of(claim.account, claim.request_id),
-        claim.encode(),
-        expected_version=store_module.ABSENT_VERSION,
-    )
-
-
-async def settle(
-    store: store_module.Store, entry: store_module.Entry, claim: Claim
-) -> result.Result[store_module.Entry, errors.Fault]:
-    """Write what became of a claimed request."""
-    return await store_module.write_certain(
-        store, entry.key, claim.encode(), expected_version=entry.version
-    )
-
-
-async def find(
-    store: store_module.Store, account: str, request_id: str
-) -> result.Result[Claim | None, errors.Fault]:
-    """Read a claim back by the request's id."""
-    found = await store.get(key_of(account, request_id))
-    return found.map(lambda entry: decode(entry) if entry else None)
+class Claims:
+    """Claims of this node in the store.
+
+    :param retention_s: how long an outcome can be asked for at least.
+    """
+
+    def __init__(
+        self,
+        *,
+        store: store_module.Store,
+        retention_s: float,
+        clock: abc.Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._store = store
+        self._retention_s = retention_s
+        self._clock = clock
+        self._lease_id = 0
+        self._lease_ends_s = float("-inf")
+        self._lease_lock = asyncio.Lock()
+
+    async def take(
+        self, claim: Claim
+    ) -> result.Result[store_module.Entry, errors.Fault]:
+        """Create the claim, or take over one that did not run.
+
+        ``Conflict`` when another attempt holds it.
+        """
+        taken = await self._write(claim, store_module.ABSENT_VERSION)
+        if isinstance(taken, result.Success):
+            return taken
+        if not isinstance(taken.failure(), errors.Conflict):
+            return taken
+        found = await self.find_entry(claim.account, claim.request_id)
+        if isinstance(found, result.Failure) or found.unwrap() is None:
+            return taken
+        entry = found.unwrap()
+        other = decode(entry)
+        if other.state != DID_NOT_RUN:
+            return taken
+        if other.fingerprint != claim.fingerprint:
+            return taken
+        return await self._write(claim, entry.version)
+
+    async def settle(
+        self, entry: store_module.Entry, claim: Claim
+    ) -> result.Result[store_module.Entry, errors.Fault]:
+        """Write what became of a claimed request."""
+        return await self._write(claim, entry.version)
+
+    async def withdraw(
+        self, claim: Claim
+    ) -> result.Result[store_module.Entry | None, errors.Fault]:
+        """Record that a claim whose write is in doubt did not run.
+
+        Nothing is changed when another attempt holds the key.
+        """
+        withdrawn = dataclasses.replace(claim, state=DID_NOT_RUN)
+        written = await self._write(withdrawn, store_module.ABSENT_VERSION)
+        if isinstance(written, result.Success):
+            return written
+        if not isinstance(written.failure(), errors.Conflict):
+            return written
+        found = await self.find_entry(claim.account, claim.request_id)
+        if isinstance(found, result.Failure):
+            return found
+        entry = found.unwrap()
+        if entry is None:
+            return written
+        other = decode(entry)
+        if other.attempt_id != claim.attempt_id or other.state != CLAIMED:
+            return result.Success(None)
+        return await self._write(withdrawn, entry.version)
+
+    async def find_entry(
+        self, account: str, request_id: str
+    ) -> result.Result[store_module.Entry | None, errors.Fault]:
+        """Read a claim's entry by the request's id."""
+        return await self._store.get(key_of(account, request_id))
+
+    async def find(
+        self, account: str, request_id: str
+    ) -> result.Result[Claim | None, errors.Fault]:
+        """Read a claim back by the request's id."""
+        found = await self.find_entry(account, request_id)
+        return found.map(lambda entry: decode(entry) if entry else None)
+
+    async def _write(
+        self, claim: Claim, expected_version: int
+    ) -> result.Result[store_module.Entry, errors.Fault]:
+        leased = await self._lease()
+        if isinstance(leased, result.Failure):
+            return leased
+        written = await store_module.write_certain(
+            self._store,
+            key_of(claim.account, claim.request_id),
+            claim.encode(),
+            expected_version=expected_version,
+            lease_id=leased.unwrap(),
+        )
+        if isinstance(written, result.Failure):
+            if isinstance(written.failure(), errors.OutcomeUnknown):
+                self._lease_ends_s = float("-inf")
+        return written
+
+    async def _lease(self) -> result.Result[int, errors.Fault]:
+        """Return the lease of this hour, granted on its first use."""
+        async with self._lease_lock:
+            if self._clock() < self._lease_ends_s:
+                return result.Success(self._lease_id)
+            granted = await self._store.grant(self._retention_s + BUCKET_S)
+            if isinstance(granted, result.Failure):
+                return result.Failure(
+                    errors.Unreachable(
+                        message="The store grants no lease for claims.",
+                        remedy="Check the platform's store.",
+                    )
+                )
+            self._lease_id = granted.unwrap()
+            self._lease_ends_s = self._clock() + BUCKET_S
+            return granted
--- a/src/knapweedwharf/settings.py
+++ b/src/knapweedwharf/settings.py
@@ -65,6 +65,10 @@
     max_body_bytes: int = 1_048_576
     max_header_bytes: int = 16_384
     max_connections: int = 1_024
+    max_buffered_bytes: int = 16_777_216
+    max_waiting_requests: int = 512
+    claim_retention_s: float = 86_400.0
+    routing_policy: str = "least-of-two"
 
 
 class SettingsSchema(marshmallow.Schema):
@@ -105,6 +109,10 @@
     max_body_bytes = fields.Int(validate=_positive(16_777_216))
     max_header_bytes = fields.Int(validate=_positive(1_048_576))
     max_connections = fields.Int(validate=_positive(65_536))
+    max_buffered_bytes = fields.Int(validate=_positive(1_073_741_824))
+    max_waiting_requests = fields.Int(validate=_positive(65_536))
+    claim_retention_s = fields.Float(validate=_positive(2_592_000))
+    routing_policy = fields.Str()
 
     @marshmallow.validates_schema
     def _lease_outlives_renewal(self, data: dict, **_kwargs) -> None:
--- a/src/knapweedwharf/web/request.py
+++ b/src/knapweedwharf/web/request.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import dataclasses
+import re
 import time
 import uuid
 
@@ -9,34 +11,57 @@
 
 from knapweedwharf.core import model
 from knapweedwharf import errors
-from knapweedwharf.routing import claim as claim_module
 from knapweedwharf.routing import dispatch
+from knapweedwharf.routing import once
+from knapweedwharf.routing import request as request_module
 from knapweedwharf.web import base
 
 KEY_HEADER = "Idempotency-Key"
 TIMEOUT_HEADER = "Request-Timeout-S"
 MAX_KEY_LENGTH = 200
+_KEY = re.compile(rf"[\x21-\x7e]{{1,{MAX_KEY_LENGTH}}}")
 
-RAN = "ran"
-DID_NOT_RUN = "did-not-run"
-UNKNOWN = "unknown"
 
+class _CheckedHandler(base.Handler):
+    """Handlers whose calls count against the account's rate."""
 
-class RequestHandler(base.Handler):
+    def check(self) -> None:
+        """Refuse before the body what exceeds the account's rate."""
+        base.unwrap(self.node.dispatcher.door.check_rate(self.account()))
+
+    def account(self) -> model.AccountSpec:
+        """Return the caller's account; the bootstrap token has none."""
+        name = self._caller.account
+        known = self.node.feed.current.accounts.get(name)
+        return known or model.AccountSpec(name=name, token_sha256="")
+
+
+class RequestHandler(_CheckedHandler):
     """``POST /v1/services/<service>``."""
 
-    async def post(self, service_name: str) -> None:
-        """Run the body on an executor of the service."""
-        caller = self.caller()
-        request = dispatch.Request(
-            request_id=self._request_id(),
-            account=caller.account,
-            service=self._service(service_name),
-            body=self.request.body,
-            deadline_s=self._deadline_s(service_name),
+    def check(self) -> None:
+        """Refuse before the body what the headers show to be wrong."""
+        super().check()
+        service = self._service(self.path_args[0])
+        timeout_s = service.timeout_s
+        asked = self.request.headers.get(TIMEOUT_HEADER)
+        if asked is not None:
+            timeout_s = min(timeout_s, _seconds(asked))
+        key = self._key()
+        self._draft = request_module.Request(
+            request_id=key or uuid.uuid4().hex,
+            account=self.account(),
+            service=service,
+            body=b"",
+            deadline_s=time.monotonic() + timeout_s,
+            has_key=key is not None,
         )
-        with self.node.in_flight:
-            outcome = await self.node.dispatcher.run(request)
+
+    async def post(self, _service_name: str) -> None:
+        """Run the body on an executor of the service."""
+        self.caller()
+        request = dataclasses.replace(self._draft, body=self.request.body)
+        outcome = await self.node.dispatcher.run(request)
         write_outcome(self, request.request_id, outcome)
 
     def _service(self, name: str) -> model.ServiceSpec:
@@ -50,68 +75,57 @@
             )
         return service
 
-    def _request_id(self) -> str:
+    def _key(self) -> str | None:
         key = self.request.headers.get(KEY_HEADER)
-        if key is None:
-            return uuid.uuid4().hex
-        if not 0 < len(key) <= MAX_KEY_LENGTH:
-            raise base.Refused(
-                errors.InvalidField(
-                    message="The key is empty or too long.",
-                    remedy=f"Use 1 to {MAX_KEY_LENGTH} characters.",
-                    source="header",
-                    field=KEY_HEADER,
-                    value=f"{len(key)} characters",
-                )
+        if key is None or _KEY.fullmatch(key):
+            return key
+        raise base.Refused(
+            errors.InvalidField(
+                message="The key is empty, too long or not plain ASCII.",
+                remedy=f"Use 1 to {MAX_KEY_LENGTH} ASCII characters without "
+                "spaces.",
+                source="header",
+                field=KEY_HEADER,
+                value=f"{len(key)} characters",
             )
-        return key
-
-    def _deadline_s(self, service_name: str) -> float:
-        timeout_s = self._service(service_name).timeout_s
-        asked = self.request.headers.get(TIMEOUT_HEADER)
-        if asked is not None:
-            timeout_s = min(timeout_s, _seconds(asked))
-        return time.monotonic() + timeout_s
+        )
 
 
-class OutcomeHandler(base.Handler):
+class OutcomeHandler(_CheckedHandler):
     """``GET /v1/requests/<id>``."""
 
     async def get(self, request_id: str) -> None:
         """Tell what became of a claimed request, on any VM."""
         caller = self.caller()
-        found = await claim_module.find(
-            self.node.store, caller.account, request_id
+        found = await self.node.dispatcher.claims.find(
+            caller.account, request_id
         )
         claim = base.unwrap(found)
         if claim is None:
             raise base.Refused(
                 errors.NotFound(
-                    message="No request of this account has that id.",
-                    remedy="It did not run; send it again if you want it.",
+                    message="No outcome of this account is kept under "
+                    "that id.",
+                    remedy="Outcomes of idempotent services are not kept; "
+                    "others are kept for the retention time.",
                 )
             )
-        write_outcome(self, request_id, dispatch.outcome_of(claim))
+        write_outcome(self, request_id, once.outcome_of(claim))
 
 
 def write_outcome(
-    handler: base.Handler, request_id: str, outcome: dispatch.Outcome
+    handler: base.Handler, request_id: str, outcome: request_module.Outcome
 ) -> None:
     """Answer with exactly one of ran, did not run and unknown."""
     handler.set_header(base.REQUEST_ID_HEADER, request_id)
+    handler.set_header(base.OUTCOME_HEADER, dispatch.outcome_word(outcome))
     if isinstance(outcome, result.Success):
         answer = outcome.unwrap()
-        handler.set_header(base.OUTCOME_HEADER, RAN)
         handler.set_header("Content-Type", answer.content_type)
         handler.set_status(answer.status)
         handler.write(answer.body)
         return
-    fault = outcome.failure()
-    unknown = isinstance(fault, errors.OutcomeUnknown)
-    handler.set_header(
-        base.OUTCOME_HEADER, UNKNOWN if unknown else DID_NOT_RUN
-    )
-    handler.refuse(fault)
+    handler.refuse(outcome.failure())
 
 
 def _seconds(text: str) -> float:
--- a/src/knapweedwharf/web/server.py
+++ b/src/knapweedwharf/web/server.py
@@ -5,8 +5,10 @@
 import typing
 
 from tornado import httpserver
+from tornado import iostream
 from tornado import web
 
+from knapweedwharf.web import base
 from knapweedwharf.web import configuration
 from knapweedwharf.web import job
 from knapweedwharf.web import request
@@ -15,8 +17,14 @@
 if typing.TYPE_CHECKING:
     from knapweedwharf import node as node_module
 
-_IDLE_TIMEOUT_S = 75.0
-_BODY_TIMEOUT_S = 10.0
+_HEADER_TIMEOUT_S = 30.0
+_CHUNK_BYTES = 16_384
+_UNLIMITED = 1 << 62
+_BUSY = (
+    b"HTTP/1.1 503 Service Unavailable\r\n"
+    + f"{base.OUTCOME_HEADER}: did-not-run\r\n".encode()
+    + b"Retry-After: 1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+)
 
 ROUTES = (
     (r"/healthz", status.HealthHandler),
@@ -32,18 +40,58 @@
 )
 
 
-def create(node: node_module.Node) -> httpserver.HTTPServer:
-    """Build the server; body and header limits hold while reading."""
+class Server(httpserver.HTTPServer):
+    """HTTP server with a bound on open connections."""
+
+    def initialize(
+        self,
+        request_callback: web.Application,
+        *,
+        max_connections: int,
+        **options: typing.Any,
+    ) -> None:
+        """Take the bound beside the library's own options."""
+        super().initialize(request_callback, **options)
+        self._max_connections = max_connections
+        self._open_connections = 0
+
+    def handle_stream(self, stream: iostream.IOStream, address: tuple) -> None:
+        """Serve a connection, or refuse it when too many are open."""
+        if self._open_connections >= self._max_connections:
+            stream.write(_BUSY).add_done_callback(lambda _f: stream.close())
+            return
+        self._open_connections += 1
+        super().handle_stream(stream, address)
+
+    def on_close(self, server_conn: object) -> None:
+        """Count a closed connection."""
+        self._open_connections -= 1
+        super().on_close(server_conn)
+
+    def close_after_answers(self) -> None:
+        """Close each connection after its next answer."""
+        self.conn_params.no_keep_alive = True
+
+
+def create(node: node_module.Node) -> Server:
+    """Build the server.
+
+    Handlers limit the body as it arrives, so that they can answer why
+    they refuse it.
+    """
     settings = node.settings
     application = web.Application(
         [(path, handler, {"node": node}) for path, handler in ROUTES],
         log_function=lambda handler: None,
+        default_handler_class=base.NoRouteHandler,
+        default_handler_args={"node": node},
     )
-    return httpserver.HTTPServer(
+    return Server(
         application,
-        max_body_size=settings.max_body_bytes,
-        max_buffer_size=settings.max_body_bytes + settings.max_header_bytes,
+        max_connections=settings.max_connections,
+        max_body_size=_UNLIMITED,
+        max_buffer_size=_CHUNK_BYTES + settings.max_header_bytes,
         max_header_size=settings.max_header_bytes,
-        idle_connection_timeout=_IDLE_TIMEOUT_S,
-        body_timeout=_BODY_TIMEOUT_S,
+        chunk_size=_CHUNK_BYTES,
+        idle_connection_timeout=_HEADER_TIMEOUT_S,
     )
--- a/src/knapweedwharf/web/status.py
+++ b/src/knapweedwharf/web/status.py
@@ -8,16 +8,22 @@
 class HealthHandler(base.Handler):
     """``GET /healthz``: the process answers."""
 
+    needs_caller = False
+
     async def get(self) -> None:
         """Answer always."""
+        self.start()
         self.answer({"alive": True})
 
 
 class ReadyHandler(base.Handler):
     """``GET /readyz``: the balancer may send callers here."""
 
+    needs_caller = False
+
     async def get(self) -> None:
         """Answer 200 while serving, 503 otherwise."""
+        self.start()
         ready = self.node.state == "serving"
         self.answer({"ready": ready}, status=200 if ready else 503)
 
--- a/standins/executor.py
+++ b/standins/executor.py
@@ -55,6 +55,8 @@
         self.faults = Faults()
         self.running = 0
         self.most_running = 0
+        self.arrivals = 0
+        self.probes = 0
         self.log: list[dict] = []
 
 
@@ -76,8 +78,9 @@
         if faults.take("drop_before"):
             self.cut()
             return
+        self.state.arrivals += 1
         if faults.refuse or self.state.running >= SLOTS:
-            self.set_header("X-Attempt-Id", attempt_id)
+            self.signal(attempt_id)
             self.set_status(503)
             return
         await self.execute(service, attempt_id)
@@ -111,10 +114,7 @@
         """Write the whole answer."""
         if self.state.faults.take("crossed"):
             attempt_id = "another-attempt"
-        self.set_header("X-Attempt-Id", attempt_id)
-        self.set_header("X-Running", str(self.state.running))
-        if self.state.faults.leaving:
-            self.set_header("X-Leaving", "1")
+        self.signal(attempt_id)
         self.set_header("Content-Type", "application/json")
         self.write(
             json.dumps(
@@ -125,6 +125,13 @@
             )
         )
 
+    def signal(self, attempt_id: str) -> None:
+        """Set the headers in which an executor speaks of itself."""
+        self.set_header("X-Attempt-Id", attempt_id)
+        self.set_header("X-Running", str(self.state.running))
+        if self.state.faults.leaving:
+            self.set_header("X-Leaving", "1")
+
     def answer_truncated(self, attempt_id: str) -> None:
         """Announce more than is sent, then cut."""
         stream = self.request.connection.stream
@@ -134,8 +141,21 @@
         )
         stream.close()
 
-    def on_finish(self) -> None:
-        """Nothing to clean up."""
+
+class Health(web.RequestHandler):
+    """Tells the executor's signals without running anything."""
+
+    def initialize(self, state: State) -> None:
+        """Take the state."""
+        self.state = state
+
+    async def get(self) -> None:
+        """Answer ``/healthz``."""
+        self.state.probes += 1
+        self.set_header("X-Running", str(self.state.running))
+        if self.state.faults.leaving:
+            self.set_header("X-Leaving", "1")
+        self.write({"running": self.state.running})
 
 
 class Control(web.RequestHandler):
@@ -154,7 +174,12 @@
     async def get(self) -> None:
         """Return the execution log."""
         self.write(
-            {"log": self.state.log, "most_running": self.state.most_running}
+            {
+                "log": self.state.log,
+                "most_running": self.state.most_running,
+                "arrivals": self.state.arrivals,
+                "probes": self.state.probes,
+            }
         )
 
 
@@ -163,6 +188,7 @@
     web.Application(
         [
             (r"/run/([^/]+)", Run, {"state": state}),
+            (r"/healthz", Health, {"state": state}),
             (r"/control", Control, {"state": state}),
             (r"/log", Control, {"state": state}),
         ],
