--- a/src/knapweedwharf/node.py
+++ b/src/knapweedwharf/node.py
@@ -102,21 +102,7 @@
         self.role = role_module.Role(
             settings=settings, store=self.store, worker=self._adapters.worker
         )
-        seed = zlib.crc32(settings.node_id.encode())
-        self.pool = pool_module.Pool(
-            node_id=settings.node_id,
-            data_centre=settings.data_centre,
-            seed=seed,
-            policy=settings.routing_policy,
-        )
-        self.dispatcher = dispatch.Dispatcher(
-            settings=settings,
-            store=self.store,
-            executor=self._adapters.executor,
-            pool=self.pool,
-            metrics=self.metrics,
-            seed=seed,
-        )
+        self.pool, self.dispatcher = self._create_routing()
         self.jobs = view_module.JobView(
             role=self.role,
             store=self.store,
@@ -139,6 +125,26 @@
         self._drain: drain_module.Drain | None = None
         self.exit_code = 0
 
+    def _create_routing(
+        self,
+    ) -> tuple[pool_module.Pool, dispatch.Dispatcher]:
+        seed = zlib.crc32(self.settings.node_id.encode())
+        pool = pool_module.Pool(
+            node_id=self.settings.node_id,
+            data_centre=self.settings.data_centre,
+            seed=seed,
+            policy=self.settings.routing_policy,
+        )
+        dispatcher = dispatch.Dispatcher(
+            settings=self.settings,
+            store=self.store,
+            executor=self._adapters.executor,
+            pool=pool,
+            metrics=self.metrics,
+            seed=seed,
+        )
+        return pool, dispatcher
+
     async def start(self) -> None:
         """Start every part; ready once the HTTP port is open."""
         self.feed.listen(self._configuration_changed)
