Speak TLS on the HTTP interface; tell the role of its peers' store

Cause: callers' tokens went in clear text unless a balancer ended TLS; and the scheduling role did not yet ask whether another VM of its data centre still reaches the store before it starts jobs without it.

A certificate and its key are two settings, checked at the start with a typed error.

--- a/src/knapweedwharf/adapters/channel.py
+++ b/src/knapweedwharf/adapters/channel.py
@@ -10,6 +10,7 @@
 import asyncio
 import dataclasses
 import socket
+import ssl
 import typing
 
 from tornado import http1connection
@@ -154,27 +155,43 @@
 
 
 async def connect(
-    host: str, port: int, *, timeout_s: float, max_body_bytes: int
+    host: str,
+    port: int,
+    *,
+    timeout_s: float,
+    max_body_bytes: int,
+    tls: ssl.SSLContext | None = None,
 ) -> Channel:
     """Open a connection; OSError when it cannot be made in time.
 
-    IP numbers are connected to without a resolver's thread.
+    :param tls: speak TLS and check the host's certificate by this.
     """
     max_buffer_size = max_body_bytes + _MAX_HEADER_BYTES
+    async with asyncio.timeout(timeout_s):
+        stream = await _connect_plain(host, port, max_buffer_size)
+        if tls is not None:
+            stream = await stream.start_tls(
+                False, ssl_options=tls, server_hostname=host
+            )
+    return Channel(stream, max_body_bytes=max_body_bytes)
+
+
+async def _connect_plain(
+    host: str, port: int, max_buffer_size: int
+) -> iostream.IOStream:
+    """Connect; IP numbers do without a resolver's thread."""
     if not netutil.is_valid_ip(host):
-        stream = await tcpclient.TCPClient().connect(
-            host, port, max_buffer_size=max_buffer_size, timeout=timeout_s
+        return await tcpclient.TCPClient().connect(
+            host, port, max_buffer_size=max_buffer_size
         )
-        return Channel(stream, max_body_bytes=max_body_bytes)
     family = socket.AF_INET6 if ":" in host else socket.AF_INET
     stream = iostream.IOStream(
         socket.socket(family), max_buffer_size=max_buffer_size
     )
     try:
-        async with asyncio.timeout(timeout_s):
-            await stream.connect((host, port))
+        await stream.connect((host, port))
     except BaseException:
         stream.close()
         raise
     stream.set_nodelay(True)
-    return Channel(stream, max_body_bytes=max_body_bytes)
+    return stream
--- a/src/knapweedwharf/adapters/transport.py
+++ b/src/knapweedwharf/adapters/transport.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import json
+import ssl
 import time
 import typing
 import urllib.parse
@@ -31,9 +32,16 @@
     :param reuse: keep a connection for a later exchange once it has
         brought a whole answer. It is dropped after a timeout, a cut or
         surplus bytes, and by ``discard`` of an unwanted answer.
+    Certificates of https:// addresses are checked by the system's
+    list, or by the one that SSL_CERT_FILE names.
     """
 
-    def __init__(self, *, max_body_bytes: int, reuse: bool = False) -> None:
+    def __init__(
+        self,
+        *,
+        max_body_bytes: int,
+        reuse: bool = False,
+    ) -> None:
         self._max_body_bytes = max_body_bytes
         self._reuse = reuse
         self._idle: dict[str, list[channel_module.Channel]] = {}
@@ -125,11 +133,13 @@
             if not idle:
                 raise OSError("all connections to the host are in use")
             idle.pop(0).close()
+        secure = parts.scheme == "https"
         return await channel_module.connect(
             parts.hostname or "",
-            parts.port or 80,
+            parts.port or (443 if secure else 80),
             timeout_s=min(_CONNECT_TIMEOUT_S, timeout_s),
             max_body_bytes=self._max_body_bytes,
+            tls=ssl.create_default_context() if secure else None,
         )
 
     def _give_back(
--- a/src/knapweedwharf/cli/serve.py
+++ b/src/knapweedwharf/cli/serve.py
@@ -15,6 +15,7 @@
 from knapweedwharf import log
 from knapweedwharf import node as node_module
 from knapweedwharf import settings as settings_module
+from knapweedwharf.web import tls
 
 
 def _with_settings_options(command: abc.Callable) -> abc.Callable:
@@ -44,6 +45,9 @@
     if isinstance(loaded, result.Failure):
         output.fail(loaded.failure(), exit_code=output.EXIT_USAGE)
     settings = loaded.unwrap()
+    context = tls.server_context(settings)
+    if isinstance(context, result.Failure):
+        output.fail(context.failure(), exit_code=output.EXIT_USAGE)
     log.configure(level=settings.log_level, node_id=settings.node_id)
     raise SystemExit(asyncio.run(_serve(settings)))
 
--- a/src/knapweedwharf/node.py
+++ b/src/knapweedwharf/node.py
@@ -106,7 +106,10 @@
         self.feed = feed_module.Feed(store=self.store)
         self.publisher = publish.Publisher(store=self.store, feed=self.feed)
         self.role = role_module.Role(
-            settings=settings, store=self.store, worker=self._adapters.worker
+            settings=settings,
+            store=self.store,
+            worker=self._adapters.worker,
+            peers_reach_store=lambda: self.membership.peers_reach_store(),
         )
         self.pool, self.dispatcher = self._create_routing()
         self.jobs = view_module.JobView(
--- a/src/knapweedwharf/settings.py
+++ b/src/knapweedwharf/settings.py
@@ -52,6 +52,8 @@
     directory_kind: str = "http-json"
     worker_kind: str = "http-json"
     executor_kind: str = "http"
+    tls_certificate_file: str = ""
+    tls_key_file: str = ""
     statsd_address: str = ""
     operator_token_sha256: str = ""
     log_level: str = "info"
@@ -97,6 +99,8 @@
     directory_kind = fields.Str()
     worker_kind = fields.Str()
     executor_kind = fields.Str()
+    tls_certificate_file = fields.Str()
+    tls_key_file = fields.Str()
     statsd_address = fields.Str(
         validate=lambda value: value == "" or _ADDRESS_RULE(value)
     )
@@ -136,6 +140,15 @@
                 "Must be at least twice worker_renewal_s.", "worker_lease_s"
             )
 
+    @marshmallow.validates_schema
+    def _certificate_has_key(self, data: dict, **_kwargs) -> None:
+        certificate = data.get("tls_certificate_file", "")
+        if bool(certificate) != bool(data.get("tls_key_file", "")):
+            raise marshmallow.ValidationError(
+                "Set both the certificate and its key, or neither.",
+                "tls_key_file",
+            )
+
     @marshmallow.post_load
     def _build(self, data: dict, **_kwargs) -> Settings:
         return Settings(**data)
--- a/src/knapweedwharf/web/server.py
+++ b/src/knapweedwharf/web/server.py
@@ -13,6 +13,7 @@
 from knapweedwharf.web import job
 from knapweedwharf.web import request
 from knapweedwharf.web import status
+from knapweedwharf.web import tls
 
 if typing.TYPE_CHECKING:
     from knapweedwharf import node as node_module
@@ -88,6 +89,7 @@
     )
     return Server(
         application,
+        ssl_options=tls.server_context(settings).unwrap(),
         max_connections=settings.max_connections,
         max_body_size=_UNLIMITED,
         max_buffer_size=_CHUNK_BYTES + settings.max_header_bytes,
