--- a/src/knapweedwharf/adapters/transport.py
+++ b/src/knapweedwharf/adapters/transport.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 import json
 import time
 import typing
@@ -38,6 +39,7 @@
         self._reuse = reuse
         self._idle: dict[str, list[channel_module.Channel]] = {}
         self._busy: dict[str, set[channel_module.Channel]] = {}
+        self._opening: collections.Counter[str] = collections.Counter()
         self.max_per_host = _MAX_PER_HOST
 
     def close(self) -> None:
@@ -55,7 +57,9 @@
     def open_count(self, url: str) -> int:
         """Return how many connections to a host are open."""
         host = _host(url)
-        return len(self._idle.get(host, ())) + len(self._busy.get(host, ()))
+        kept = len(self._idle.get(host, ()))
+        busy = len(self._busy.get(host, ()))
+        return kept + busy + self._opening[host]
 
     async def exchange(
         self,
@@ -125,12 +129,16 @@
             if not idle:
                 raise OSError("all connections to the host are in use")
             idle.pop(0).close()
-        return await channel_module.connect(
-            parts.hostname or "",
-            parts.port or 80,
-            timeout_s=min(_CONNECT_TIMEOUT_S, timeout_s),
-            max_body_bytes=self._max_body_bytes,
-        )
+        self._opening[parts.netloc] += 1
+        try:
+            return await channel_module.connect(
+                parts.hostname or "",
+                parts.port or 80,
+                timeout_s=min(_CONNECT_TIMEOUT_S, timeout_s),
+                max_body_bytes=self._max_body_bytes,
+            )
+        finally:
+            self._opening[parts.netloc] -= 1
 
     def _give_back(
         self, host: str, channel: channel_module.Channel | None
--- a/src/knapweedwharf/routing/once.py
+++ b/src/knapweedwharf/routing/once.py
@@ -146,7 +146,10 @@
             return await self._await_other(request)
         if isinstance(fault, errors.OutcomeUnknown):
             self._repair(self._claims.withdraw, claim)
-        return request_module.did_not_run("The store cannot record it now.")
+        return request_module.did_not_run(
+            "The store cannot record it now; an earlier call with its key "
+            "can be asked for once the store is back."
+        )
 
     async def _await_other(
         self, request: request_module.Request
