--- a/src/knapweedwharf/node.py
+++ b/src/knapweedwharf/node.py
@@ -12,16 +12,19 @@
 from knapweedwharf.adapters import directory as directory_module
 from knapweedwharf.adapters import etcd as _etcd  # noqa: F401
 from knapweedwharf.adapters import executor as executor_module
+from knapweedwharf.adapters import observed
 from knapweedwharf.adapters import store as store_module
 from knapweedwharf.adapters import worker as worker_module
 from knapweedwharf.charts import chart
 from knapweedwharf.configuration import feed as feed_module
+from knapweedwharf.configuration import publish
 from knapweedwharf import drain as drain_module
 from knapweedwharf import errors
 from knapweedwharf import log
 from knapweedwharf import metrics
 from knapweedwharf.peer import membership as membership_module
 from knapweedwharf.peer.messages import ttypes
+from knapweedwharf.peer import status as status_module
 from knapweedwharf.routing import choice
 from knapweedwharf.routing import dispatch
 from knapweedwharf.routing import pool as pool_module
@@ -65,8 +68,10 @@
 class _Adapters:
     """The outside systems of a node, of the kinds its settings name."""
 
-    def __init__(self, settings: settings_module.Settings) -> None:
-        self.store = store_module.STORES.get(settings.store_kind)(settings)
+    def __init__(
+        self, settings: settings_module.Settings, *, sender: metrics.Metrics
+    ) -> None:
+        self.store = observed.create(settings, sender=sender)
         self.directory = directory_module.DIRECTORIES.get(
             settings.directory_kind
         )(settings)
@@ -96,9 +101,10 @@
         self.state = self._chart.initial
         self.metrics = metrics.create(settings)
         self.in_flight = drain_module.InFlight()
-        self._adapters = _Adapters(settings)
+        self._adapters = _Adapters(settings, sender=self.metrics)
         self.store = self._adapters.store
         self.feed = feed_module.Feed(store=self.store)
+        self.publisher = publish.Publisher(store=self.store, feed=self.feed)
         self.role = role_module.Role(
             settings=settings, store=self.store, worker=self._adapters.worker
         )
@@ -114,6 +120,7 @@
             feed=self.feed,
             own_room=self._own_room,
             job_handler=self.jobs.answer,
+            store_reachable=lambda: self.store.reachable,
         )
         self._telemetry = telemetry_module.Telemetry(
             sender=self.metrics, status=self.status
@@ -178,6 +185,7 @@
         await self._telemetry.close()
         await self.role.close()
         await self.membership.close()
+        await self.publisher.close()
         await self.feed.close()
         self._adapters.close()
 
@@ -260,20 +268,11 @@
             "data_centre": self.settings.data_centre,
             "state": self.state,
             "owner_state": self.role.state,
-            "revision": self.feed.current.revision,
-            "revision_age_s": round(now_s - self.feed.confirmed_at_s, 1),
+            **status_module.configuration(self.feed, now_s),
+            **status_module.outside(self.store, self.membership, now_s),
             "requests_in_flight": self.in_flight.count,
             "executors": len(self.pool.executors),
             "free_accelerators": room.free_accelerators if room else None,
             "queued_jobs": room.queued_jobs if room else None,
-            "peers": [
-                {
-                    "node_id": peer.node_id,
-                    "data_centre": peer.data_centre,
-                    "revision": peer.revision,
-                    "draining": peer.draining,
-                    "heard_s_ago": round(now_s - peer.heard_at_s, 1),
-                }
-                for peer in self.membership.peers.values()
-            ],
+            "peers": status_module.peers(self.membership, now_s),
         }
--- a/src/knapweedwharf/web/base.py
+++ b/src/knapweedwharf/web/base.py
@@ -19,6 +19,7 @@
     from knapweedwharf import node as node_module
 
 OUTCOME_HEADER = "Knapweedwharf-Outcome"
+UNKNOWN_RETRY_AFTER_S = 5.0
 REQUEST_ID_HEADER = "Knapweedwharf-Request-Id"
 BODY_TIMEOUT_S = 10.0
 _DISCARD_BYTES = 65_536
@@ -77,6 +78,7 @@
 
     def _identify(self) -> None:
         if self.needs_caller:
+            self._require_configuration()
             identified = auth.identify(
                 self.node.feed.current,
                 self.request.headers.get("Authorization", ""),
@@ -84,6 +86,17 @@
             )
             self._caller = unwrap(identified)
 
+    def _require_configuration(self) -> None:
+        if not self.node.feed.known:
+            raise Refused(
+                errors.DidNotRun(
+                    message="This VM has no configuration yet: neither the "
+                    "store nor enough peers have answered.",
+                    remedy="Call another VM, or this one again later.",
+                    retry_after_s=UNKNOWN_RETRY_AFTER_S,
+                )
+            )
+
     def _announced_bytes(self) -> int:
         text = self.request.headers.get("Content-Length", "0")
         return int(text) if text.isascii() and text.isdigit() else 0
--- a/src/knapweedwharf/web/status.py
+++ b/src/knapweedwharf/web/status.py
@@ -22,9 +22,9 @@
     needs_caller = False
 
     async def get(self) -> None:
-        """Answer 200 while serving, 503 otherwise."""
+        """Answer 200 while serving by a known configuration."""
         self.start()
-        ready = self.node.state == "serving"
+        ready = self.node.state == "serving" and self.node.feed.known
         self.answer({"ready": ready}, status=200 if ready else 503)
 
 
