--- a/src/knapweedwharf/drain.py
+++ b/src/knapweedwharf/drain.py
@@ -5,7 +5,9 @@
 2. The listening socket closes once nothing is in flight.
 3. The rest is answered and the outcomes of claims are written.
 
-The deadline or a second signal ends this at once.
+The deadline or a second signal ends this at once: the connections to
+executors are closed, and the callers that still wait are told that
+the outcome is unknown.
 """
 
 from __future__ import annotations
@@ -20,6 +22,7 @@
 
 _POLL_S = 0.02
 _ACCEPT_GRACE_S = 0.1
+_ABORT_GRACE_S = 0.5
 
 
 class InFlight:
@@ -51,7 +54,7 @@
 class Drained:
     """How a drain ended.
 
-    :ivar cut: requests whose callers got no answer.
+    :ivar cut: requests that were not finished.
     :ivar unsettled: claims whose outcome was not written.
     """
 
@@ -68,6 +71,7 @@
     """One graceful shutdown.
 
     :param unsettled: counts claims whose outcome is not yet written.
+    :param abort: ends what executors still run for this node.
     """
 
     def __init__(
@@ -77,11 +81,13 @@
         server: Server,
         in_flight: InFlight,
         unsettled: abc.Callable[[], int],
+        abort: abc.Callable[[], None],
     ) -> None:
         self._settings = settings
         self._server = server
         self._in_flight = in_flight
         self._unsettled = unsettled
+        self._abort = abort
         self._forced = asyncio.Event()
         self._log = log.get("drain")
 
@@ -107,8 +113,18 @@
         await asyncio.gather(finish, forced, return_exceptions=True)
         drained = Drained(self._in_flight.count, self._unsettled())
         self._log.info("drained", **dataclasses.asdict(drained))
+        if drained.cut:
+            await self._tell_callers()
         return drained
 
+    async def _tell_callers(self) -> None:
+        self._abort()
+        try:
+            async with asyncio.timeout(_ABORT_GRACE_S):
+                await self._until_answered()
+        except TimeoutError:
+            self._log.error("callers-cut", in_flight=self._in_flight.count)
+
     async def _finish(self) -> None:
         await asyncio.sleep(self._settings.drain_wait_s)
         await self._until_answered()
--- a/src/knapweedwharf/node.py
+++ b/src/knapweedwharf/node.py
@@ -200,6 +200,7 @@
             server=self._server,
             in_flight=self.in_flight,
             unsettled=lambda: self.dispatcher.unsettled,
+            abort=self._adapters.executor.close,
         )
         self._tasks.append(asyncio.create_task(self._run_drain(self._drain)))
 
--- a/src/knapweedwharf/routing/claim.py
+++ b/src/knapweedwharf/routing/claim.py
@@ -170,12 +170,20 @@
                 self._lease_ends_s = float("-inf")
         return written
 
+    async def _grant(self) -> result.Result[int, errors.Fault]:
+        """Grant a lease; one whose answer is lost lapses unused."""
+        ttl_s = self._retention_s + BUCKET_S
+        granted = await self._store.grant(ttl_s)
+        if isinstance(granted, result.Failure):
+            granted = await self._store.grant(ttl_s)
+        return granted
+
     async def _lease(self) -> result.Result[int, errors.Fault]:
         """Return the lease of this hour, granted on its first use."""
         async with self._lease_lock:
             if self._clock() < self._lease_ends_s:
                 return result.Success(self._lease_id)
-            granted = await self._store.grant(self._retention_s + BUCKET_S)
+            granted = await self._grant()
             if isinstance(granted, result.Failure):
                 return result.Failure(
                     errors.Unreachable(
