--- a/src/knapweedwharf/adapters/observed.py
+++ b/src/knapweedwharf/adapters/observed.py
@@ -9,12 +9,22 @@
 
 from knapweedwharf.adapters import store as store_module
 from knapweedwharf import errors
+from knapweedwharf import metrics as metrics_module
 from knapweedwharf import settings as settings_module
 
 READ = "read"
 WRITE = "write"
 LEASE = "lease"
 WATCH = "watch"
+_CALLS = {
+    kind: metrics_module.define(
+        f"store.calls.{kind}",
+        kind=metrics_module.COUNTER,
+        unit="calls",
+        text=f"Calls to the store of the kind {kind}; a watch is one.",
+    )
+    for kind in (READ, WRITE, LEASE, WATCH)
+}
 
 
 class ObservedStore:
@@ -25,7 +35,9 @@
     :ivar answered_at_s: monotonic time of the last answer, or 0.
     """
 
-    def __init__(self, store: store_module.Store, *, metrics) -> None:
+    def __init__(
+        self, store: store_module.Store, *, metrics: metrics_module.Metrics
+    ) -> None:
         self._store = store
         self._metrics = metrics
         self.counts: dict[str, int] = {}
@@ -111,7 +123,7 @@
 
     def _count(self, kind: str) -> None:
         self.counts[kind] = self.counts.get(kind, 0) + 1
-        self._metrics.incr(f"store.calls.{kind}")
+        self._metrics.count(_CALLS[kind])
 
 
 def create(settings: settings_module.Settings, *, metrics) -> ObservedStore:
