--- a/src/knapweedwharf/peer/link.py
+++ b/src/knapweedwharf/peer/link.py
@@ -255,7 +255,6 @@
         try:
             session = await asyncio.wait_for(self._connected(), timeout_s)
         except (OSError, asyncio.TimeoutError, frame.BadFrame) as error:
-            self._not_before_s = time.monotonic() + self._waits.next_s()
             return result.Failure(self._unreachable(error))
         started_s = time.monotonic()
         self._sequence += 1
@@ -291,8 +290,9 @@
                 return session
             if time.monotonic() < self._not_before_s:
                 raise OSError("waits before it connects again")
+            self._not_before_s = time.monotonic() + self._waits.next_s()
             self._session = await self._connect()
-            self._waits.reset()
+            self.retry_now()
             self.sessions += 1
             return self._session
 
--- a/testing/peer/test_link.py
+++ b/testing/peer/test_link.py
@@ -116,19 +116,30 @@
     _run(scenario)
 
 
+async def _open(
+    bench: Bench,
+) -> tuple[iostream.IOStream, frame.Direction]:
+    """Greet by hand; return the stream and what signs its requests."""
+    stream = await bench.connect()
+    nonce = await stream.read_bytes(frame.NONCE_BYTES)
+    hello = ttypes.Hello("client", "a", "", frame.new_nonce())
+    envelope = ttypes.Envelope(sequence=0, body=ttypes.Body(hello=hello))
+    payload = frame.serialize(envelope)
+    await stream.write(frame.hello_frame(payload, KEY, nonce))
+    session = frame.session_key(KEY, nonce, hello.nonce)
+    return stream, frame.Direction(key=session, name=frame.FROM_CLIENT)
+
+
+def _signed_beat(signer: frame.Direction) -> bytes:
+    request = ttypes.Envelope(sequence=1, body=BEAT)
+    return signer.sign(frame.serialize(request))
+
+
 def test_frame_sent_twice_on_its_own_connection_ends_it() -> None:
     async def scenario() -> None:
         bench = Bench()
-        stream = await bench.connect()
-        nonce = await stream.read_bytes(frame.NONCE_BYTES)
-        hello = ttypes.Hello("client", "a", "", b"n" * frame.NONCE_BYTES)
-        envelope = ttypes.Envelope(sequence=0, body=ttypes.Body(hello=hello))
-        payload = frame.serialize(envelope)
-        await stream.write(frame.hello_frame(payload, KEY, nonce))
-        session = frame.session_key(KEY, nonce, hello.nonce)
-        signer = frame.Direction(key=session, name=frame.FROM_CLIENT)
-        request = ttypes.Envelope(sequence=1, body=BEAT)
-        signed = signer.sign(frame.serialize(request))
+        stream, signer = await _open(bench)
+        signed = _signed_beat(signer)
         await stream.write(signed + signed)
         await stream.read_until_close()
         assert bench.effects == [7]
@@ -136,6 +147,18 @@
     _run(scenario)
 
 
+def test_frame_of_one_connection_is_void_in_another_that_is_open() -> None:
+    async def scenario() -> None:
+        bench = Bench()
+        _stream, signer = await _open(bench)
+        other, _signer = await _open(bench)
+        await other.write(_signed_beat(signer))
+        await other.read_until_close()
+        assert bench.effects == []
+
+    _run(scenario)
+
+
 def test_wrong_key_is_refused_and_logged_once() -> None:
     async def scenario() -> None:
         bench = Bench()
@@ -239,3 +262,22 @@
         assert "waits" in outcome.failure().message
 
     _run(scenario)
+
+
+def test_calls_do_not_put_off_the_next_try(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def scenario() -> None:
+        clock = [0.0]
+        monkeypatch.setattr(link.time, "monotonic", lambda: clock[0])
+        bench = Bench()
+        bench.server.stop()
+        client = bench.client()
+        tries = 0
+        for _call in range(100):
+            clock[0] += 0.2
+            outcome = await client.call(BEAT, timeout_s=5.0)
+            tries += "waits" not in outcome.failure().message
+        assert tries >= 3
+
+    _run(scenario)
