--- /dev/null
+++ b/testing/features/story.py
@@ -0,0 +1,97 @@
+"""What the steps of one scenario share."""
+
+from __future__ import annotations
+
+import dataclasses
+import pathlib
+import threading
+import typing
+
+from standins import caller
+from standins import fleet as fleet_module
+from standins import loopback
+from standins import oracle
+
+FOLDER = pathlib.Path("examples/escaleras/folder")
+ONCE_SERVICE = "booking"
+GANG = {"tasks": 6, "accelerators_per_task": 8, "within": "rack"}
+CHANGED_FILE = "60-rule-scheduling.toml"
+
+
+@dataclasses.dataclass
+class Story:
+    """A running fleet, its callers and what happened to it.
+
+    :ivar frozen: the VM that is paused.
+    :ivar marked: ids of jobs or VMs that a later step asks about.
+    """
+
+    fleet: fleet_module.Fleet
+    callers: caller.Callers
+    frozen: fleet_module.NodeProcess | None = None
+    marked: list[str] = dataclasses.field(default_factory=list)
+
+    def status(self, node: fleet_module.NodeProcess) -> dict:
+        """Return a VM's status, or nothing."""
+        token = self.fleet.operator_token()
+        answer = self.fleet.call(node, "GET", "/v1/status", token=token)
+        return answer.json() if answer.status == 200 else {}
+
+    def owner(self) -> fleet_module.NodeProcess:
+        """Wait for the VM that schedules the first data centre."""
+        place = self.fleet.data_centres[0]
+        nodes = [n for n in self.fleet.nodes if n.data_centre == place]
+        return loopback.until(
+            lambda: next(
+                (
+                    node
+                    for node in nodes
+                    if node.running
+                    and node is not self.frozen
+                    and self.status(node).get("owner_state") == "active"
+                ),
+                None,
+            ),
+            what="an active owner",
+        )
+
+    def revision(self) -> int:
+        """Return the highest revision in force on any VM."""
+        running = [n for n in self.fleet.nodes if n.running]
+        return max(self.status(n).get("revision", 0) for n in running)
+
+    def change(self, message: str, *, base_revision: int, **options) -> None:
+        """Change the rule's ageing time."""
+        number = len(self.callers.changes) + 601
+        text = f"[rule.scheduling]\nageing_s = {number}.0\n"
+        self.callers.change(
+            message,
+            files={CHANGED_FILE: text},
+            base_revision=base_revision,
+            **options,
+        )
+
+    def history(self) -> list[dict]:
+        """Return the audit trail."""
+        answer = self.fleet.call(
+            self.callers.node(),
+            "GET",
+            "/v1/config/history",
+            token=self.fleet.operator_token(),
+        )
+        return answer.json()["revisions"]
+
+    def broken_answers(self) -> list[str]:
+        """Return what callers were told wrongly."""
+        return oracle.requests(
+            self.callers.told, self.fleet.executions(), once=ONCE_SERVICE
+        )
+
+
+def at_once(*actions: typing.Callable[[], typing.Any]) -> None:
+    """Run actions in threads of their own and wait for all."""
+    threads = [threading.Thread(target=action) for action in actions]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
