--- a/src/knapweedwharf/settings.py
+++ b/src/knapweedwharf/settings.py
@@ -14,6 +14,7 @@
 
 ENVIRONMENT_PREFIX = "KNAPWEEDWHARF"
 MINIMUM_KEY_LENGTH = 16
+SECRET_FIELDS = frozenset({"peer_key", "peer_key_previous"})
 
 _ADDRESS = re.compile(r"^[0-9.]+:[0-9]{1,5}$|^\[[0-9a-f:]+\]:[0-9]{1,5}$")
 _NAME = re.compile(r"^[a-z0-9][a-z0-9-]{0,62}$")
@@ -26,6 +27,9 @@
 )
 
 
+_KEY_RULE = validate.Length(min=MINIMUM_KEY_LENGTH)
+
+
 def _positive(maximum: float) -> validate.Range:
     return validate.Range(min=0, max=maximum, min_inclusive=False)
 
@@ -42,7 +46,8 @@
     http_address: str
     peer_address: str
     platform_url: str
-    peer_key: str
+    peer_key: str = dataclasses.field(repr=False)
+    peer_key_previous: str = dataclasses.field(default="", repr=False)
     store_kind: str = "etcd-json"
     directory_kind: str = "http-json"
     worker_kind: str = "http-json"
@@ -59,11 +64,21 @@
     store_timeout_s: float = 2.0
     worker_timeout_s: float = 2.0
     checkpoint_timeout_s: float = 4.0
+    job_retention_s: float = 86_400.0
+    job_retention_count: int = 1_000
     drain_wait_s: float = 2.0
     drain_timeout_s: float = 30.0
     max_body_bytes: int = 1_048_576
     max_header_bytes: int = 16_384
     max_connections: int = 1_024
+    max_buffered_bytes: int = 16_777_216
+    max_waiting_requests: int = 512
+    claim_retention_s: float = 86_400.0
+    routing_policy: str = "least-of-two"
+
+    def peer_keys(self) -> list[str]:
+        """Return the keys that peers may present."""
+        return [key for key in (self.peer_key, self.peer_key_previous) if key]
 
 
 class SettingsSchema(marshmallow.Schema):
@@ -74,8 +89,9 @@
     http_address = fields.Str(required=True, validate=_ADDRESS_RULE)
     peer_address = fields.Str(required=True, validate=_ADDRESS_RULE)
     platform_url = fields.Str(required=True, validate=_URL_RULE)
-    peer_key = fields.Str(
-        required=True, validate=validate.Length(min=MINIMUM_KEY_LENGTH)
+    peer_key = fields.Str(required=True, validate=_KEY_RULE)
+    peer_key_previous = fields.Str(
+        validate=lambda value: value == "" or _KEY_RULE(value)
     )
     store_kind = fields.Str()
     directory_kind = fields.Str()
@@ -99,11 +115,17 @@
     store_timeout_s = fields.Float(validate=_positive(60))
     worker_timeout_s = fields.Float(validate=_positive(60))
     checkpoint_timeout_s = fields.Float(validate=_positive(600))
+    job_retention_s = fields.Float(validate=_positive(31_536_000))
+    job_retention_count = fields.Int(validate=_positive(10_000))
     drain_wait_s = fields.Float(validate=validate.Range(0, 600))
     drain_timeout_s = fields.Float(validate=_positive(3600))
     max_body_bytes = fields.Int(validate=_positive(16_777_216))
     max_header_bytes = fields.Int(validate=_positive(1_048_576))
     max_connections = fields.Int(validate=_positive(65_536))
+    max_buffered_bytes = fields.Int(validate=_positive(1_073_741_824))
+    max_waiting_requests = fields.Int(validate=_positive(65_536))
+    claim_retention_s = fields.Float(validate=_positive(2_592_000))
+    routing_policy = fields.Str()
 
     @marshmallow.validates_schema
     def _lease_outlives_renewal(self, data: dict, **_kwargs) -> None:
@@ -129,20 +151,30 @@
     return "--" + field.replace("_", "-")
 
 
-def load(raw: dict[str, object]) -> result.Result[Settings, errors.Fault]:
-    """Validate raw values; the first wrong field is the failure."""
+def load(
+    raw: dict[str, object], *, sources: dict[str, str] | None = None
+) -> result.Result[Settings, errors.Fault]:
+    """Validate raw values; the first wrong field is the failure.
+
+    :param sources: field to where its value came from, for the error.
+    """
     try:
         return result.Success(SettingsSchema().load(raw))
     except marshmallow.ValidationError as error:
         messages = error.normalized_messages()
     field = next(iter(messages))
-    shown = "[hidden]" if field == "peer_key" else repr(raw.get(field))
     return result.Failure(
         errors.InvalidField(
             message=" ".join(map(str, messages[field])),
             remedy=f"Set {flag_name(field)} or {environment_name(field)}.",
-            source="settings",
+            source=(sources or {}).get(field, "settings"),
             field=field,
-            value=shown,
+            value=_shown(field, raw),
         )
     )
+
+
+def _shown(field: str, raw: dict[str, object]) -> str:
+    if field not in raw:
+        return "(missing)"
+    return "[hidden]" if field in SECRET_FIELDS else repr(raw[field])
