--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 SOURCES := src standins testing bench tools
 export PYTHONPATH := src:.
 
-.PHONY: demo test bench lint format binary generate
+.PHONY: demo test bench faults reference lint format binary generate
 
 $(READY): requirements/runtime.txt requirements/dev.txt
 	python3 -m venv $(VENV)
@@ -22,6 +22,13 @@
 bench: $(READY)
 	$(PYTHON) -m bench $(ARGS)
 
+# Random schedules of faults: make faults SEEDS='1 2 3'
+faults: $(READY)
+	$(PYTHON) -m testing.faults $(SEEDS)
+
+reference: $(READY)
+	$(PYTHON) -m tools.reference
+
 lint: $(READY)
 	$(VENV)/bin/black --quiet --check $(SOURCES)
 	$(VENV)/bin/flake8 $(SOURCES)
--- /dev/null
+++ b/testing/faults/runner.py
@@ -0,0 +1,285 @@
+"""Runs one schedule on a fleet and returns the broken promises."""
+
+from __future__ import annotations
+
+import functools
+import pathlib
+import threading
+
+from standins import caller
+from standins import fleet as fleet_module
+from standins import loopback
+from standins import oracle
+from testing.faults import schedule
+from testing.features import story as story_module
+
+FOLDER = pathlib.Path("examples/escaleras/folder")
+DATA_CENTRES = ["antigua", "chimal"]
+BORROWER = "citricos-norte"
+GUARANTEED = "valle-cafe"
+SLOW_STORE_S = 0.3
+SETTLE_TIMEOUT_S = 120.0
+
+
+class Runner:
+    """Carries out steps; work goes on in threads of its own.
+
+    :ivar revisions: node id to the revisions seen on it, in order.
+    """
+
+    def __init__(self, fleet: fleet_module.Fleet) -> None:
+        self._fleet = fleet
+        self._callers = caller.Callers(fleet)
+        self._story = story_module.Story(fleet=fleet, callers=self._callers)
+        self._frozen: set[str] = set()
+        self._threads: list[threading.Thread] = []
+        self._numbers = iter(range(1, 1000))
+        self.revisions: dict[str, list[int]] = {}
+
+    def run(self, steps: list[schedule.Step]) -> list[str]:
+        """Run the steps, mend everything and judge."""
+        for step in steps:
+            getattr(self, f"_{step.kind}")(step)
+            self._look()
+        self._mend()
+        for thread in self._threads:
+            thread.join()
+        return self._judge()
+
+    # Steps
+
+    def _node(self, step: schedule.Step) -> None:
+        node = self._fleet.nodes[step.place % len(self._fleet.nodes)]
+        frozen = node.node_id in self._frozen
+        if step.action == "restart" and not node.running:
+            self._fleet.start_node(node)
+        elif step.action == "thaw" and frozen and node.running:
+            self._thaw(node)
+        elif step.action == "freeze" and node.running:
+            self._fleet.freeze(node)
+            self._frozen.add(node.node_id)
+        elif step.action == "kill" and node.running:
+            self._fleet.kill(node)
+        elif step.action == "drain" and node.running and not frozen:
+            node.process.terminate()
+
+    def _thaw(self, node: fleet_module.NodeProcess) -> None:
+        self._fleet.thaw(node)
+        self._frozen.discard(node.node_id)
+
+    def _store(self, step: schedule.Step) -> None:
+        switches = {
+            "outage": {"outage": True},
+            "slow": {"delay_s": SLOW_STORE_S},
+            "lose-answers": {"lose_answers": 1 + step.place},
+            "drop-events": {"drop_events": 1 + step.place},
+            "heal": {"outage": False, "delay_s": 0.0},
+        }
+        self._fleet.faults(**switches[step.action])
+
+    def _network(self, step: schedule.Step) -> None:
+        if step.action == "cut":
+            self._fleet.network.cut(*DATA_CENTRES)
+        elif step.action == "isolate":
+            self._fleet.isolate(DATA_CENTRES[step.place % 2])
+        else:
+            self._fleet.join()
+
+    def _executor(self, step: schedule.Step) -> None:
+        vm_ids = sorted(self._fleet.executor_urls)
+        vm_id = vm_ids[step.place % len(vm_ids)]
+        self._fleet.executor_faults(vm_id, **{step.action: 1})
+
+    def _worker(self, step: schedule.Step) -> None:
+        worker_id = self._fleet.workers[step.place]["worker_id"]
+        self._fleet.worker_faults(worker_id, **{step.action: True})
+
+    def _work(self, step: schedule.Step) -> None:
+        action = getattr(self, "_" + step.action.replace("-", "_"))
+        work = functools.partial(action, step, next(self._numbers))
+        self._spawn(work)
+
+    def _spawn(self, action) -> None:
+        thread = threading.Thread(target=action)
+        thread.start()
+        self._threads.append(thread)
+        thread.join(0.3)
+
+    def _target(self, place: int) -> fleet_module.NodeProcess:
+        return self._fleet.nodes[place % len(self._fleet.nodes)]
+
+    # Work
+
+    def _booking(self, step: schedule.Step, number: int) -> None:
+        self._send(f"once-{number}", self._target(step.place))
+
+    def _booking_twice(self, step: schedule.Step, number: int) -> None:
+        key = f"twice-{number}"
+        for place in (step.place, step.place + 1):
+            send = functools.partial(self._send, key, self._target(place))
+            self._spawn(send)
+
+    def _send(self, key: str, node: fleet_module.NodeProcess) -> None:
+        self._callers.send(
+            story_module.ONCE_SERVICE,
+            account=GUARANTEED,
+            body=f"ladder {key}",
+            key=key,
+            node=node,
+        )
+
+    def _check(self, step: schedule.Step, number: int) -> None:
+        self._callers.send(
+            "booking-check",
+            account="mostrador",
+            body=f"orchard {number}",
+            node=self._target(step.place),
+        )
+
+    def _gang(self, step: schedule.Step, number: int) -> None:
+        self._callers.submit(
+            f"gang-{number}",
+            account=BORROWER,
+            node=self._target(step.place),
+            data_centre="antigua",
+            tasks=1 + step.place,
+            accelerators_per_task=8,
+            within="rack",
+            declared_run_s=1.0,
+        )
+
+    def _guaranteed(self, step: schedule.Step, number: int) -> None:
+        self._callers.submit(
+            f"guaranteed-{number}",
+            account=GUARANTEED,
+            node=self._target(step.place),
+            data_centre="antigua",
+            tasks=2,
+            accelerators_per_task=8,
+            within="rack",
+            declared_run_s=0.5,
+        )
+
+    def _cancel(self, step: schedule.Step, _number: int) -> None:
+        jobs = sorted(self._callers.accepted_jobs)
+        if jobs:
+            self._callers.cancel(jobs[step.place % len(jobs)])
+
+    def _change(self, step: schedule.Step, number: int) -> None:
+        self._change_through(self._target(step.place), f"change {number}")
+
+    def _change_race(self, step: schedule.Step, number: int) -> None:
+        for place in (step.place, step.place + 1):
+            node = self._target(place)
+            message = f"change {number} through {node.node_id} {place}"
+            change = functools.partial(self._change_through, node, message)
+            self._spawn(change)
+
+    def _change_through(
+        self, node: fleet_module.NodeProcess, message: str
+    ) -> None:
+        base = self._story.status(node).get("revision")
+        if base:
+            self._story.change(message, base_revision=base, node=node)
+
+    # Judgement
+
+    def _look(self) -> None:
+        for node in self._fleet.nodes:
+            if not node.running or node.node_id in self._frozen:
+                continue
+            if loopback.call("GET", node.url + "/readyz").status != 200:
+                continue
+            revision = self._story.status(node).get("revision")
+            if revision is not None:
+                self.revisions.setdefault(node.node_id, []).append(revision)
+
+    def _mend(self) -> None:
+        self._fleet.join()
+        self._fleet.faults(
+            outage=False, delay_s=0.0, lose_answers=0, drop_events=0
+        )
+        for worker in self._fleet.workers:
+            switches = {name: False for name in schedule.WORKER_FAULTS}
+            self._fleet.worker_faults(worker["worker_id"], **switches)
+        for vm_id in self._fleet.executor_urls:
+            switches = {name: 0 for name in schedule.EXECUTOR_FAULTS}
+            self._fleet.executor_faults(vm_id, **switches)
+        for node in self._fleet.nodes:
+            if node.node_id in self._frozen and node.running:
+                self._thaw(node)
+        for node in self._fleet.nodes:
+            self._restart(node)
+
+    def _restart(self, node: fleet_module.NodeProcess) -> None:
+        def ready() -> bool:
+            if not node.running:
+                self._fleet.start_node(node)
+            answer = loopback.call("GET", node.url + "/readyz")
+            return answer.status == 200
+
+        loopback.until(
+            ready, what=f"{node.node_id} after mending", timeout_s=60.0
+        )
+
+    def _judge(self) -> list[str]:
+        broken = self._unfinished()
+        broken += oracle.histories(self._fleet)
+        broken += self._story.broken_answers()
+        highest = self._story.revision()
+        for node in self._fleet.nodes:
+            if not self._reaches(node, highest):
+                broken.append(f"{node.node_id} stays behind {highest}")
+            seen = self.revisions.get(node.node_id, [])
+            broken += oracle.never_falls(seen + [self._in_force(node)])
+            history = self._story.history(node)
+            broken += oracle.audit(history, self._callers.changes)
+        return broken
+
+    def _in_force(self, node: fleet_module.NodeProcess) -> int:
+        return self._story.status(node)["revision"]
+
+    def _reaches(self, node: fleet_module.NodeProcess, revision: int) -> bool:
+        return _holds(lambda: self._in_force(node) >= revision)
+
+    def _unfinished(self) -> list[str]:
+        broken = []
+        for job_id in self._callers.accepted_jobs:
+            if not _holds(lambda: self._final(job_id)):
+                state = self._callers.job(job_id)
+                broken.append(f"{job_id} stays {state or 'unknown'}")
+            elif job_id.startswith("guaranteed"):
+                broken += self._denied(job_id)
+        if not broken and not _holds(
+            lambda: not oracle.nothing_left(self._fleet)
+        ):
+            broken += oracle.nothing_left(self._fleet)
+        return broken
+
+    def _denied(self, job_id: str) -> list[str]:
+        state = self._callers.state(job_id)
+        if state in ("finished", "cancelled", "failed"):
+            return []
+        return [f"{job_id} was not granted: {state}"]
+
+    def _final(self, job_id: str) -> bool:
+        return self._callers.state(job_id) in caller.FINAL_STATES
+
+
+def _holds(condition) -> bool:
+    try:
+        loopback.until(condition, what="", timeout_s=SETTLE_TIMEOUT_S)
+    except TimeoutError:
+        return False
+    return True
+
+
+def run(steps: list[schedule.Step]) -> list[str]:
+    """Run a schedule on a fresh fleet."""
+    with fleet_module.Fleet(
+        folder=FOLDER,
+        data_centres=DATA_CENTRES,
+        nodes_per_data_centre=2,
+    ) as fleet:
+        fleet.wait_revision(fleet.apply_folder(fleet.nodes[0]))
+        return Runner(fleet).run(steps)
--- a/testing/features/story.py
+++ b/testing/features/story.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import itertools
 import pathlib
 import threading
 import typing
@@ -30,6 +31,9 @@
     callers: caller.Callers
     frozen: fleet_module.NodeProcess | None = None
     marked: list[str] = dataclasses.field(default_factory=list)
+    _ageings_s: typing.Iterator[int] = dataclasses.field(
+        default_factory=lambda: itertools.count(601)
+    )
 
     def status(self, node: fleet_module.NodeProcess) -> dict:
         """Return a VM's status, or nothing."""
@@ -62,8 +66,7 @@
 
     def change(self, message: str, *, base_revision: int, **options) -> None:
         """Change the rule's ageing time."""
-        number = len(self.callers.changes) + 601
-        text = f"[rule.scheduling]\nageing_s = {number}.0\n"
+        text = f"[rule.scheduling]\nageing_s = {next(self._ageings_s)}.0\n"
         self.callers.change(
             message,
             files={CHANGED_FILE: text},
@@ -71,10 +74,12 @@
             **options,
         )
 
-    def history(self) -> list[dict]:
-        """Return the audit trail."""
+    def history(
+        self, node: fleet_module.NodeProcess | None = None
+    ) -> list[dict]:
+        """Return the audit trail as one VM shows it."""
         answer = self.fleet.call(
-            self.callers.node(),
+            node or self.callers.node(),
             "GET",
             "/v1/config/history",
             token=self.fleet.operator_token(),
