Show each failure with its mechanism taken out; measure capacity

Eight mutants of an entry VM lack one mechanism each: claim, correlation id, unknown outcome, leaving signal, doubt of an emptied list, drain, log position, reclaim. The crossed answer of the executor stand-in now carries another body, so that taking it for one's own is visible.

--- /dev/null
+++ b/bench/_plan.py
@@ -0,0 +1,196 @@
+"""Folders of any size, and a fleet whose links are metered."""
+
+from __future__ import annotations
+
+import dataclasses
+import hashlib
+import json
+import os
+import pathlib
+import time
+
+from standins import fleet as fleet_module
+from standins import loopback
+
+WORKERS_PER_RACK = 17
+DATA_CENTRE = "east"
+TOKEN = "plan-token"
+OPERATOR_TOKEN = "plan-operator-token"
+DEFAULTS = {
+    "owner-lease-s": "10",
+    "heartbeat-interval-s": "2",
+    "directory-interval-s": "1",
+}
+_TICKS_PER_S = os.sysconf("SC_CLK_TCK")
+
+
+def write_folder(
+    parent: pathlib.Path, *, workers: int, teams: int = 15
+) -> pathlib.Path:
+    """Write a folder with one data centre and return it."""
+    folder = parent / "folder"
+    folder.mkdir()
+    lines = [f'[data_centre.{DATA_CENTRE}]\nregion = "one"\n']
+    racks = -(-workers // WORKERS_PER_RACK)
+    for number in range(racks):
+        left = workers - number * WORKERS_PER_RACK
+        lines.append(_rack(number, min(WORKERS_PER_RACK, left)))
+    (folder / "10-hardware.toml").write_text("\n".join(lines))
+    for number in range(teams):
+        text = _account(f"team-{number}", TOKEN + str(number))
+        (folder / f"30-team-{number:02d}.toml").write_text(text)
+    operator = _account("operator", OPERATOR_TOKEN) + 'role = "operator"\n'
+    (folder / "20-operator.toml").write_text(operator)
+    tokens = {f"team-{n}": TOKEN + str(n) for n in range(teams)}
+    tokens["operator"] = OPERATOR_TOKEN
+    (parent / "workload.json").write_text(json.dumps({"tokens": tokens}))
+    return folder
+
+
+def _rack(number: int, workers: int) -> str:
+    return (
+        f"[rack.r{number:02d}]\n"
+        f'data_centre = "{DATA_CENTRE}"\n'
+        f"workers = {workers}\n"
+        "accelerators_per_worker = 1\n"
+        "cores_per_worker = 64\n"
+        "memory_mib_per_worker = 262144\n"
+    )
+
+
+def _account(name: str, token: str) -> str:
+    digest = hashlib.sha256(token.encode()).hexdigest()
+    return (
+        f"[account.{name}]\n"
+        f'token_sha256 = "{digest}"\n'
+        "quota_accelerators = 200\n"
+    )
+
+
+class MeteredFleet(fleet_module.Fleet):
+    """A fleet of one data centre whose every link is counted."""
+
+    def __init__(self, folder: pathlib.Path, *, nodes: int) -> None:
+        self._store_ports: dict[str, int] = {}
+        self._peer_ports: dict[str, int] = {}
+        self._workers_port = loopback.free_port()
+        self._meter_port = loopback.free_port()
+        super().__init__(
+            folder=folder,
+            data_centres=[DATA_CENTRE],
+            nodes_per_data_centre=nodes,
+            node_options=DEFAULTS,
+        )
+        for node in self.nodes:
+            self._store_ports[node.node_id] = loopback.free_port()
+            self._peer_ports[node.node_id] = loopback.free_port()
+
+    def start(self) -> None:
+        """Start the meter before everything else."""
+        routes = [self._route(self._workers_port, self._worker_port())]
+        routes[0]["destination"] = "workers"
+        for node in self.nodes:
+            port = self._store_ports[node.node_id]
+            target_port = self.platform_ports[DATA_CENTRE]
+            routes.append(
+                {
+                    **self._route(port, target_port),
+                    "source": node.node_id,
+                    "destination": "store",
+                }
+            )
+            port = self._peer_ports[node.node_id]
+            routes.append(
+                {**self._route(port, node.peer_port), "destination": "peers"}
+            )
+        path = self.scratch / "meter.json"
+        path.write_text(json.dumps(routes))
+        self.processes.start(
+            "standins.relay",
+            f"--port={self._meter_port}",
+            f"--routes={path}",
+            log_name="meter",
+        )
+        super().start()
+
+    def _worker_port(self) -> int:
+        return self.worker_ports[DATA_CENTRE]
+
+    def _route(self, port: int, target_port: int) -> dict:
+        return {"port": port, "target_port": target_port, "source": "nodes"}
+
+    def store_url(self, node: fleet_module.NodeProcess) -> str:
+        """Return the metered way to the platform."""
+        return f"http://127.0.0.1:{self._store_ports[node.node_id]}"
+
+    def vms(self) -> list[dict]:
+        """Return the list of VMs with metered addresses."""
+        return [self._metered(vm) for vm in super().vms()]
+
+    def _metered(self, vm: dict) -> dict:
+        if vm["kind"] == "entry":
+            port = self._peer_ports[vm["vm_id"]]
+            return {**vm, "address": f"127.0.0.1:{port}"}
+        if vm["kind"] == "worker":
+            url = f"http://127.0.0.1:{self._workers_port}/{vm['vm_id']}"
+            return {**vm, "address": url}
+        return vm
+
+    def passed_bytes(self) -> dict[str, int]:
+        """Return the bytes on each link so far."""
+        url = f"http://127.0.0.1:{self._meter_port}/control"
+        return loopback.call("GET", url).json()
+
+    def store_calls(self) -> dict[str, int]:
+        """Return the platform's calls by kind so far."""
+        return self.platform("GET", "/counts").json()
+
+    def status(self, node: fleet_module.NodeProcess) -> dict:
+        """Return a node's status, or nothing."""
+        answer = self.call(node, "GET", "/v1/status", token=OPERATOR_TOKEN)
+        return answer.json() if answer.status == 200 else {}
+
+    def owner(self) -> fleet_module.NodeProcess:
+        """Wait for the node that schedules and knows every worker."""
+        return loopback.until(
+            lambda: next(
+                (n for n in self.nodes if n.running and self._owns(n)), None
+            ),
+            what="an owner that knows every worker",
+            timeout_s=120.0,
+        )
+
+    def _owns(self, node: fleet_module.NodeProcess) -> bool:
+        status = self.status(node)
+        return status.get("owner_state") == "active" and (
+            status.get("free_accelerators") is not None
+        )
+
+
+@dataclasses.dataclass(frozen=True)
+class Reading:
+    """Counters of a fleet at one moment."""
+
+    at_s: float
+    processor_s: float
+    resident_mb: float
+    passed_bytes: dict[str, int]
+    store_calls: dict[str, int]
+
+
+def read(fleet: MeteredFleet, node: fleet_module.NodeProcess) -> Reading:
+    """Read the counters of one node and of the links."""
+    process_id = node.process.pid
+    stat = pathlib.Path(f"/proc/{process_id}/stat").read_text("ascii")
+    fields = stat.rsplit(")", 1)[1].split()
+    status = pathlib.Path(f"/proc/{process_id}/status").read_text("ascii")
+    resident = next(
+        line for line in status.splitlines() if line.startswith("VmRSS")
+    )
+    return Reading(
+        at_s=time.monotonic(),
+        processor_s=(int(fields[11]) + int(fields[12])) / _TICKS_PER_S,
+        resident_mb=int(resident.split()[1]) / 1024,
+        passed_bytes=fleet.passed_bytes(),
+        store_calls=fleet.store_calls(),
+    )
--- a/standins/executor.py
+++ b/standins/executor.py
@@ -111,16 +111,18 @@
             state.running -= 1
 
     def answer(self, attempt_id: str) -> None:
-        """Write the whole answer."""
+        """Write the whole answer, or another request's if crossed."""
+        body = self.request.body
         if self.state.faults.take("crossed"):
             attempt_id = "another-attempt"
+            body = b"the body of another request"
         self.signal(attempt_id)
         self.set_header("Content-Type", "application/json")
         self.write(
             json.dumps(
                 {
                     "request_id": self.request.headers["X-Request-Id"],
-                    "echo": self.request.body.decode("latin-1"),
+                    "echo": body.decode("latin-1"),
                 }
             )
         )
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -56,6 +56,7 @@
 
     :param data_centres: those that get entry VMs and machines.
     :param nodes_per_data_centre: entry VMs in each.
+    :param node_command: module of an entry VM and its first arguments.
     """
 
     def __init__(
@@ -66,11 +67,13 @@
         nodes_per_data_centre: int = 1,
         executors_per_data_centre: int = 1,
         node_options: dict[str, str] | None = None,
+        node_command: tuple[str, ...] = ("knapweedwharf", "serve"),
     ) -> None:
         self.folder = folder
         self.data_centres = data_centres
         self._executors_per = executors_per_data_centre
         self._node_options = node_options or {}
+        self._node_command = node_command
         self._scratch = tempfile.TemporaryDirectory(prefix="fleet-")
         self.scratch = pathlib.Path(self._scratch.name)
         self.processes = processes.Processes(self.scratch)
@@ -240,7 +243,7 @@
             "data-centre": node.data_centre,
             "http-address": f"127.0.0.1:{node.http_port}",
             "peer-address": f"127.0.0.1:{node.peer_port}",
-            "platform-url": self.platform_url(node.data_centre),
+            "platform-url": self.store_url(node),
             "peer-key": PEER_KEY,
             "operator-token-sha256": token_hash,
             "owner-lease-s": "2",
@@ -251,7 +254,7 @@
         }
         flags = [f"--{name}={value}" for name, value in settings.items()]
         node.process = self.processes.start(
-            "knapweedwharf", "serve", *flags, log_name=node.node_id
+            *self._node_command, *flags, log_name=node.node_id
         )
 
     def wait_ready(self, node: NodeProcess) -> None:
@@ -292,6 +295,10 @@
         """Return what a process wrote."""
         return (self.scratch / f"{name}.log").read_text("utf-8")
 
+    def store_url(self, node: NodeProcess) -> str:
+        """Return the address at which a node finds the platform."""
+        return self.platform_url(node.data_centre)
+
     def platform_url(self, data_centre: str) -> str:
         """Return the platform's address for a data centre."""
         return f"http://127.0.0.1:{self.platform_ports[data_centre]}"
--- a/standins/relay.py
+++ b/standins/relay.py
@@ -3,11 +3,13 @@
 Each route listens on a port for callers of one data centre and passes
 bytes on to a VM of another. ``POST /control`` with ``{"cut": [["a",
 "b"]]}`` breaks every connection between the two and refuses new ones.
+``GET /control`` returns the bytes passed on, by route.
 """
 
 from __future__ import annotations
 
 import asyncio
+import collections
 import dataclasses
 import json
 
@@ -33,6 +35,7 @@
     def __init__(self) -> None:
         self._cut: set[frozenset[str]] = set()
         self._writers: dict[frozenset[str], set[asyncio.StreamWriter]] = {}
+        self.passed_bytes: collections.Counter[str] = collections.Counter()
 
     def set_cut(self, pairs: list[list[str]]) -> None:
         """Cut these pairs of data centres and join all others."""
@@ -69,26 +72,31 @@
         both = {writer, onward_writer}
         joined = self._writers.setdefault(pair, set())
         joined |= both
+        name = f"{route.source}>{route.destination}"
         await asyncio.gather(
-            _pump(reader, onward_writer), _pump(onward_reader, writer)
+            self._pump(name, reader, onward_writer),
+            self._pump(name, onward_reader, writer),
         )
         joined -= both
 
-
-async def _pump(
-    reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-) -> None:
-    try:
-        while chunk := await reader.read(CHUNK_BYTES):
-            writer.write(chunk)
-            await writer.drain()
-    except OSError:
-        pass
-    writer.close()
+    async def _pump(
+        self,
+        name: str,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        try:
+            while chunk := await reader.read(CHUNK_BYTES):
+                self.passed_bytes[name] += len(chunk)
+                writer.write(chunk)
+                await writer.drain()
+        except OSError:
+            pass
+        writer.close()
 
 
 class Control(web.RequestHandler):
-    """Sets which pairs of data centres are cut."""
+    """Sets which pairs are cut; returns the bytes passed on."""
 
     def initialize(self, relay: Relay) -> None:
         """Take the relay."""
@@ -99,6 +107,10 @@
         self.relay.set_cut(json.loads(self.request.body)["cut"])
         self.write({})
 
+    async def get(self) -> None:
+        """Return the bytes passed on, by route."""
+        self.write(self.relay.passed_bytes)
+
 
 async def _serve(port: int, routes: list[Route]) -> None:
     relay = Relay()
--- /dev/null
+++ b/testing/proofs/mutant.py
@@ -0,0 +1,132 @@
+"""An entry VM with one mechanism taken out.
+
+``python -m testing.proofs.mutant NAME serve ...`` is ``knapweedwharf
+serve`` without the mechanism NAME. The proofs run it to show that the
+failure is then seen.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import sys
+import typing
+
+from returns import result
+
+from knapweedwharf.adapters import executor as executor_module
+from knapweedwharf.adapters import store as store_module
+from knapweedwharf.cli import main as cli_main
+from knapweedwharf.configuration import revision as revision_module
+from knapweedwharf.core import reclaim as reclaim_module
+from knapweedwharf import drain as drain_module
+from knapweedwharf import errors
+from knapweedwharf import registry
+from knapweedwharf.routing import claim as claim_module
+from knapweedwharf.routing import health as health_module
+from knapweedwharf.routing import pool as pool_module
+
+Patch = typing.Callable[[], None]
+MUTANTS: registry.Registry[Patch] = registry.Registry(subject="mutant")
+
+
+@MUTANTS.register("no-claim")
+def no_claim() -> None:
+    """Forward a request without a claim in the store."""
+
+    async def take(_claims, claim):
+        key = claim_module.key_of(claim.account, claim.request_id)
+        entry = store_module.Entry(key=key, value=claim.encode(), version=0)
+        return result.Success(entry)
+
+    claim_module.Claims.take = take
+
+
+@MUTANTS.register("no-correlation")
+def no_correlation() -> None:
+    """Take any answer that arrives on the connection."""
+    check = executor_module._check
+
+    def take_any(reply, call):
+        name = executor_module.ATTEMPT_ID_HEADER.lower()
+        headers = {**reply.headers, name: call.attempt_id}
+        return check(dataclasses.replace(reply, headers=headers), call)
+
+    executor_module._check = take_any
+
+
+@MUTANTS.register("no-unknown")
+def no_unknown() -> None:
+    """Say that a request did not run when its connection broke."""
+    run = executor_module.HttpExecutor.run
+
+    async def run_or_not(executor, address, call):
+        outcome = await run(executor, address, call)
+        return outcome.alt(_as_unreachable)
+
+    executor_module.HttpExecutor.run = run_or_not
+
+
+def _as_unreachable(fault: errors.Fault) -> errors.Fault:
+    if isinstance(fault, errors.OutcomeUnknown):
+        return errors.Unreachable(message=fault.message, remedy=fault.remedy)
+    return fault
+
+
+@MUTANTS.register("no-leaving")
+def no_leaving() -> None:
+    """Overlook an executor's own signal that it leaves."""
+    health_module.Health.is_leaving = lambda _health, _now_s: False
+
+
+@MUTANTS.register("believe-empty-list")
+def believe_empty_list() -> None:
+    """Drop at once what the list of VMs no longer holds."""
+    pool_module.UNLISTED_KEEP_S = 0.0
+    pool_module.DOUBTED_LIST_KEEP_S = 0.0
+
+
+@MUTANTS.register("no-drain")
+def no_drain() -> None:
+    """End without waiting for requests in flight."""
+
+    async def finish(_drain) -> None:
+        return None
+
+    drain_module.Drain._finish = finish
+
+
+@MUTANTS.register("no-position")
+def no_position() -> None:
+    """Write a revision over the one that stands at its position."""
+
+    async def append(store, revision):
+        key = revision_module.key_of(revision.number)
+        found = await store.get(key)
+        if isinstance(found, result.Failure):
+            return found
+        entry = found.unwrap()
+        return await store_module.write_certain(
+            store,
+            key,
+            revision.encode(),
+            expected_version=entry.version if entry else 0,
+        )
+
+    revision_module.append = append
+
+
+@MUTANTS.register("no-reclaim")
+def no_reclaim() -> None:
+    """Never stop borrowers for a guarantee."""
+    reclaim_module.Reclaim._preempt = lambda *_arguments: False
+
+
+def main() -> None:
+    """Run the command line with a mechanism taken out."""
+    name = sys.argv.pop(1)
+    MUTANTS.get(name)()
+    cli_main.run()
+
+
+if __name__ == "__main__":
+    main()
