--- a/tools/meanings.py
+++ b/tools/meanings.py
@@ -14,6 +14,9 @@
     "directory_kind": "Adapter of the list of VMs.",
     "worker_kind": "Adapter of the workers.",
     "executor_kind": "Adapter of the executors.",
+    "tls_certificate_file": "PEM certificate chain of the HTTP "
+    "interface; empty speaks plain HTTP.",
+    "tls_key_file": "PEM key of the certificate; both or neither.",
     "statsd_address": "Where metrics go; empty sends none.",
     "operator_token_sha256": "Hash of the token that applies a first "
     "folder.",
