--- a/src/knapweedwharf/adapters/worker.py
+++ b/src/knapweedwharf/adapters/worker.py
@@ -33,7 +33,8 @@
 ENDED = "ended"
 
 TASK_ENDED = "ended"
-TASK_ENDS = ("ended", "failed", "lapsed")
+TASK_LAPSED = "lapsed"
+TASK_ENDS = (TASK_ENDED, "failed", TASK_LAPSED)
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/knapweedwharf/scheduling/recovery.py
+++ b/src/knapweedwharf/scheduling/recovery.py
@@ -195,6 +195,7 @@
             task_index=outcome.task_index,
             worker_id=worker_id,
             succeeded=outcome.kind == worker_module.TASK_ENDED,
+            lapsed=outcome.kind == worker_module.TASK_LAPSED,
             detail=outcome.detail or outcome.kind,
         )
         for outcome in gone
--- a/src/knapweedwharf/scheduling/tenure.py
+++ b/src/knapweedwharf/scheduling/tenure.py
@@ -281,6 +281,7 @@
                 task_index=one.task_index,
                 worker_id=report.worker_id,
                 succeeded=one.kind == worker_module.TASK_ENDED,
+                lapsed=one.kind == worker_module.TASK_LAPSED,
                 detail=one.detail or one.kind,
             )
             for one in report.events
--- a/src/knapweedwharf/settings.py
+++ b/src/knapweedwharf/settings.py
@@ -14,7 +14,7 @@
 
 ENVIRONMENT_PREFIX = "KNAPWEEDWHARF"
 MINIMUM_KEY_LENGTH = 16
-SECRET_FIELDS = frozenset({"peer_key"})
+SECRET_FIELDS = frozenset({"peer_key", "peer_key_previous"})
 
 _ADDRESS = re.compile(r"^[0-9.]+:[0-9]{1,5}$|^\[[0-9a-f:]+\]:[0-9]{1,5}$")
 _NAME = re.compile(r"^[a-z0-9][a-z0-9-]{0,62}$")
@@ -27,6 +27,9 @@
 )
 
 
+_KEY_RULE = validate.Length(min=MINIMUM_KEY_LENGTH)
+
+
 def _positive(maximum: float) -> validate.Range:
     return validate.Range(min=0, max=maximum, min_inclusive=False)
 
@@ -44,10 +47,13 @@
     peer_address: str
     platform_url: str
     peer_key: str = dataclasses.field(repr=False)
+    peer_key_previous: str = dataclasses.field(default="", repr=False)
     store_kind: str = "etcd-json"
     directory_kind: str = "http-json"
     worker_kind: str = "http-json"
     executor_kind: str = "http"
+    tls_certificate_file: str = ""
+    tls_key_file: str = ""
     statsd_address: str = ""
     operator_token_sha256: str = ""
     log_level: str = "info"
@@ -67,6 +73,14 @@
     max_body_bytes: int = 1_048_576
     max_header_bytes: int = 16_384
     max_connections: int = 1_024
+    max_buffered_bytes: int = 16_777_216
+    max_waiting_requests: int = 512
+    claim_retention_s: float = 86_400.0
+    routing_policy: str = "least-of-two"
+
+    def peer_keys(self) -> list[str]:
+        """Return the keys that peers may present."""
+        return [key for key in (self.peer_key, self.peer_key_previous) if key]
 
 
 class SettingsSchema(marshmallow.Schema):
@@ -77,13 +91,16 @@
     http_address = fields.Str(required=True, validate=_ADDRESS_RULE)
     peer_address = fields.Str(required=True, validate=_ADDRESS_RULE)
     platform_url = fields.Str(required=True, validate=_URL_RULE)
-    peer_key = fields.Str(
-        required=True, validate=validate.Length(min=MINIMUM_KEY_LENGTH)
+    peer_key = fields.Str(required=True, validate=_KEY_RULE)
+    peer_key_previous = fields.Str(
+        validate=lambda value: value == "" or _KEY_RULE(value)
     )
     store_kind = fields.Str()
     directory_kind = fields.Str()
     worker_kind = fields.Str()
     executor_kind = fields.Str()
+    tls_certificate_file = fields.Str()
+    tls_key_file = fields.Str()
     statsd_address = fields.Str(
         validate=lambda value: value == "" or _ADDRESS_RULE(value)
     )
@@ -109,6 +126,10 @@
     max_body_bytes = fields.Int(validate=_positive(16_777_216))
     max_header_bytes = fields.Int(validate=_positive(1_048_576))
     max_connections = fields.Int(validate=_positive(65_536))
+    max_buffered_bytes = fields.Int(validate=_positive(1_073_741_824))
+    max_waiting_requests = fields.Int(validate=_positive(65_536))
+    claim_retention_s = fields.Float(validate=_positive(2_592_000))
+    routing_policy = fields.Str()
 
     @marshmallow.validates_schema
     def _lease_outlives_renewal(self, data: dict, **_kwargs) -> None:
@@ -119,6 +140,15 @@
                 "Must be at least twice worker_renewal_s.", "worker_lease_s"
             )
 
+    @marshmallow.validates_schema
+    def _certificate_has_key(self, data: dict, **_kwargs) -> None:
+        certificate = data.get("tls_certificate_file", "")
+        if bool(certificate) != bool(data.get("tls_key_file", "")):
+            raise marshmallow.ValidationError(
+                "Set both the certificate and its key, or neither.",
+                "tls_key_file",
+            )
+
     @marshmallow.post_load
     def _build(self, data: dict, **_kwargs) -> Settings:
         return Settings(**data)
