--- a/src/knapweedwharf/codec.py
+++ b/src/knapweedwharf/codec.py
@@ -12,22 +12,27 @@
 import typing
 
 Kind = typing.TypeVar("Kind")
+Convert = typing.Callable[[typing.Any], typing.Any]
 
 
 def build(kind: type[Kind], document: dict) -> Kind:
     """Build a data class; TypeError when a required field is missing."""
-    values = {
-        name: _convert(hint, document[name])
-        for name, hint in _fields(kind)
-        if name in document
-    }
+    values = {}
+    for name, convert in _converters(kind):
+        if name in document:
+            value = document[name]
+            ready = convert is None or value is None
+            values[name] = value if ready else convert(value)
     return kind(**values)
 
 
 def plain(value: typing.Any) -> typing.Any:
     """Return JSON values of data classes, tuples and sets."""
+    if isinstance(value, (str, int, float)) or value is None:
+        return value
     if dataclasses.is_dataclass(value):
-        return {name: plain(getattr(value, name)) for name in _names(value)}
+        names = _names(type(value))
+        return {name: plain(getattr(value, name)) for name in names}
     if isinstance(value, (frozenset, set)):
         return sorted(value)
     if isinstance(value, (tuple, list)):
@@ -38,33 +43,31 @@
 
 
 @functools.cache
-def _fields(kind: type) -> tuple[tuple[str, typing.Any], ...]:
-    hints = typing.get_type_hints(kind)
-    return tuple(
-        (field.name, hints[field.name]) for field in dataclasses.fields(kind)
-    )
+def _names(kind: type) -> tuple[str, ...]:
+    return tuple(field.name for field in dataclasses.fields(kind))
 
 
-def _names(value: typing.Any) -> list[str]:
-    return [name for name, _hint in _fields(type(value))]
+@functools.cache
+def _converters(kind: type) -> tuple[tuple[str, Convert | None], ...]:
+    hints = typing.get_type_hints(kind)
+    return tuple((name, _converter(hints[name])) for name in _names(kind))
 
 
-def _convert(hint: typing.Any, value: typing.Any) -> typing.Any:
-    if value is None:
-        return None
+def _converter(hint: typing.Any) -> Convert | None:
+    """Return what turns a JSON value into the hint's type, if needed."""
     if dataclasses.is_dataclass(hint):
-        return build(hint, value)
+        return functools.partial(build, hint)
     origin = typing.get_origin(hint)
     arguments = typing.get_args(hint)
     if origin in (typing.Union, types.UnionType):
         kinds = [kind for kind in arguments if kind is not type(None)]
-        return _convert(kinds[0], value) if len(kinds) == 1 else value
-    if origin is tuple and len(arguments) == 2 and arguments[1] is Ellipsis:
-        return tuple(_convert(arguments[0], item) for item in value)
-    if origin in (frozenset, set, list):
-        return origin(_convert(arguments[0], item) for item in value)
-    if origin is tuple:
-        return tuple(value)
-    if origin is dict:
-        return {k: _convert(arguments[1], v) for k, v in value.items()}
-    return value
+        return _converter(kinds[0]) if len(kinds) == 1 else None
+    if origin in (tuple, frozenset, set):
+        return functools.partial(_collect, origin, _converter(arguments[0]))
+    if origin is list:
+        return functools.partial(_collect, list, _converter(arguments[0]))
+    return None
+
+
+def _collect(kind: type, convert: Convert | None, items: list) -> typing.Any:
+    return kind(map(convert, items) if convert else items)
--- a/src/knapweedwharf/scheduling/pages.py
+++ b/src/knapweedwharf/scheduling/pages.py
@@ -35,13 +35,22 @@
     """Read the records of all pages."""
     records: Records = {}
     for entry in entries:
-        for document in json.loads(entry.value)["records"]:
-            record = _read(document)
-            if record is not None:
-                records[record.job.job_id] = record
+        _decode_page(json.loads(entry.value), records)
     return records
 
 
+def _decode_page(document: dict, records: Records) -> list[dict]:
+    """Add a page's records; return those that cannot be read."""
+    unread = []
+    for item in document["records"]:
+        record = _read(item)
+        if record is None:
+            unread.append(item)
+        else:
+            records[record.job.job_id] = record
+    return unread
+
+
 def _read(document: dict) -> engine.JobRecord | None:
     try:
         return record_module.from_dict(document)
@@ -86,17 +95,14 @@
         listed = await self._store.list(self._prefix)
         if isinstance(listed, result.Failure):
             return listed
-        entries = listed.unwrap().entries
-        for entry in entries:
+        records: Records = {}
+        for entry in listed.unwrap().entries:
             page = int(entry.key.rsplit("/", 1)[1])
             document = json.loads(entry.value)
             if document["epoch"] > self._epoch:
                 return result.Failure(_fenced())
             self._versions[page] = entry.version
-            self._unread[page] = [
-                item for item in document["records"] if _read(item) is None
-            ]
-        records = decode(entries)
+            self._unread[page] = _decode_page(document, records)
         held = _by_page(records, range(PAGE_COUNT))
         written = await asyncio.gather(
             *(self._write(page, jobs) for page, jobs in held.items())
--- a/src/knapweedwharf/scheduling/tenure.py
+++ b/src/knapweedwharf/scheduling/tenure.py
@@ -399,6 +399,25 @@
         if taken.state == "finished":
             self._orders.forget_finished(taken.job_id)
 
+    @_carry_out.register
+    def _(self, taken: decision.GuaranteeChanged) -> None:
+        self._log.info(
+            "guarantee-changed",
+            guarantee=taken.guarantee,
+            unit=taken.unit,
+            met=taken.met,
+            why=taken.reason.text,
+        )
+
+    @_carry_out.register
+    def _(self, taken: decision.WorkerChanged) -> None:
+        self._log.info(
+            "worker-changed",
+            worker_id=taken.worker_id,
+            standing=taken.standing,
+            why=taken.reason.text,
+        )
+
     @_carry_out.register
     def _(self, taken: decision.StartGang) -> None:
         self._orders.start(self.engine.records[taken.job.job_id])
