--- a/src/knapweedwharf/adapters/observed.py
+++ b/src/knapweedwharf/adapters/observed.py
@@ -9,19 +9,20 @@
 
 from knapweedwharf.adapters import store as store_module
 from knapweedwharf import errors
-from knapweedwharf import metrics as metrics_module
+from knapweedwharf import metrics
 from knapweedwharf import settings as settings_module
 
 READ = "read"
 WRITE = "write"
 LEASE = "lease"
 WATCH = "watch"
+
 _CALLS = {
-    kind: metrics_module.define(
+    kind: metrics.define(
         f"store.calls.{kind}",
-        kind=metrics_module.COUNTER,
+        kind=metrics.COUNTER,
         unit="calls",
-        text=f"Calls to the store of the kind {kind}; a watch is one.",
+        text=f"Calls to the store of the kind {kind}.",
     )
     for kind in (READ, WRITE, LEASE, WATCH)
 }
@@ -36,10 +37,10 @@
     """
 
     def __init__(
-        self, store: store_module.Store, *, metrics: metrics_module.Metrics
+        self, store: store_module.Store, *, sender: metrics.Metrics
     ) -> None:
         self._store = store
-        self._metrics = metrics
+        self._sender = sender
         self.counts: dict[str, int] = {}
         self.reachable = False
         self.answered_at_s = 0.0
@@ -123,13 +124,15 @@
 
     def _count(self, kind: str) -> None:
         self.counts[kind] = self.counts.get(kind, 0) + 1
-        self._metrics.count(_CALLS[kind])
+        self._sender.count(_CALLS[kind])
 
 
-def create(settings: settings_module.Settings, *, metrics) -> ObservedStore:
+def create(
+    settings: settings_module.Settings, *, sender: metrics.Metrics
+) -> ObservedStore:
     """Build the store that the settings name and observe it."""
     store = store_module.STORES.get(settings.store_kind)(settings)
-    return ObservedStore(store, metrics=metrics)
+    return ObservedStore(store, sender=sender)
 
 
 def _answered(outcome: result.Result) -> bool:
--- a/src/knapweedwharf/settings.py
+++ b/src/knapweedwharf/settings.py
@@ -52,6 +52,8 @@
     directory_kind: str = "http-json"
     worker_kind: str = "http-json"
     executor_kind: str = "http"
+    tls_certificate_file: str = ""
+    tls_key_file: str = ""
     statsd_address: str = ""
     operator_token_sha256: str = ""
     log_level: str = "info"
@@ -64,11 +66,17 @@
     store_timeout_s: float = 2.0
     worker_timeout_s: float = 2.0
     checkpoint_timeout_s: float = 4.0
+    job_retention_s: float = 86_400.0
+    job_retention_count: int = 1_000
     drain_wait_s: float = 2.0
     drain_timeout_s: float = 30.0
     max_body_bytes: int = 1_048_576
     max_header_bytes: int = 16_384
     max_connections: int = 1_024
+    max_buffered_bytes: int = 16_777_216
+    max_waiting_requests: int = 512
+    claim_retention_s: float = 86_400.0
+    routing_policy: str = "least-of-two"
 
     def peer_keys(self) -> list[str]:
         """Return the keys that peers may present."""
@@ -91,6 +99,8 @@
     directory_kind = fields.Str()
     worker_kind = fields.Str()
     executor_kind = fields.Str()
+    tls_certificate_file = fields.Str()
+    tls_key_file = fields.Str()
     statsd_address = fields.Str(
         validate=lambda value: value == "" or _ADDRESS_RULE(value)
     )
@@ -109,11 +119,17 @@
     store_timeout_s = fields.Float(validate=_positive(60))
     worker_timeout_s = fields.Float(validate=_positive(60))
     checkpoint_timeout_s = fields.Float(validate=_positive(600))
+    job_retention_s = fields.Float(validate=_positive(31_536_000))
+    job_retention_count = fields.Int(validate=_positive(10_000))
     drain_wait_s = fields.Float(validate=validate.Range(0, 600))
     drain_timeout_s = fields.Float(validate=_positive(3600))
     max_body_bytes = fields.Int(validate=_positive(16_777_216))
     max_header_bytes = fields.Int(validate=_positive(1_048_576))
     max_connections = fields.Int(validate=_positive(65_536))
+    max_buffered_bytes = fields.Int(validate=_positive(1_073_741_824))
+    max_waiting_requests = fields.Int(validate=_positive(65_536))
+    claim_retention_s = fields.Float(validate=_positive(2_592_000))
+    routing_policy = fields.Str()
 
     @marshmallow.validates_schema
     def _lease_outlives_renewal(self, data: dict, **_kwargs) -> None:
@@ -124,6 +140,15 @@
                 "Must be at least twice worker_renewal_s.", "worker_lease_s"
             )
 
+    @marshmallow.validates_schema
+    def _certificate_has_key(self, data: dict, **_kwargs) -> None:
+        certificate = data.get("tls_certificate_file", "")
+        if bool(certificate) != bool(data.get("tls_key_file", "")):
+            raise marshmallow.ValidationError(
+                "Set both the certificate and its key, or neither.",
+                "tls_key_file",
+            )
+
     @marshmallow.post_load
     def _build(self, data: dict, **_kwargs) -> Settings:
         return Settings(**data)
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -112,7 +112,7 @@
 class World:
     """State of the stand-in."""
 
-    def __init__(self, vms: list[dict]) -> None:
+    def __init__(self, vms: list[dict] | dict[str, list[dict]]) -> None:
         self.keys = Keys()
         self.faults = Faults()
         self.counts: dict[str, int] = {}
@@ -130,6 +130,13 @@
         old = [vms for at_s, vms in self.vm_lists if at_s <= newest_s]
         return old[-1] if old else self.vm_lists[0][1]
 
+    def listed(self, data_centre: str) -> list[dict]:
+        """Return the list of VMs as a data centre sees it."""
+        vms = self.vms()
+        if isinstance(vms, dict):
+            return vms.get(data_centre, [])
+        return vms
+
     async def expire(self) -> None:
         """End leases that have lapsed."""
         while True:
@@ -348,7 +355,7 @@
         if self.world.faults.vms_outage:
             self.request.connection.stream.close()
             return
-        self.write(json.dumps(self.world.vms()))
+        self.write(json.dumps(self.world.listed(self.data_centre)))
 
 
 class Control(Handler):
@@ -413,7 +420,7 @@
     )
 
 
-async def _serve(ports: list[tuple[str, int]], vms: list[dict]) -> None:
+async def _serve(ports: list[tuple[str, int]], vms) -> None:
     world = World(vms)
     for data_centre, port in ports:
         application(world, data_centre).listen(port, "127.0.0.1")
