--- a/src/knapweedwharf/configuration/feed.py
+++ b/src/knapweedwharf/configuration/feed.py
@@ -125,8 +125,7 @@
         elif isinstance(message, SnapshotSeen):
             self._apply_snapshot(message.snapshot)
         elif self.known:
-            for revision in message.revisions:
-                self.apply(revision, source=message.source)
+            self.apply(*message.revisions, source=message.source)
 
     async def drained(self) -> None:
         """Wait until what was posted so far is handled."""
@@ -162,8 +161,7 @@
             self._apply_snapshot(loaded.snapshot)
             if self._suspect:
                 self._replace(loaded)
-        for revision in loaded.revisions:
-            self.apply(revision)
+        self.apply(*loaded.revisions)
 
     def _replace(self, loaded: follower.Loaded) -> None:
         """Take the store's account of revisions already in force."""
@@ -178,27 +176,44 @@
         self._set_in_force(loaded.last_revision, files, write_id)
 
     def apply(
-        self, revision: revision_module.Revision, *, source: str = STORE
+        self,
+        *revisions: revision_module.Revision,
+        source: str = STORE,
+        checked: model.Configuration | None = None,
     ) -> None:
-        """Take one revision into force once its turn has come."""
-        if revision.number <= self.current.revision:
-            self._compare(revision, source)
-            return
-        if len(self._ahead) < AHEAD_REVISIONS:
+        """Take revisions into force whose turn has come.
+
+        Of several that come together only the last is built.
+
+        :param checked: the configuration at the last of them, if known.
+        """
+        for revision in revisions:
+            if revision.number <= self.current.revision:
+                self._compare(revision, source)
+                continue
             held = self._ahead.get(revision.number)
+            if held is None and len(self._ahead) >= AHEAD_REVISIONS:
+                continue
             if held is None or source == STORE:
                 self._ahead[revision.number] = revision
-        while self.current.revision + 1 in self._ahead:
-            self._apply_next(self._ahead.pop(self.current.revision + 1))
+        self._apply_next(checked)
         if self._ahead:
             self._follower.gap_seen()
 
-    def _apply_next(self, revision: revision_module.Revision) -> None:
-        if revision.parent != self._write_id:
-            self._conflict(revision.number, "parent")
-        self.history.append(revision)
-        files = changed_files(self.files, revision.changed)
-        self._set_in_force(revision.number, files, revision.write_id)
+    def _apply_next(self, checked: model.Configuration | None) -> None:
+        number = self.current.revision
+        files = self.files
+        write_id = self._write_id
+        while number + 1 in self._ahead:
+            number += 1
+            revision = self._ahead.pop(number)
+            if revision.parent != write_id:
+                self._conflict(number, "parent")
+            self.history.append(revision)
+            files = changed_files(files, revision.changed)
+            write_id = revision.write_id
+        if number > self.current.revision:
+            self._set_in_force(number, files, write_id, checked)
 
     def _apply_snapshot(self, snapshot: snapshot_module.Snapshot) -> None:
         self.known = True
@@ -212,11 +227,18 @@
         )
 
     def _set_in_force(
-        self, number: int, files: folder.Files, write_id: str
+        self,
+        number: int,
+        files: folder.Files,
+        write_id: str,
+        checked: model.Configuration | None = None,
     ) -> None:
         self.files = files
         self._write_id = write_id
-        loaded = folder.load(files, revision=number)
+        if checked is not None and checked.revision == number:
+            loaded = result.Success(checked)
+        else:
+            loaded = folder.load(files, revision=number, accepted=True)
         if isinstance(loaded, result.Failure):
             faults = [str(fault) for fault in loaded.failure()]
             self._log.error("revision-unreadable", faults=faults)
--- a/src/knapweedwharf/configuration/publish.py
+++ b/src/knapweedwharf/configuration/publish.py
@@ -17,6 +17,7 @@
 from knapweedwharf.configuration import lockout
 from knapweedwharf.configuration import revision as revision_module
 from knapweedwharf.configuration import snapshot as snapshot_module
+from knapweedwharf.core import model
 from knapweedwharf import errors
 
 
@@ -49,6 +50,7 @@
     revision: revision_module.Revision | None = None
 
 
+_Prepared = tuple[revision_module.Revision, model.Configuration]
 Outcome = result.Result[Accepted, errors.Fault | folder.Faults]
 
 
@@ -80,10 +82,10 @@
             prepared = self._prepare(change)
             if isinstance(prepared, result.Failure):
                 return prepared
-            revision = prepared.unwrap()
+            revision, checked = prepared.unwrap()
             if change.dry_run or not revision.changed:
                 return result.Success(Accepted(self._feed.current.revision))
-            return await self._append(revision)
+            return await self._append(revision, checked)
 
     def _must_catch_up(self, change: Change) -> bool:
         feed = self._feed
@@ -93,7 +95,7 @@
 
     def _prepare(
         self, change: Change
-    ) -> result.Result[revision_module.Revision, errors.Fault | folder.Faults]:
+    ) -> result.Result[_Prepared, errors.Fault | folder.Faults]:
         feed = self._feed
         changed = {
             name: text
@@ -113,26 +115,29 @@
             )
             if locked_out is not None:
                 return result.Failure(locked_out)
-        return result.Success(
-            revision_module.Revision(
-                number=number,
-                actor=change.actor,
-                at_s=round(time.time(), 3),
-                message=change.message,
-                changed=changed,
-                write_id=uuid.uuid4().hex,
-                parent=feed.snapshot.write_id,
-            )
+        revision = revision_module.Revision(
+            number=number,
+            actor=change.actor,
+            at_s=round(time.time(), 3),
+            message=change.message,
+            changed=changed,
+            write_id=uuid.uuid4().hex,
+            parent=feed.snapshot.write_id,
         )
+        return result.Success((revision, checked.unwrap()))
 
-    async def _append(self, revision: revision_module.Revision) -> Outcome:
+    async def _append(
+        self,
+        revision: revision_module.Revision,
+        checked: model.Configuration,
+    ) -> Outcome:
         appended = await revision_module.append(self._store, revision)
         if isinstance(appended, result.Failure):
             return await self._not_appended(appended.failure(), revision)
         genuine = await self._check_position(revision, appended.unwrap())
         if isinstance(genuine, result.Failure):
             return genuine
-        self._feed.apply(revision)
+        self._feed.apply(revision, checked=checked)
         self._compact(genuine.unwrap())
         return result.Success(Accepted(revision.number, revision))
 
--- a/src/knapweedwharf/configuration/schema.py
+++ b/src/knapweedwharf/configuration/schema.py
@@ -54,11 +54,25 @@
         return super()._deserialize(value, attr, data, **kwargs)
 
 
+class _Bool(fields.Bool):
+    """``true`` or ``false`` and nothing else."""
+
+    def _deserialize(self, value, attr, data, **kwargs):
+        if not isinstance(value, bool):
+            raise self.make_error("invalid", input=value)
+        return value
+
+
 @TABLES.register("data_centre")
 class DataCentreSchema(_Strict):
     """``[data_centre.NAME]``."""
 
-    region = fields.Str(required=True)
+    region = fields.Str(
+        required=True,
+        validate=validate.Regexp(
+            NAME_PATTERN, error="Use lower-case letters, digits and hyphens."
+        ),
+    )
 
     @marshmallow.post_load
     def _build(self, data: dict, **_kwargs) -> model.DataCentreSpec:
@@ -123,7 +137,7 @@
     """``[service.NAME]``: a kind of request."""
 
     urgency = fields.Str(validate=validate.OneOf(model.URGENCIES))
-    idempotent = fields.Bool(truthy={True}, falsy={False})
+    idempotent = _Bool()
     timeout_s = _Number(validate=_POSITIVE)
 
     @marshmallow.post_load
