--- a/src/knapweedwharf/cli/audit.py
+++ b/src/knapweedwharf/cli/audit.py
@@ -1,4 +1,4 @@
-"""``knapweedwharf audit``: who changed what, when."""
+"""``knapweedwharf audit``: who changed what and when."""
 
 from __future__ import annotations
 
@@ -11,8 +11,11 @@
 
 @click.command()
 @client_module.options
-def audit(url: str, token: str, as_json: bool) -> None:
+@click.option("--after", type=int, default=0, help="revisions after this one")
+@click.option("--limit", type=int, help="at most so many")
+def audit(
+    url: str, token: str, as_json: bool, after: int, limit: int | None
+) -> None:
     """Show the audit trail of changes."""
-    client = client_module.Client(url=url, token=token)
-    answer = client.call("GET", "/v1/config/history")
+    answer = config.read_history(url, token, after=after, limit=limit)
     output.show(answer, config.history_lines(answer), as_json=as_json)
--- a/src/knapweedwharf/cli/config.py
+++ b/src/knapweedwharf/cli/config.py
@@ -1,7 +1,8 @@
-"""``knapweedwharf config``: check, diff, apply, history."""
+"""``knapweedwharf config``: check, diff, apply, show, history."""
 
 from __future__ import annotations
 
+import datetime
 import difflib
 import pathlib
 
@@ -12,6 +13,8 @@
 from knapweedwharf.cli import output
 from knapweedwharf.configuration import folder as folder_module
 
+_PAGE = 500
+_SHOWN_ID = 12
 _FOLDER = click.argument(
     "folder", type=click.Path(path_type=pathlib.Path, file_okay=False)
 )
@@ -51,7 +54,10 @@
         source = merged.sources[(kind, name, field)]
         value = merged.tables[kind][name][field]
         document[f"{kind}.{name}.{field}"] = {"value": value, "file": source}
-        lines.append(f"{kind}.{name}.{field} = {value!r}  ({source})")
+        earlier = merged.overridden.get((kind, name, field), [])
+        document[f"{kind}.{name}.{field}"]["overrides"] = earlier
+        over = f", over {', '.join(earlier)}" if earlier else ""
+        lines.append(f"{kind}.{name}.{field} = {value!r}  ({source}{over})")
     lines.append(f"ok: {len(files)} files")
     output.show(document, lines, as_json=as_json)
 
@@ -82,6 +88,8 @@
 @client_module.options
 @click.option("--message", default="", help="why, for the audit trail")
 @click.option("--base", type=int, help="revision the change is made on")
+@click.option("--dry-run", is_flag=True, help="check only, apply nothing")
+@click.option("--force", is_flag=True, help="even if it locks operators out")
 def apply(
     folder: pathlib.Path,
     url: str,
@@ -89,8 +97,10 @@
     as_json: bool,
     message: str,
     base: int | None,
+    dry_run: bool,
+    force: bool,
 ) -> None:
-    """Make a folder the next revision."""
+    """Make a folder the next revision; the same folder twice is none."""
     files = _read(folder)
     client = client_module.Client(url=url, token=token)
     in_force = client.call("GET", "/v1/config")
@@ -105,28 +115,86 @@
             "base_revision": in_force["revision"] if base is None else base,
             "changed": changed,
             "message": message,
+            "dry_run": dry_run,
+            "force": force,
         },
     )
-    lines = [f"revision {answer['revision']} accepted"]
+    output.show(answer, [_outcome_line(answer, changed)], as_json=as_json)
+
+
+def _outcome_line(answer: dict, changed: dict[str, str | None]) -> str:
+    names = ", ".join(sorted(changed))
+    if answer["dry_run"]:
+        return f"may be applied on revision {answer['revision']}: {names}"
+    if not answer["accepted"]:
+        return f"no changes; revision {answer['revision']} is in force"
+    return (
+        f"revision {answer['revision']} accepted: {names}; in force on this "
+        f"VM and {answer['peers_in_force']} of its {answer['peers']} peers"
+    )
+
+
+@config.command("show")
+@client_module.options
+def show_files(url: str, token: str, as_json: bool) -> None:
+    """Show the files in force."""
+    answer = client_module.Client(url=url, token=token).call(
+        "GET", "/v1/config"
+    )
+    lines = [f"# revision {answer['revision']}"]
+    for name, text in sorted(answer["files"].items()):
+        lines += [f"# {name}", *text.splitlines()]
     output.show(answer, lines, as_json=as_json)
 
 
 @config.command()
 @client_module.options
-def history(url: str, token: str, as_json: bool) -> None:
+@click.option("--after", type=int, default=0, help="revisions after this one")
+@click.option("--limit", type=int, help="at most so many")
+def history(
+    url: str, token: str, as_json: bool, after: int, limit: int | None
+) -> None:
     """Show the accepted revisions, oldest first."""
-    client = client_module.Client(url=url, token=token)
-    answer = client.call("GET", "/v1/config/history")
+    answer = read_history(url, token, after=after, limit=limit)
     output.show(answer, history_lines(answer), as_json=as_json)
 
 
+def read_history(
+    url: str, token: str, *, after: int, limit: int | None
+) -> dict:
+    """Read the audit trail page by page."""
+    client = client_module.Client(url=url, token=token)
+    revisions: list[dict] = []
+    next_after: int | None = after
+    while next_after is not None:
+        left = _PAGE if limit is None else min(_PAGE, limit - len(revisions))
+        path = f"/v1/config/history?after={next_after}&limit={left}"
+        page = client.call("GET", path)
+        revisions.extend(page["revisions"])
+        next_after = page["next_after"]
+        if limit is not None and len(revisions) >= limit:
+            break
+    return {**page, "revisions": revisions, "next_after": next_after}
+
+
 def history_lines(answer: dict) -> list[str]:
     """Return one line for each revision."""
-    return [
-        f"{item['revision']:>6}  {item['at_s']:.0f}  {item['actor']}  "
-        f"{', '.join(item['files'])}  {item['message']}"
+    lines = [
+        f"{item['revision']:>6}  {_time(item['at_s'])}  {item['actor']}  "
+        f"{', '.join(item['files'])}  {item['message']}  "
+        f"[{item['write_id'][:_SHOWN_ID]}]"
         for item in answer["revisions"]
     ]
+    if not answer["complete"]:
+        lines.append("incomplete: the store does not answer this VM")
+    elif answer["first_kept"] > 1:
+        lines.append(f"kept from revision {answer['first_kept']}")
+    return lines
+
+
+def _time(at_s: float) -> str:
+    moment = datetime.datetime.fromtimestamp(at_s, datetime.timezone.utc)
+    return moment.strftime("%Y-%m-%dT%H:%M:%SZ")
 
 
 def changes(
