--- a/src/knapweedwharf/configuration/compaction.py
+++ b/src/knapweedwharf/configuration/compaction.py
@@ -22,7 +22,7 @@
 SNAPSHOT_REVISIONS = 64
 KEPT_REVISIONS = 128
 TRIM_ENTRIES = 128
-_TRIM_PACE_S = 0.05
+TRIM_PACE_S = 0.05
 
 _Step = result.Result[snapshot_module.Head, errors.Fault]
 
@@ -33,7 +33,6 @@
     def __init__(self, *, store: store_module.Store) -> None:
         self._store = store
         self._log = log.get("compaction")
-        self.trim_pace_s = _TRIM_PACE_S
 
     async def run(
         self, head: snapshot_module.Head, snapshot: snapshot_module.Snapshot
@@ -141,7 +140,7 @@
                 await self._store.delete(
                     entry.key, expected_version=entry.version
                 )
-                await asyncio.sleep(self.trim_pace_s)
+                await asyncio.sleep(TRIM_PACE_S)
             removed += len(old)
             if len(old) < revision_module.LOG_READ_LIMIT:
                 return
--- a/src/knapweedwharf/configuration/publish.py
+++ b/src/knapweedwharf/configuration/publish.py
@@ -72,6 +72,11 @@
             self._compacting.cancel()
             await asyncio.gather(self._compacting, return_exceptions=True)
 
+    async def settled(self) -> None:
+        """Wait until compaction has done what is due."""
+        if self._compacting is not None:
+            await asyncio.wait([self._compacting])
+
     async def publish(self, change: Change) -> Outcome:
         """Check a change and make it the next revision."""
         async with self._turn:
--- a/testing/configuration/test_log.py
+++ b/testing/configuration/test_log.py
@@ -26,7 +26,7 @@
 @pytest.fixture(autouse=True)
 def _no_waits(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(store_module, "_LONGEST_REPEAT_S", 0.0)
-    monkeypatch.setattr(compaction, "_TRIM_PACE_S", 0.0)
+    monkeypatch.setattr(compaction, "TRIM_PACE_S", 0.0)
 
 
 class Node:
@@ -129,7 +129,7 @@
         for number in range(1, count):
             accepted = await other.apply(_service(number))
             assert isinstance(accepted, result.Success)
-            await asyncio.gather(other.publisher._compacting)
+            await other.publisher.settled()
         assert revision_module.key_of(2) not in store.entries
         refused = (await paused.apply(_service(count + 5))).failure()
         assert isinstance(refused, errors.Conflict)
@@ -154,7 +154,7 @@
         writer = Node(store)
         for number in range(200):
             await writer.apply(_service(number))
-            await asyncio.gather(writer.publisher._compacting)
+            await writer.publisher.settled()
         store.calls.clear()
         fresh = Node(store)
         await fresh.feed.catch_up()
