--- a/standins/demo.py
+++ b/standins/demo.py
@@ -39,6 +39,7 @@
         self._submit_jobs(self._fleet.nodes[1])
         self._kill_owner()
         self._take_store_away()
+        self._restart_killed()
         self._check_jobs()
         self._check_executions()
         print(f"took {time.monotonic() - started_s:.1f} s")
@@ -127,6 +128,15 @@
         time.sleep(OUTAGE_S)
         self._fleet.faults(outage=False)
 
+    def _restart_killed(self) -> None:
+        node = self._fleet.nodes[0]
+        print(f"{node.node_id} is started again under the same name.")
+        self._fleet.restart(node)
+        self._fleet.wait_revision(1)
+        self._expect(True, "the configuration is in force on it")
+        repeated = self._workload["requests"][1]
+        self._send(node, repeated, "ran")
+
     def _check_jobs(self) -> None:
         print("Jobs come to their end.")
         for job in self._workload["jobs"]:
@@ -179,6 +189,8 @@
     ) as fleet:
         demo = Demo(fleet)
         demo.run()
+    if fleet.processes.alive():
+        demo.broken.append("no process is left behind")
     print("every promise held" if not demo.broken else "BROKEN PROMISES")
     return 1 if demo.broken else 0
 
--- a/tools/meanings.py
+++ b/tools/meanings.py
@@ -41,4 +41,7 @@
     "max_waiting_requests": "Most requests that wait for an executor.",
     "claim_retention_s": "How long a request's claim is kept.",
     "routing_policy": "How an executor is chosen.",
+    "tls_certificate_file": "Certificate of the HTTP interface, PEM; empty "
+    "speaks plain HTTP.",
+    "tls_key_file": "Key of the certificate, PEM.",
 }
--- a/tools/reference.py
+++ b/tools/reference.py
@@ -113,7 +113,7 @@
         f"`{settings_module.environment_name(field.name)}`",
         unit,
         default,
-        meanings.SETTINGS[field.name],
+        meanings.SETTINGS.get(field.name, ""),
     ]
     return "| " + " | ".join(cells) + " |"
 
