--- a/src/knapweedwharf/core/scheduler.py
+++ b/src/knapweedwharf/core/scheduler.py
@@ -29,6 +29,7 @@
         state.waiting.due(state.now_s)
         if state.settled and not self._settled:
             self._settled = True
+            state.ledger.repair()
             state.waiting.wake_all()
         if state.policy.reserves:
             self.reserve.tick()
@@ -96,7 +97,7 @@
             return
         if self._start_on_probation(record):
             return
-        share = state.policy.search(state.topology, job)
+        share = state.search(job)
         if share is not None:
             text = "Room was found; the job borrows it."
             state.start(record, share, state.reason("placed", text))
