--- a/src/knapweedwharf/cli/job.py
+++ b/src/knapweedwharf/cli/job.py
@@ -1,15 +1,20 @@
-"""``knapweedwharf job``: submit, list, show, cancel, explain."""
+"""``knapweedwharf job``: submit, list, show, watch, cancel, explain."""
 
 from __future__ import annotations
 
+import time
 import typing
+from urllib import parse
 
 import click
 
+from knapweedwharf.charts import chart
 from knapweedwharf.cli import client as client_module
 from knapweedwharf.cli import output
 from knapweedwharf.core import model
 
+_WAIT_S = 5.0
+
 
 @click.group()
 def job() -> None:
@@ -38,11 +43,21 @@
 
 @job.command("list")
 @client_module.options
-def list_jobs(url: str, token: str, as_json: bool) -> None:
+@click.option("--state", help="only jobs in this state")
+@click.option("--account", help="only this account's jobs, for operators")
+@click.option("--after", help="only ids behind this one")
+@click.option("--limit", type=click.IntRange(1, 500))
+def list_jobs(url: str, token: str, as_json: bool, **asked: object) -> None:
     """List the account's jobs."""
-    answer = client_module.Client(url=url, token=token).call("GET", "/v1/jobs")
-    lines = [_line(item) for item in answer["jobs"]]
-    output.show(answer, lines or ["no jobs"], as_json=as_json)
+    query = parse.urlencode({k: v for k, v in asked.items() if v is not None})
+    client = client_module.Client(url=url, token=token)
+    answer = client.call("GET", f"/v1/jobs?{query}")
+    lines = [_line(item) for item in answer["jobs"]] or ["no jobs"]
+    if answer["next_after"]:
+        lines.append(f"more: --after {answer['next_after']}")
+    for name in answer["unread_data_centres"]:
+        lines.append(f"not read now: jobs of {name}")
+    output.show(answer, lines, as_json=as_json)
 
 
 @job.command()
@@ -73,14 +88,43 @@
     client = client_module.Client(url=url, token=token)
     answer = client.call("GET", f"/v1/jobs/{job_id}/explain")
     lines = [f"{job_id}: {answer['state']}"]
-    for reason in answer["reasons"]:
-        lines.append(
-            f"  revision {reason['revision']}  {reason['code']}: "
-            f"{reason['text']}"
-        )
+    lines += [f"  {_reason_line(reason)}" for reason in answer["reasons"]]
     output.show(answer, lines, as_json=as_json)
 
 
+@job.command()
+@client_module.options
+@click.argument("job_id")
+def watch(url: str, token: str, as_json: bool, job_id: str) -> None:
+    """Follow a job until it ends; exit 1 unless it has finished."""
+    client = client_module.Client(url=url, token=token)
+    final = chart.load("job").final
+    state = ""
+    while state not in final:
+        query = parse.urlencode({"wait_s": _WAIT_S, "state": state})
+        path = f"/v1/jobs/{job_id}"
+        answer = client.call("GET", f"{path}?{query}" if state else path)
+        if answer["state"] == state:
+            continue
+        state = answer["state"]
+        reasons = answer["reasons"][-1:]
+        told = _reason_line(reasons[0]) if reasons else ""
+        output.show(answer, [f"{job_id}: {state}  {told}"], as_json=as_json)
+    if state != "finished":
+        raise SystemExit(output.EXIT_REFUSED)
+
+
+def _reason_line(reason: dict) -> str:
+    at = time.strftime("%Y-%m-%d %H:%M:%S", time.gmtime(reason["at_s"]))
+    line = f"{at} UTC  revision {reason['revision']}  {reason['code']}: "
+    line += reason["text"]
+    if reason.get("guarantee"):
+        line += f" Guarantee {reason['guarantee']}."
+    if reason.get("other_job_id"):
+        line += f" Other job: {reason['other_job_id']}."
+    return line
+
+
 def _line(item: dict) -> str:
     spec = item["job"]
     return (
--- a/src/knapweedwharf/scheduling/inbox.py
+++ b/src/knapweedwharf/scheduling/inbox.py
@@ -39,6 +39,11 @@
     return f"/knapweedwharf/dc/{data_centre}/inbox/"
 
 
+def key_of(data_centre: str, job_id: str, kind: str) -> str:
+    """Return the key of an entry."""
+    return f"{prefix_of(data_centre)}{job_id}.{kind}"
+
+
 def decode(entry: store_module.Entry) -> Item:
     """Read an entry of the inbox."""
     document = json.loads(entry.value)
@@ -75,7 +80,7 @@
 async def _put(
     store: store_module.Store, data_centre: str, document: dict
 ) -> result.Result[store_module.Entry, errors.Fault]:
-    key = f"{prefix_of(data_centre)}{document['job_id']}.{document['kind']}"
+    key = key_of(data_centre, document["job_id"], document["kind"])
     return await store_module.write_certain(
         store,
         key,
--- a/src/knapweedwharf/scheduling/pages.py
+++ b/src/knapweedwharf/scheduling/pages.py
@@ -31,6 +31,11 @@
     return f"/knapweedwharf/dc/{data_centre}/page/"
 
 
+def key_of(data_centre: str, page: int) -> str:
+    """Return the key of a page."""
+    return f"{prefix_of(data_centre)}{page:02d}"
+
+
 def decode(entries: abc.Iterable[store_module.Entry]) -> Records:
     """Read the records of all pages."""
     records: Records = {}
@@ -69,7 +74,7 @@
         self, *, store: store_module.Store, data_centre: str, epoch: int
     ) -> None:
         self._store = store
-        self._prefix = prefix_of(data_centre)
+        self._data_centre = data_centre
         self._epoch = epoch
         self._versions: dict[int, int] = {}
         self._unread: dict[int, list[dict]] = {}
@@ -92,7 +97,7 @@
         return outcome
 
     async def _take_over_once(self) -> result.Result[Records, errors.Fault]:
-        listed = await self._store.list(self._prefix)
+        listed = await self._store.list(prefix_of(self._data_centre))
         if isinstance(listed, result.Failure):
             return listed
         records: Records = {}
@@ -165,7 +170,7 @@
         return result.Success(None)
 
     def _key(self, page: int) -> str:
-        return f"{self._prefix}{page:02d}"
+        return key_of(self._data_centre, page)
 
 
 def page_of(job_id: str) -> int:
--- a/src/knapweedwharf/scheduling/view.py
+++ b/src/knapweedwharf/scheduling/view.py
@@ -8,6 +8,8 @@
 from returns import result
 
 from knapweedwharf.adapters import store as store_module
+from knapweedwharf import codec
+from knapweedwharf import errors
 from knapweedwharf.scheduling import inbox as inbox_module
 from knapweedwharf.scheduling import pages as pages_module
 from knapweedwharf.scheduling import record as record_module
@@ -24,6 +26,17 @@
 LIST = "list"
 
 
+@dataclasses.dataclass(frozen=True)
+class Listing:
+    """Jobs of all data centres that could be read.
+
+    :ivar unread_data_centres: those whose jobs are not in the list.
+    """
+
+    jobs: list[JobDocument]
+    unread_data_centres: list[str]
+
+
 class JobView:
     """Reads jobs of every data centre."""
 
@@ -40,64 +53,130 @@
         self._ask_owner = ask_owner
         self._data_centres = data_centres
 
-    async def find(self, job_id: str) -> JobDocument | None:
-        """Return a job by its id, wherever it stands."""
-        jobs = await self.list_all()
-        for data_centre in self._data_centres():
-            # An accepted job may not have reached its owner yet.
-            jobs.extend(await self._stored(data_centre))
-        for job in jobs:
-            if job["job"]["job_id"] == job_id:
-                return job
-        return None
-
-    async def list_all(self) -> list[JobDocument]:
-        """Return the jobs of every data centre."""
+    async def find(
+        self, job_id: str
+    ) -> result.Result[JobDocument | None, errors.Fault]:
+        """Return a job by its id, wherever it stands.
+
+        A failure says that some place where it may stand was not read.
+        """
+        unread = None
+        for data_centre in self._own_first():
+            found = await self._find_in(data_centre, job_id)
+            if isinstance(found, result.Failure):
+                unread = found
+            elif found.unwrap() is not None:
+                return found
+        return unread or result.Success(None)
+
+    def _own_first(self) -> list[str]:
+        own = self._role.data_centre
+        return sorted(self._data_centres(), key=lambda name: name != own)
+
+    async def _find_in(
+        self, data_centre: str, job_id: str
+    ) -> result.Result[JobDocument | None, errors.Fault]:
+        if self._owns(data_centre):
+            job = self._own_job(job_id)
+        else:
+            answered = await self._ask_owner(
+                data_centre, FIND, {"job_id": job_id}
+            )
+            job = answered["job"] if answered else None
+        if job is not None:
+            return result.Success(job)
+        # An accepted job may not have reached its owner yet.
+        return await self._stored_job(data_centre, job_id)
+
+    async def _stored_job(
+        self, data_centre: str, job_id: str
+    ) -> result.Result[JobDocument | None, errors.Fault]:
+        # In this order: a job on its way is in one of the two.
+        waiting = await self._store.get(
+            inbox_module.key_of(data_centre, job_id, inbox_module.SUBMIT)
+        )
+        page = await self._store.get(
+            pages_module.key_of(data_centre, pages_module.page_of(job_id))
+        )
+        for read in (waiting, page):
+            if isinstance(read, result.Failure):
+                return result.Failure(_unread(data_centre, read.failure()))
+        if page.unwrap() is not None:
+            record = pages_module.decode([page.unwrap()]).get(job_id)
+            if record is not None:
+                return result.Success(record_module.to_dict(record))
+        if waiting.unwrap() is not None:
+            return result.Success(_waiting(waiting.unwrap()))
+        return result.Success(None)
+
+    async def list_all(self) -> Listing:
+        """Return the jobs of every data centre, in order of their ids."""
         jobs: dict[str, JobDocument] = {}
+        unread = []
         for data_centre in self._data_centres():
-            for job in await self._list(data_centre):
+            listed = await self._list(data_centre)
+            if listed is None:
+                unread.append(data_centre)
+                continue
+            for job in listed:
                 jobs[job["job"]["job_id"]] = job
-        return [jobs[job_id] for job_id in sorted(jobs)]
+        return Listing([jobs[job_id] for job_id in sorted(jobs)], unread)
 
-    async def answer(self, operation: str, _body: dict) -> dict | None:
+    async def answer(self, operation: str, body: dict) -> dict | None:
         """Answer a peer; None when this node is not the owner."""
-        if not self._role.active or operation != LIST:
+        if not self._role.active:
             return None
-        return {"jobs": self._own()}
+        if operation == FIND:
+            return {"job": self._own_job(body["job_id"])}
+        return {"jobs": self._own()} if operation == LIST else None
 
-    async def _list(self, data_centre: str) -> list[JobDocument]:
-        if self._role.active and self._role.data_centre == data_centre:
+    async def _list(self, data_centre: str) -> list[JobDocument] | None:
+        if self._owns(data_centre):
             return self._own()
         answered = await self._ask_owner(data_centre, LIST, {})
         if answered is not None:
             return answered["jobs"]
         return await self._stored(data_centre)
 
+    def _owns(self, data_centre: str) -> bool:
+        return self._role.active and self._role.data_centre == data_centre
+
     def _own(self) -> list[JobDocument]:
-        return [
-            record_module.to_dict(record)
-            for record in self._role.tenure.records.values()
-        ]
+        records = self._role.tenure.records.values()
+        return [record_module.to_dict(record) for record in records]
 
-    async def _stored(self, data_centre: str) -> list[JobDocument]:
+    def _own_job(self, job_id: str) -> JobDocument | None:
+        record = self._role.tenure.records.get(job_id)
+        return record_module.to_dict(record) if record else None
+
+    async def _stored(self, data_centre: str) -> list[JobDocument] | None:
         # In this order: a job on its way is in one of the two.
         inbox = await self._store.list(inbox_module.prefix_of(data_centre))
         pages = await self._store.list(pages_module.prefix_of(data_centre))
-        jobs = [*_waiting(inbox)]
-        if isinstance(pages, result.Success):
-            records = pages_module.decode(pages.unwrap().entries)
-            jobs.extend(map(record_module.to_dict, records.values()))
-        return jobs
-
-
-def _waiting(listed: result.Result) -> typing.Iterator[JobDocument]:
-    if isinstance(listed, result.Failure):
-        return
-    for entry in listed.unwrap().entries:
-        item = inbox_module.decode(entry)
-        if item.job is not None:
-            yield {
-                "job": dataclasses.asdict(item.job),
-                "state": "queued",
-                "reasons": [],
-            }
+        if isinstance(inbox, result.Failure):
+            return None
+        if isinstance(pages, result.Failure):
+            return None
+        waiting = map(_waiting, inbox.unwrap().entries)
+        records = pages_module.decode(pages.unwrap().entries)
+        return [
+            *(job for job in waiting if job is not None),
+            *map(record_module.to_dict, records.values()),
+        ]
+
+
+def _waiting(entry: store_module.Entry) -> JobDocument | None:
+    item = inbox_module.decode(entry)
+    if item.job is None:
+        return None
+    job = codec.plain(item.job)
+    return {"job": job, "state": "queued", "reasons": []}
+
+
+def _unread(data_centre: str, fault: errors.Fault) -> errors.DidNotRun:
+    return errors.DidNotRun(
+        message=f"The jobs of {data_centre} cannot be read now: "
+        f"{fault.message}",
+        remedy="Ask again; nothing was changed.",
+        retry_after_s=2.0,
+    )
