--- a/src/knapweedwharf/adapters/observed.py
+++ b/src/knapweedwharf/adapters/observed.py
@@ -22,7 +22,7 @@
         f"store.calls.{kind}",
         kind=metrics.COUNTER,
         unit="calls",
-        text=f"Calls to the store of the kind {kind}.",
+        text=f"Calls to the store of the kind {kind}; a watch is one.",
     )
     for kind in (READ, WRITE, LEASE, WATCH)
 }
