Pause an executor that refuses within the node's own share

Cause: slots still held by abandoned runs made an executor refuse, and the node went on sending: a trial with runs of 1.5 s against deadlines of 1 s had 387 requests and 361 arrivals in 6 s, most of them refused.

test_refusal_takes_back_what_was_borrowed refused a node that had not borrowed, which is now the other case; it borrows first, and the new test checks the pause. A test adds late comers to a draining node: they are answered and their connections closed.

--- a/src/knapweedwharf/routing/health.py
+++ b/src/knapweedwharf/routing/health.py
@@ -16,6 +16,7 @@
 FAILURES_TO_EJECT = 3
 EJECT_S = 1.0
 MAX_EJECT_S = 30.0
+REFUSED_PAUSE_S = 0.25
 
 
 @dataclasses.dataclass
@@ -24,6 +25,8 @@
 
     :ivar total_running: what it said it runs for all entry VMs.
     :ivar failures: failures in a row.
+    :ivar paused_until_s: end of the pause after a refusal within the
+        node's own share.
     :ivar ejections: ejections in a row, which lengthen the next.
     """
 
@@ -33,6 +36,7 @@
     failures: int = 0
     ejections: int = 0
     ejected_until_s: float = float("-inf")
+    paused_until_s: float = float("-inf")
 
     def is_fresh(self, now_s: float) -> bool:
         """Tell whether it was heard lately enough to send work."""
@@ -65,6 +69,10 @@
         elif probed:
             self.leaving_at_s = None
 
+    def pause(self, now_s: float) -> None:
+        """Send it nothing for a moment."""
+        self.paused_until_s = now_s + REFUSED_PAUSE_S
+
     def succeed(self) -> None:
         """Note a whole answer."""
         self.failures = 0
--- a/src/knapweedwharf/routing/pool.py
+++ b/src/knapweedwharf/routing/pool.py
@@ -185,6 +185,8 @@
                 yield executor
 
     def _limit(self, executor: Executor) -> int:
+        if self._clock() < executor.health.paused_until_s:
+            return 0
         if executor.health.on_probation:
             return 1
         if not self.is_fresh(executor):
@@ -232,6 +234,8 @@
             running=share.SLOTS_PER_EXECUTOR + executor.running
         )
         signal = fault.signal if fault.signal.leaving else full
+        if executor.running <= executor.own_slots:
+            executor.health.pause(self._clock())
         self.note_signal(executor, signal)
 
     def note_failure(self, executor: Executor) -> None:
--- a/testing/routing/test_pool.py
+++ b/testing/routing/test_pool.py
@@ -14,6 +14,7 @@
 from testing.routing import fakes
 
 FRESH = executor_module.Signal(running=0)
+REFUSAL = executor_module.Refusal("full", "", 1.0)
 
 
 def _entries(count: int, data_centre: str = "here") -> list[share.EntryVm]:
@@ -83,13 +84,26 @@
     pool, clock = _pool()
     executor = pool.executors["executor-0"]
     pool.note_signal(executor, FRESH)
-    refusal = executor_module.Refusal("full", "", 1.0)
-    pool.note_fault(executor, refusal)
+    executor.running = executor.own_slots + 1
+    pool.note_fault(executor, REFUSAL)
+    executor.running = 0
     assert _fill(pool) == executor.own_slots
     clock.now_s += health.SIGNAL_AGE_S
     assert pool.choose("check") is executor
 
 
+def test_refusal_within_the_share_pauses_the_executor() -> None:
+    pool, clock = _pool()
+    executor = pool.executors["executor-0"]
+    pool.note_signal(executor, FRESH)
+    executor.running = 1
+    pool.note_fault(executor, REFUSAL)
+    executor.running = 0
+    assert pool.choose("check") is None
+    clock.now_s += health.REFUSED_PAUSE_S
+    assert _fill(pool) == executor.own_slots
+
+
 def test_own_data_centre_goes_first_then_spare_room() -> None:
     clock = fakes.Clock()
     pool, _clock = _pool(clock=clock)
--- a/testing/routing/test_processes.py
+++ b/testing/routing/test_processes.py
@@ -8,6 +8,7 @@
 import collections
 from collections import abc
 from concurrent import futures
+from http import client
 import json
 import pathlib
 import random
@@ -256,3 +257,32 @@
     assert drained["cut"] == 1
     asked = fleet.call(fleet.nodes[1], "GET", "/v1/requests/cut", token=TOKEN)
     assert asked.headers[OUTCOME] == "unknown"
+
+
+def test_draining_node_answers_late_comers_and_closes() -> None:
+    with fleet_module.Fleet(
+        folder=FOLDER,
+        data_centres=["antigua"],
+        node_options={"drain-wait-s": "3"},
+    ) as fleet:
+        node = fleet.nodes[0]
+        fleet.wait_revision(fleet.apply_folder(node))
+        kept = client.HTTPConnection("127.0.0.1", node.http_port)
+        bearer = {"Authorization": f"Bearer {TOKEN}"}
+        kept.request("POST", CHECK, b"one", bearer)
+        first = kept.getresponse()
+        assert (first.read(), first.getheader("connection"))[1] is None
+        fleet.signal(node, signal.SIGTERM)
+        fleet_module.until(
+            lambda: fleet_module.http("GET", node.url + "/readyz").status
+            == 503,
+            what="readiness off",
+        )
+        kept.request("POST", CHECK, b"two", bearer)
+        second = kept.getresponse()
+        assert b"two" in second.read()
+        assert second.getheader("connection") == "close"
+        assert kept.sock is None or kept.sock.recv(1) == b""
+        late = _ask(fleet, node, CHECK, body=b"three")
+        assert late.headers[OUTCOME] == "ran"
+        assert _exit_code(node) == 0
