--- a/bench/routing.py
+++ b/bench/routing.py
@@ -24,13 +24,18 @@
     """One way to the executor, measured in turns with the others."""
 
     def __init__(
-        self, url: str, headers: dict[str, str], *, process_id: int = 0
+        self,
+        url: str,
+        headers: dict[str, str],
+        *,
+        process_id: int = 0,
+        reuse: bool = True,
     ) -> None:
         self._url = url
         self._headers = headers
         self._process_id = process_id
         self._client = transport.HttpTransport(
-            max_body_bytes=1_000_000, reuse=True
+            max_body_bytes=1_000_000, reuse=reuse
         )
         self.elapsed_s: list[float] = []
         self.used_s = 0.0
@@ -99,6 +104,9 @@
         pid = node.process.pid
         ways = {
             "direct": _Way(direct + "/run/check", _RUN_HEADERS),
+            "direct, new connections": _Way(
+                direct + "/run/check", _RUN_HEADERS, reuse=False
+            ),
             "pass-through": _Way(
                 floor_url + "/run/check", {}, process_id=floor.pid
             ),
@@ -129,6 +137,8 @@
             continue
         ratio = way.median_ms / base_ms
         yield bench.Figure(f"{name} over direct", ratio, "times")
+        if not way.used_s:
+            continue
         yield bench.Figure(
             f"{name}, requests per processor second",
             way.per_processor_s,
--- a/src/knapweedwharf/web/request.py
+++ b/src/knapweedwharf/web/request.py
@@ -100,7 +100,10 @@
         found = await self.node.dispatcher.claims.find(
             caller.account, request_id
         )
-        claim = base.unwrap(found)
+        if isinstance(found, result.Failure):
+            write_outcome(self, request_id, _cannot_ask(request_id))
+            return
+        claim = found.unwrap()
         if claim is None:
             raise base.Refused(
                 errors.NotFound(
@@ -128,6 +131,15 @@
     handler.refuse(outcome.failure())
 
 
+def _cannot_ask(request_id: str) -> request_module.Outcome:
+    return result.Failure(
+        errors.OutcomeUnknown(
+            message="The store cannot be asked for the outcome now.",
+            remedy=f"Ask GET /v1/requests/{request_id} again later.",
+        )
+    )
+
+
 def _seconds(text: str) -> float:
     try:
         seconds = float(text)
--- a/testing/routing/test_processes.py
+++ b/testing/routing/test_processes.py
@@ -144,6 +144,8 @@
         booking = _ask(fleet, node, BOOKING, body=b"x", key=f"key-{number}")
         assert booking.headers[OUTCOME] == "did-not-run"
         assert int(booking.headers["retry-after"]) >= 1
+    asked = fleet.call(node, "GET", "/v1/requests/key-0", token=TOKEN)
+    assert asked.headers[OUTCOME] == "unknown"
     assert "booking" not in {e["service"] for e in fleet.executions()}
     fleet.faults(outage=False)
     later = _ask(fleet, fleet.nodes[1], BOOKING, body=b"x", key="key-0")
