--- a/testing/routing/test_processes.py
+++ b/testing/routing/test_processes.py
@@ -12,6 +12,7 @@
 import pathlib
 import random
 import signal
+import socket
 import time
 
 import pytest
@@ -143,6 +144,8 @@
         booking = _ask(fleet, node, BOOKING, body=b"x", key=f"key-{number}")
         assert booking.headers[OUTCOME] == "did-not-run"
         assert int(booking.headers["retry-after"]) >= 1
+    asked = fleet.call(node, "GET", "/v1/requests/key-0", token=TOKEN)
+    assert asked.headers[OUTCOME] == "unknown"
     assert "booking" not in {e["service"] for e in fleet.executions()}
     fleet.faults(outage=False)
     later = _ask(fleet, fleet.nodes[1], BOOKING, body=b"x", key="key-0")
@@ -256,3 +259,42 @@
     assert drained["cut"] == 1
     asked = fleet.call(fleet.nodes[1], "GET", "/v1/requests/cut", token=TOKEN)
     assert asked.headers[OUTCOME] == "unknown"
+
+
+def _on(kept: socket.socket, body: bytes) -> bytes:
+    """Send a check on a kept connection; return the answer."""
+    head = (
+        f"POST {CHECK} HTTP/1.1\r\nHost: node\r\n"
+        f"Authorization: Bearer {TOKEN}\r\n"
+        f"Content-Length: {len(body)}\r\n\r\n"
+    )
+    kept.sendall(head.encode() + body)
+    received = b""
+    while body not in received:
+        received += kept.recv(4096)
+    return received
+
+
+def test_draining_node_answers_late_comers_and_closes() -> None:
+    with fleet_module.Fleet(
+        folder=FOLDER,
+        data_centres=["antigua"],
+        node_options={"drain-wait-s": "3"},
+    ) as fleet:
+        node = fleet.nodes[0]
+        fleet.wait_revision(fleet.apply_folder(node))
+        address = ("127.0.0.1", node.http_port)
+        kept = socket.create_connection(address, STOP_TIMEOUT_S)
+        assert b"Connection: close" not in _on(kept, b"one")
+        fleet.signal(node, signal.SIGTERM)
+        fleet_module.until(
+            lambda: fleet_module.http("GET", node.url + "/readyz").status
+            != 200,
+            what="readiness off",
+        )
+        assert b"Connection: close" in _on(kept, b"two")
+        assert kept.recv(1) == b""
+        kept.close()
+        late = _ask(fleet, node, CHECK, body=b"three")
+        assert late.headers.get(OUTCOME) == "ran"
+        assert _exit_code(node) == 0
