--- a/testing/configuration/test_in_force.py
+++ b/testing/configuration/test_in_force.py
@@ -131,6 +131,39 @@
     return answer.json() if answer.status == 200 else None
 
 
+def test_table_of_operations_in_an_outage(fleet) -> None:
+    """The rows on configuration in docs/explanation/membership.md."""
+    node = fleet.nodes[0]
+    base = _revision(fleet, node)
+    before = _history(fleet, node)["revisions"]
+    fleet.faults(outage=True)
+    applied = _change(fleet, node, 700, base)
+    shown = _call(fleet, node, "GET", "/v1/config")
+    remembered = _history(fleet, node)
+    ready = fleet_module.http("GET", node.url + "/readyz")
+    status = _status(fleet, node)
+    fleet.faults(outage=False)
+    assert applied.status in (503, 504)
+    message = applied.json()["error"]["message"]
+    assert "Nothing was applied" in message or "write_id" in message
+    assert shown.json()["revision"] == base
+    assert not remembered["complete"]
+    assert (ready.status, status["store_reachable"]) == (200, False)
+    after = fleet_module.until(
+        lambda: _complete(_history(fleet, node)), what="the store to return"
+    )
+    assert after == before
+    answer = fleet_module.until(
+        lambda: _accepted(_change(fleet, node, 700, base)),
+        what="the change to be taken after the outage",
+    )
+    assert answer["revision"] == base + 1
+
+
+def _complete(history: dict) -> list[dict] | None:
+    return history["revisions"] if history["complete"] else None
+
+
 def test_node_restarted_in_an_outage_never_goes_back(fleet) -> None:
     node = fleet.nodes[1]
     base = _revision(fleet, fleet.nodes[0])
