Check guarantees against hardware only when either has changed

Cause: each change ran the promise check over every data centre, also when it touched a service alone; at the plan's size that is most of a change's processor time.

--- a/bench/configuration.py
+++ b/bench/configuration.py
@@ -18,6 +18,8 @@
 TARGET_S = 3.0
 BURST = 50
 STEADY = 10
+PLAN_RACKS = 68
+PLAN_ACCOUNTS = 74
 STEADY_PAUSE_S = 0.5
 STARTS = (100, 1_000, 2_000)
 _FOLDER = pathlib.Path("examples/escaleras/folder")
@@ -51,9 +53,15 @@
         return answer.json()["revision"] if answer.status == 200 else 0
 
 
-def _apply(fleet: fleet_module.Fleet, node, base: int) -> None:
+def _apply(
+    fleet: fleet_module.Fleet,
+    node: fleet_module.NodeProcess,
+    base: int,
+    files: dict[str, str] | None = None,
+) -> None:
     text = f"[service.bench]\ntimeout_s = {base + 1}\n"
-    document = {"base_revision": base, "changed": {"90-b.toml": text}}
+    changed = files or {"90-b.toml": text}
+    document = {"base_revision": base, "changed": changed}
     answer = fleet.call(
         node,
         "POST",
@@ -87,6 +95,27 @@
     )
 
 
+def _plan_files() -> dict[str, str]:
+    """Return files of the plan's size in a data centre without VMs."""
+    files = {}
+    for number in range(PLAN_RACKS):
+        files[f"91-rack-{number:03d}.toml"] = (
+            f"[rack.plan-{number}]\n"
+            'data_centre = "solola"\nworkers = 10\n'
+            "accelerators_per_worker = 1\ncores_per_worker = 64\n"
+            "memory_mib_per_worker = 262144\n"
+        )
+    for number in range(PLAN_ACCOUNTS):
+        files[f"92-account-{number:03d}.toml"] = (
+            f'[account.plan-{number}]\ntoken_sha256 = "{number:064x}"\n'
+        )
+        files[f"93-guarantee-{number:03d}.toml"] = (
+            f'[guarantee.plan-{number}]\naccount = "plan-{number}"\n'
+            'data_centre = "solola"\naccelerators = 4\nwithin = "rack"\n'
+        )
+    return files
+
+
 @bench.BENCHES.register("configuration-in-force")
 def in_force() -> list[bench.Figure]:
     """Measure nine entry VMs in three data centres."""
@@ -99,9 +128,12 @@
         fleet.wait_revision(fleet.apply_folder(fleet.nodes[0]))
         burst_s = _spread_s(fleet, BURST, 0.0)
         steady_s = _spread_s(fleet, STEADY, STEADY_PAUSE_S)
+        _apply(fleet, fleet.nodes[0], 1 + BURST + STEADY, _plan_files())
+        plan_s = _spread_s(fleet, BURST, 0.0)
     return [
         _seconds(f"in force everywhere, burst of {BURST}, longest", burst_s),
         _seconds("in force everywhere, steady, longest", steady_s),
+        _seconds("the same burst, folder of the plan's size", plan_s),
     ]
 
 
--- a/src/knapweedwharf/configuration/check.py
+++ b/src/knapweedwharf/configuration/check.py
@@ -25,10 +25,20 @@
 
 
 def run(
-    configuration: model.Configuration, source_of: SourceOf
+    configuration: model.Configuration,
+    source_of: SourceOf,
+    *,
+    before: model.Configuration | None = None,
 ) -> list[errors.InvalidField]:
-    """Return all faults; promises are checked once references hold."""
-    for stage in (REFERENCE_CHECKS, PROMISE_CHECKS):
+    """Return all faults; promises are checked once references hold.
+
+    :param before: an accepted configuration; promises that are the same
+        in it are not checked again.
+    """
+    stages = [REFERENCE_CHECKS, PROMISE_CHECKS]
+    if before is not None and _same_promises(before, configuration):
+        stages.remove(PROMISE_CHECKS)
+    for stage in stages:
         faults = [
             fault
             for name in stage.names()
@@ -39,6 +49,16 @@
     return []
 
 
+def _same_promises(
+    before: model.Configuration, after: model.Configuration
+) -> bool:
+    return (
+        before.guarantees == after.guarantees
+        and before.racks == after.racks
+        and before.data_centres == after.data_centres
+    )
+
+
 @REFERENCE_CHECKS.register("names")
 def _references(
     configuration: model.Configuration, source_of: SourceOf
--- a/src/knapweedwharf/configuration/folder.py
+++ b/src/knapweedwharf/configuration/folder.py
@@ -122,17 +122,27 @@
 
 
 def load(
-    files: Files, *, revision: int, accepted: bool = False
+    files: Files,
+    *,
+    revision: int,
+    accepted: bool = False,
+    before: model.Configuration | None = None,
 ) -> result.Result[model.Configuration, Faults]:
     """Parse, merge and check files; the faults found are returned.
 
     :param accepted: the files are those of an accepted revision, whose
         references and promises have been checked.
+    :param before: the accepted configuration that the files change.
     """
     merged = merge(files)
     if isinstance(merged, result.Failure):
         return merged
-    return _build(merged.unwrap(), revision=revision, accepted=accepted)
+    built = _build(merged.unwrap(), revision=revision)
+    if accepted or isinstance(built, result.Failure):
+        return built
+    sources = source_of(merged.unwrap())
+    faults = check.run(built.unwrap(), sources, before=before)
+    return result.Failure(faults[:MAX_FAULTS]) if faults else built
 
 
 def merge(files: Files) -> result.Result[Merged, Faults]:
@@ -277,7 +287,7 @@
 
 
 def _build(
-    merged: Merged, *, revision: int, accepted: bool
+    merged: Merged, *, revision: int
 ) -> result.Result[model.Configuration, Faults]:
     built: dict[str, dict[str, typing.Any]] = {}
     faults: Faults = []
@@ -299,10 +309,7 @@
         services=built.get("service", {}),
         policy=built.get("rule", {}).get("scheduling", model.PolicySpec()),
     )
-    if accepted:
-        return result.Success(configuration)
-    faults = check.run(configuration, source_of(merged))
-    return result.Failure(faults) if faults else result.Success(configuration)
+    return result.Success(configuration)
 
 
 def source_of(merged: Merged) -> check.SourceOf:
--- a/src/knapweedwharf/configuration/publish.py
+++ b/src/knapweedwharf/configuration/publish.py
@@ -111,7 +111,7 @@
             return result.Failure(self._raced(change.base_revision))
         number = feed.current.revision + 1
         files = feed_module.changed_files(feed.files, changed)
-        checked = folder.load(files, revision=number)
+        checked = folder.load(files, revision=number, before=feed.current)
         if isinstance(checked, result.Failure):
             return checked
         if not change.force:
--- a/testing/configuration/test_folder.py
+++ b/testing/configuration/test_folder.py
@@ -60,3 +60,30 @@
     fault = _fault({"1.toml": DATA_CENTRE, "2.toml": text})
     assert fault.field == "guarantee.g.account"
     assert "nobody" in str(fault)
+
+
+def test_changed_guarantee_is_checked_against_the_hardware() -> None:
+    rack = (
+        "[rack.r]\ndata_centre = 'a'\nworkers = 1\n"
+        "accelerators_per_worker = 4\ncores_per_worker = 8\n"
+        "memory_mib_per_worker = 8192\n"
+    )
+    account = f'[account.x]\ntoken_sha256 = "{"0" * 64}"\n'
+    text = (
+        '[guarantee.g]\naccount = "x"\ndata_centre = "a"\n'
+        'accelerators = {}\nwithin = "worker"\n'
+    )
+    files = {
+        "1.toml": DATA_CENTRE,
+        "2.toml": rack,
+        "3.toml": account,
+        "4.toml": text.format(4),
+    }
+    before = folder.load(files, revision=1).unwrap()
+    files["4.toml"] = text.format(8)
+    refused = folder.load(files, revision=2, before=before)
+    assert refused.failure()[0].field == "guarantee.g.accelerators"
+    files["4.toml"] = text.format(4)
+    files["2.toml"] = rack.replace("= 4", "= 2")
+    refused = folder.load(files, revision=2, before=before)
+    assert refused.failure()[0].field == "guarantee.g.accelerators"
