--- a/testing/configuration/test_in_force.py
+++ b/testing/configuration/test_in_force.py
@@ -4,6 +4,7 @@
 
 from collections import abc
 import pathlib
+import signal
 import threading
 
 import pytest
@@ -131,6 +132,54 @@
     return answer.json() if answer.status == 200 else None
 
 
+def test_node_that_was_paused_catches_up_before_it_appends(fleet) -> None:
+    paused = fleet.nodes[2]
+    base = _revision(fleet, fleet.nodes[0])
+    fleet.signal(paused, signal.SIGSTOP)
+    for number in range(2):
+        answer = _change(fleet, fleet.nodes[0], 650 + number, base + number)
+        assert answer.status == 200
+    fleet.signal(paused, signal.SIGCONT)
+    late = _change(fleet, paused, 660, base)
+    assert late.status == 409
+    assert f"{base + 1} by head-office" in late.json()["error"]["message"]
+    answer = _change(fleet, paused, 661, base + 2)
+    assert answer.json()["revision"] == base + 3
+
+
+def test_table_of_operations_in_an_outage(fleet) -> None:
+    """The rows on configuration in docs/explanation/membership.md."""
+    node = fleet.nodes[0]
+    base = _revision(fleet, node)
+    before = _history(fleet, node)["revisions"]
+    fleet.faults(outage=True)
+    applied = _change(fleet, node, 700, base)
+    shown = _call(fleet, node, "GET", "/v1/config")
+    remembered = _history(fleet, node)
+    ready = fleet_module.http("GET", node.url + "/readyz")
+    status = _status(fleet, node)
+    fleet.faults(outage=False)
+    assert applied.status in (503, 504)
+    message = applied.json()["error"]["message"]
+    assert "Nothing was applied" in message or "write_id" in message
+    assert shown.json()["revision"] == base
+    assert not remembered["complete"]
+    assert (ready.status, status["store_reachable"]) == (200, False)
+    after = fleet_module.until(
+        lambda: _complete(_history(fleet, node)), what="the store to return"
+    )
+    assert after == before
+    answer = fleet_module.until(
+        lambda: _accepted(_change(fleet, node, 700, base)),
+        what="the change to be taken after the outage",
+    )
+    assert answer["revision"] == base + 1
+
+
+def _complete(history: dict) -> list[dict] | None:
+    return history["revisions"] if history["complete"] else None
+
+
 def test_node_restarted_in_an_outage_never_goes_back(fleet) -> None:
     node = fleet.nodes[1]
     base = _revision(fleet, fleet.nodes[0])
