--- a/src/knapweedwharf/telemetry.py
+++ b/src/knapweedwharf/telemetry.py
@@ -82,7 +82,8 @@
         status = self._status()
         owner = status["free_accelerators"] is not None
         self._sender.gauge(_REVISION, status["revision"])
-        self._sender.gauge(_REVISION_AGE, status["revision_age_s"])
+        if status["revision_age_s"] is not None:
+            self._sender.gauge(_REVISION_AGE, status["revision_age_s"])
         self._sender.gauge(_IN_FLIGHT, status["requests_in_flight"])
         self._sender.gauge(_OWNER, int(owner))
         if owner:
--- a/tools/meanings.py
+++ b/tools/meanings.py
@@ -14,6 +14,9 @@
     "directory_kind": "Adapter of the list of VMs.",
     "worker_kind": "Adapter of the workers.",
     "executor_kind": "Adapter of the executors.",
+    "tls_certificate_file": "PEM certificate chain of the HTTP "
+    "interface; empty speaks plain HTTP.",
+    "tls_key_file": "PEM key of the certificate; both or neither.",
     "statsd_address": "Where metrics go; empty sends none.",
     "operator_token_sha256": "Hash of the token that applies a first "
     "folder.",
@@ -41,7 +44,4 @@
     "max_waiting_requests": "Most requests that wait for an executor.",
     "claim_retention_s": "How long a request's claim is kept.",
     "routing_policy": "How an executor is chosen.",
-    "tls_certificate_file": "Certificate of the HTTP interface, PEM; empty "
-    "speaks plain HTTP.",
-    "tls_key_file": "Key of the certificate, PEM.",
 }
