Add list and process faults to schedules; show a gang's part without refusals

Schedules now empty the list of VMs, list executors as leaving, drop entry VMs from it, and pause executors and a data centre's workers.

--- a/testing/faults/__main__.py
+++ b/testing/faults/__main__.py
@@ -13,11 +13,12 @@
 @click.option("--show", is_flag=True, help="print schedules, run nothing")
 def main(seeds: tuple[int, ...], shrink: bool, show: bool) -> None:
     """Run seeds and print what broke; exit 1 if anything did."""
+    if show:
+        for seed in seeds:
+            _print(seeds_module.draw(seed))
+        return
     failed = []
     for seed in seeds:
-        if show:
-            _print(seeds_module.draw(seed))
-            continue
         try:
             broken = seeds_module.run(seed)
         except TimeoutError as error:
--- a/testing/faults/runner.py
+++ b/testing/faults/runner.py
@@ -4,12 +4,14 @@
 
 import functools
 import pathlib
+import subprocess
 import threading
 
 from standins import caller
 from standins import fleet as fleet_module
 from standins import loopback
 from standins import oracle
+from standins import processes
 from testing.faults import schedule
 from testing.features import story as story_module
 
@@ -32,6 +34,7 @@
         self._callers = caller.Callers(fleet)
         self._story = story_module.Story(fleet=fleet, callers=self._callers)
         self._frozen: set[str] = set()
+        self._stalled: list[subprocess.Popen] = []
         self._threads: list[threading.Thread] = []
         self._numbers = iter(range(1, 1000))
         self.revisions: dict[str, list[int]] = {}
@@ -85,13 +88,48 @@
         else:
             self._fleet.join()
 
+    def _list(self, step: schedule.Step) -> None:
+        vms = self._fleet.vms()
+        if step.action == "empty":
+            vms = []
+        elif step.action == "leaving":
+            executors = [vm for vm in vms if vm["kind"] == "executor"]
+            executors[step.place % len(executors)]["leaving"] = True
+        elif step.action == "no-entries":
+            vms = [vm for vm in vms if vm["kind"] != "entry"]
+        self._fleet.list_vms(vms)
+
+    def _process(self, step: schedule.Step) -> None:
+        if step.action == "thaw":
+            self._thaw_processes()
+            return
+        choices = {
+            "freeze-executor": self._fleet.executor_processes,
+            "freeze-workers": self._fleet.worker_processes,
+        }[step.action]
+        names = sorted(choices)
+        process = choices[names[step.place % len(names)]]
+        processes.freeze(process)
+        self._stalled.append(process)
+
+    def _thaw_processes(self) -> None:
+        for process in self._stalled:
+            processes.thaw(process)
+        self._stalled.clear()
+
     def _executor(self, step: schedule.Step) -> None:
         vm_ids = sorted(self._fleet.executor_urls)
         vm_id = vm_ids[step.place % len(vm_ids)]
+        if self._fleet.executor_processes[vm_id] in self._stalled:
+            return
         self._fleet.executor_faults(vm_id, **{step.action: 1})
 
     def _worker(self, step: schedule.Step) -> None:
-        worker_id = self._fleet.workers[step.place]["worker_id"]
+        worker = self._fleet.workers[step.place]
+        place = worker["data_centre"]
+        if self._fleet.worker_processes[place] in self._stalled:
+            return
+        worker_id = worker["worker_id"]
         self._fleet.worker_faults(worker_id, **{step.action: True})
 
     def _work(self, step: schedule.Step) -> None:
@@ -195,7 +233,9 @@
                 self.revisions.setdefault(node.node_id, []).append(revision)
 
     def _mend(self) -> None:
+        self._thaw_processes()
         self._fleet.join()
+        self._fleet.list_vms(self._fleet.vms())
         self._fleet.faults(
             outage=False, delay_s=0.0, lose_answers=0, drop_events=0
         )
--- a/testing/faults/schedule.py
+++ b/testing/faults/schedule.py
@@ -26,6 +26,8 @@
     "refuse_confirm",
     "ignore_checkpoint",
 )
+LIST_FAULTS = ("empty", "leaving", "no-entries", "restore")
+PROCESS_FAULTS = ("freeze-executor", "freeze-workers", "thaw")
 WORK = (
     "booking",
     "booking-twice",
@@ -43,7 +45,7 @@
     """One step of a schedule.
 
     :ivar kind: group of the action: node, store, network, executor,
-        worker or work.
+        worker, list, process or work.
     :ivar place: picks the node, worker or executor.
     """
 
@@ -70,6 +72,8 @@
         _steps("network", NETWORK_FAULTS),
         _steps("executor", EXECUTOR_FAULTS),
         _steps("worker", WORKER_FAULTS),
+        _steps("list", LIST_FAULTS),
+        _steps("process", PROCESS_FAULTS),
     )
     pairs = strategies.lists(
         strategies.tuples(work, fault),
--- a/testing/proofs/mutant.py
+++ b/testing/proofs/mutant.py
@@ -24,6 +24,7 @@
 from knapweedwharf.routing import claim as claim_module
 from knapweedwharf.routing import health as health_module
 from knapweedwharf.routing import pool as pool_module
+from knapweedwharf.scheduling import gang as gang_module
 
 Patch = typing.Callable[[], None]
 MUTANTS: registry.Registry[Patch] = registry.Registry(subject="mutant")
@@ -121,6 +122,17 @@
     reclaim_module.Reclaim._preempt = lambda *_arguments: False
 
 
+@MUTANTS.register("no-whole-gang")
+def no_whole_gang() -> None:
+    """Go on with a start although a member refused its part."""
+    order_all = gang_module.GangRunner._order_all
+
+    async def order_some(runner, gang, kind, lease_s):
+        await order_all(runner, gang, kind, lease_s)
+
+    gang_module.GangRunner._order_all = order_some
+
+
 def main() -> None:
     """Run the command line with a mechanism taken out."""
     name = sys.argv.pop(1)
--- a/testing/proofs/test_seen_without.py
+++ b/testing/proofs/test_seen_without.py
@@ -172,3 +172,20 @@
         what="the guaranteed job to be passed over",
     )
     assert story.callers.state("guaranteed") == "queued"
+
+
+def test_part_of_gang_is_seen_without_refusals(without: Open) -> None:
+    story = without("no-whole-gang")
+    refusing = story.fleet.workers[0]["worker_id"]
+    story.fleet.worker_faults(refusing, refuse_hold=True)
+    story.callers.submit(
+        "gang",
+        account="citricos-norte",
+        declared_run_s=600.0,
+        **story_module.GANG,
+    )
+    job = story.callers.wait_job("gang", "running")
+    sizes = {job["attempt_id"]: len(story.fleet.workers)}
+    assert oracle.whole_gangs(story.fleet, sizes) == [
+        f"{job['attempt_id']} runs on 5 of 6 workers"
+    ]
