Prove the witness rule for far workers; keep pages under the store's limit

Cause: page size was bounded by count and age of ended jobs only; large records could pass the store's limit of one megabyte.

A worker that only a former owner reaches: with the wait taken out two attempts of one job run at once (the test expects that), with it never.

--- a/src/knapweedwharf/scheduling/pages.py
+++ b/src/knapweedwharf/scheduling/pages.py
@@ -15,6 +15,7 @@
 from returns import result
 
 from knapweedwharf.adapters import store as store_module
+from knapweedwharf.charts import chart
 from knapweedwharf.core import engine
 from knapweedwharf import errors
 from knapweedwharf.scheduling import record as record_module
@@ -149,13 +150,14 @@
     async def _write(
         self, page: int, jobs: list[engine.JobRecord]
     ) -> result.Result[None, errors.Fault]:
-        held = [record_module.to_dict(record) for record in jobs]
-        document = {
-            "epoch": self._epoch,
-            "write_id": uuid.uuid4().hex,
-            "records": held + self._unread.get(page, []),
-        }
-        value = json.dumps(document, separators=(",", ":")).encode()
+        value = self._encode(page, jobs)
+        ended = sorted(filter(_has_ended, jobs), key=_ended_s)
+        while len(value) > MAX_PAGE_BYTES and ended:
+            # Of the ended jobs the older half goes first.
+            dropped = {id(job) for job in ended[: len(ended) // 2 + 1]}
+            ended = ended[len(dropped) :]
+            jobs = [job for job in jobs if id(job) not in dropped]
+            value = self._encode(page, jobs)
         self.writes += 1
         self.bytes_written += len(value)
         written = await store_module.write_certain(
@@ -169,6 +171,15 @@
         self._versions[page] = written.unwrap().version
         return result.Success(None)
 
+    def _encode(self, page: int, jobs: list[engine.JobRecord]) -> bytes:
+        held = [record_module.to_dict(record) for record in jobs]
+        document = {
+            "epoch": self._epoch,
+            "write_id": uuid.uuid4().hex,
+            "records": held + self._unread.get(page, []),
+        }
+        return json.dumps(document, separators=(",", ":")).encode()
+
     def _key(self, page: int) -> str:
         return key_of(self._data_centre, page)
 
@@ -189,6 +200,14 @@
     return held
 
 
+def _has_ended(record: engine.JobRecord) -> bool:
+    return record.state in chart.load("job").final
+
+
+def _ended_s(record: engine.JobRecord) -> float:
+    return record.ended_s
+
+
 def _fenced() -> errors.Fenced:
     return errors.Fenced(
         message="Another epoch has written a page.",
--- /dev/null
+++ b/testing/scheduling/test_witness.py
@@ -0,0 +1,125 @@
+"""A worker out of a new owner's reach, and records that grow.
+
+The former owner has lost the store and still renews that worker; most
+workers must have been sealed before its leases count as lapsed.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+
+import pytest
+
+from knapweedwharf.core import engine as engine_module
+from knapweedwharf.core import model
+from knapweedwharf.scheduling import pages as pages_module
+from knapweedwharf.scheduling import retention
+from knapweedwharf.scheduling import roster as roster_module
+from standins import in_process
+from standins import virtual_time
+from testing.scheduling import cell as cell_module
+
+REFUSED = in_process.Fate.REFUSED
+DELIVERED = in_process.Fate.DELIVERED
+
+
+async def _far_worker() -> None:
+    async with cell_module.Cell() as cell:
+        first, second = cell.nodes
+        job_id = await cell.submit(tasks=2)
+        await cell.until(lambda: cell.state(job_id) == "running")
+        ((former, members),) = cell.live().items()
+        far = max(members)
+        second.worker_link.plan = lambda call: (
+            REFUSED if call.target == far else DELIVERED
+        )
+        first.store_link.plan = lambda _call: REFUSED
+        await cell.until(lambda: cell.live().keys() - {former})
+        # Another attempt starts only when the former one has ended.
+        assert former not in cell.live()
+        await asyncio.sleep(600)
+        assert [len(names) for names in cell.live().values()] == [2]
+
+
+def test_a_far_worker_counts_as_lapsed_when_it_has() -> None:
+    virtual_time.run(_far_worker())
+
+
+def test_without_the_wait_two_attempts_run_at_once(monkeypatch) -> None:
+    monkeypatch.setattr(
+        roster_module.Roster,
+        "_lapsed_by_now",
+        lambda self, member: member.state != "silent",
+    )
+    with pytest.raises(AssertionError):
+        virtual_time.run(_far_worker())
+
+
+async def _leaving() -> None:
+    async with cell_module.Cell(nodes=1) as cell:
+        role = cell.nodes[0].role
+        await cell.until(lambda: role.active)
+        listed = cell_module.role_module.Listed
+        role.post(listed(cell.vms()[:1]))
+        await asyncio.sleep(5)
+        assert not any(m.leaving for m in role.tenure.roster.members.values())
+        role.post(listed(cell.vms()[:2]))
+        await asyncio.sleep(5)
+        assert role.tenure.roster.members["w3"].leaving
+        job_id = await cell.submit(tasks=3)
+        await asyncio.sleep(30)
+        assert cell.state(job_id) != "running"
+
+
+def test_a_short_list_is_believed_and_a_sudden_one_not() -> None:
+    virtual_time.run(_leaving())
+
+
+def _record(number: int, ended_s: float) -> engine_module.JobRecord:
+    job = model.JobSpec(
+        job_id=f"job-{number}",
+        account="a",
+        data_centre="dc",
+        kind="k" * 2_500,
+        tasks=1,
+        accelerators_per_task=1,
+        cores_per_task=1,
+        memory_mib_per_task=1,
+    )
+    state = "finished" if ended_s else "queued"
+    return engine_module.JobRecord(job=job, state=state, ended_s=ended_s)
+
+
+async def _large_pages() -> tuple[int, set[str]]:
+    keys = in_process.Keys()
+    store = in_process.DirectStore(keys, in_process.Link("vm"))
+    pages = pages_module.Pages(store=store, data_centre="dc", epoch=1)
+    (await pages.take_over()).unwrap()
+    records = {
+        record.job.job_id: record
+        for number in range(5_000)
+        for record in [_record(number, float(number % 2 and number))]
+    }
+    everywhere = range(pages_module.PAGE_COUNT)
+    (await pages.write(everywhere, records)).unwrap()
+    entries = list(keys.entries.values())
+    kept = pages_module.decode(entries)
+    largest = max(len(entry.value) for entry in entries)
+    lost = records.keys() - kept.keys()
+    return largest, {records[job_id].state for job_id in lost}
+
+
+def test_a_page_drops_ended_jobs_before_it_is_too_large() -> None:
+    largest, lost_states = virtual_time.run(_large_pages())
+    assert lost_states == {"finished"}
+    assert largest <= 1_048_576
+
+
+def test_retention_bounds_age_and_count() -> None:
+    records = [_record(number, 100.0 + number) for number in range(1, 6)]
+    settings = dataclasses.replace(
+        cell_module.SETTINGS, job_retention_s=10.0, job_retention_count=2
+    )
+    gone = retention.expired(records, settings=settings, now_s=114.0)
+    assert gone == ["job-3", "job-2", "job-1"]
