--- a/src/knapweedwharf/routing/attempt.py
+++ b/src/knapweedwharf/routing/attempt.py
@@ -21,7 +21,7 @@
 from knapweedwharf.routing import request as request_module
 
 MAX_ATTEMPTS = 3
-FIRST_ATTEMPT_SHARE = 0.5
+HEDGE_AFTER_SHARE = 0.5
 PROBE_TIMEOUT_S = 0.5
 RETRY_JITTER_S = 0.02
 
@@ -84,7 +84,7 @@
 
     async def _until_done(self, run: _Run) -> request_module.Outcome:
         while True:
-            outcome = await self._attempt(run)
+            outcome = await self._try(run)
             if isinstance(outcome, result.Success):
                 return outcome
             run.in_doubt |= not request_module.surely_not_run(outcome)
@@ -98,23 +98,74 @@
         return request_module.did_not_run("No executor could take it.")
 
     def _retry(self, run: _Run) -> bool:
+        """Move the request to another executor, if it may be repeated."""
+        other = self._next(run)
+        if other is None:
+            return False
+        self._door.leave(run.request, run.target)
+        run.target = other
+        return True
+
+    def _next(self, run: _Run) -> pool_module.Executor | None:
         run.attempts += 1
         run.tried.add(run.target.vm.vm_id)
         if run.attempts >= MAX_ATTEMPTS or run.request.left_s <= 0:
-            return False
+            return None
         if not self._retries.spend():
             self._metrics.count(measures.RETRIES_DENIED)
-            return False
-        other = self._door.move(run.request, run.target, run.tried)
-        if other is None:
-            return False
-        self._metrics.count(measures.RETRIES)
-        run.target = other
-        return True
+            return None
+        other = self._door.enter_another(run.request, run.tried)
+        if other is not None:
+            self._metrics.count(measures.RETRIES)
+        return other
+
+    async def _try(self, run: _Run) -> request_module.Outcome:
+        """Make one attempt; a slow idempotent one gets a second beside.
+
+        The first is not cut, so that a data centre in which all are
+        slow still answers in time.
+        """
+        if not run.request.service.idempotent or run.attempts > 0:
+            return await self._attempt(run, run.target)
+        first = asyncio.create_task(self._attempt(run, run.target))
+        try:
+            pause_s = run.request.left_s * HEDGE_AFTER_SHARE
+            await asyncio.wait([first], timeout=pause_s)
+            if first.done():
+                return first.result()
+            other = self._next(run)
+            if other is None:
+                return await first
+            return await self._hedge(run, first, other)
+        finally:
+            first.cancel()
 
-    async def _attempt(self, run: _Run) -> request_module.Outcome:
-        if not await self._is_usable(run.target):
-            return result.Failure(_not_sent(run.target))
+    async def _hedge(
+        self, run: _Run, first: asyncio.Task, other: pool_module.Executor
+    ) -> request_module.Outcome:
+        """Return the first whole answer of two attempts."""
+        run.tried.add(other.vm.vm_id)
+        second = asyncio.create_task(self._attempt(run, other))
+        try:
+            done, _pending = await asyncio.wait(
+                [first, second], return_when=asyncio.FIRST_COMPLETED
+            )
+            outcome = done.pop().result()
+            if isinstance(outcome, result.Success):
+                return outcome
+            run.in_doubt |= not request_module.surely_not_run(outcome)
+            await asyncio.wait([first, second])
+            outcomes = [first.result(), second.result()]
+            return min(outcomes, key=_preference)
+        finally:
+            second.cancel()
+            self._door.leave(run.request, other)
+
+    async def _attempt(
+        self, run: _Run, target: pool_module.Executor
+    ) -> request_module.Outcome:
+        if not await self._is_usable(target):
+            return result.Failure(_not_sent(target))
         request = run.request
         if request.left_s <= 0:
             return request_module.did_not_run("Its deadline has passed.")
@@ -123,39 +174,34 @@
             attempt_id=run.attempt_id or uuid.uuid4().hex,
             service=request.service.name,
             body=request.body,
-            timeout_s=self._timeout_s(run),
+            timeout_s=request.left_s,
             idempotent=request.service.idempotent,
         )
         started_s = time.monotonic()
-        outcome = await self._executor.run(run.target.vm.address, call)
-        self._note(run, call, outcome, time.monotonic() - started_s)
+        outcome = await self._executor.run(target.vm.address, call)
+        self._note(run, target, call, outcome, time.monotonic() - started_s)
         return outcome
 
-    def _timeout_s(self, run: _Run) -> float:
-        left_s = run.request.left_s
-        if not run.request.service.idempotent or run.attempts > 0:
-            return left_s
-        return left_s * FIRST_ATTEMPT_SHARE
-
     def _note(
         self,
         run: _Run,
+        target: pool_module.Executor,
         call: executor_module.Call,
         outcome: request_module.Outcome,
         elapsed_s: float,
     ) -> None:
         if isinstance(outcome, result.Success):
-            self._pool.note_answer(run.target, outcome.unwrap())
+            self._pool.note_answer(target, outcome.unwrap())
             self._door.note_run(run.request, elapsed_s)
             self._metrics.timing(measures.RUN_TIME, elapsed_s * 1000)
             return
         fault = outcome.failure()
-        self._pool.note_fault(run.target, fault)
+        self._pool.note_fault(target, fault)
         self._log.info(
             "attempt-failed",
             request_id=call.request_id,
             attempt_id=call.attempt_id,
-            executor_id=run.target.vm.vm_id,
+            executor_id=target.vm.vm_id,
             code=fault.code,
             why=fault.message,
         )
@@ -187,3 +233,10 @@
         message=f"{target.vm.vm_id} takes no work now; nothing was sent.",
         remedy="Another executor is tried.",
     )
+
+
+def _preference(outcome: request_module.Outcome) -> int:
+    """Rank the outcomes of a request that ran twice: an answer first."""
+    if isinstance(outcome, result.Success):
+        return 0
+    return 2 if request_module.surely_not_run(outcome) else 1
--- a/src/knapweedwharf/routing/door.py
+++ b/src/knapweedwharf/routing/door.py
@@ -130,18 +130,14 @@
         self._running[request.service.urgency] -= 1
         asyncio.get_running_loop().call_soon(self.wake)
 
-    def move(
-        self,
-        request: request_module.Request,
-        executor: pool_module.Executor,
-        tried: set[str],
+    def enter_another(
+        self, request: request_module.Request, tried: set[str]
     ) -> pool_module.Executor | None:
-        """Exchange a slot for one of an executor not yet tried."""
-        other = self._pool.choose(request.service.name, tried=tried)
-        if other is not None:
-            other.running += 1
-            executor.running -= 1
-        return other
+        """Take a free slot for a repeat, at once or not at all."""
+        executor = self._pool.choose(request.service.name, tried=tried)
+        if executor is None:
+            return None
+        return self._occupy(request, executor)
 
     def note_run(
         self, request: request_module.Request, elapsed_s: float
