Watch the owner key instead of reading it twice a second

Cause: each standby read the owner key every 0.5 s, most of the store's reads (2 calls/s a standby, docs/CAPACITY.md), and a take-over still waited for the next read. Standbys now keep one watch on the key, stand for election when it goes, and look again every third of the lease in case the watch missed it. The waits after a broken watch and between readings of the VM list are spread at random.

Ruled out: a longer poll alone, which delays the take-over.

--- a/src/knapweedwharf/node.py
+++ b/src/knapweedwharf/node.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 import signal
 import time
 import zlib
@@ -15,6 +16,7 @@
 from knapweedwharf.adapters import observed
 from knapweedwharf.adapters import store as store_module
 from knapweedwharf.adapters import worker as worker_module
+from knapweedwharf import backoff
 from knapweedwharf.charts import chart
 from knapweedwharf.configuration import feed as feed_module
 from knapweedwharf.configuration import publish
@@ -214,6 +216,7 @@
         self._stopped.set()
 
     async def _read_directory(self) -> None:
+        source = random.Random(self.settings.node_id)
         while True:
             listed = await self._adapters.directory.list_vms()
             if isinstance(listed, result.Success):
@@ -222,7 +225,9 @@
                 self._divide_executors(vms)
                 self.pool.set_listed(vms)
                 self.role.post(role_module.Listed(tuple(vms)))
-            await asyncio.sleep(self.settings.directory_interval_s)
+            await asyncio.sleep(
+                backoff.spread_s(self.settings.directory_interval_s, source)
+            )
 
     def _divide_executors(self, vms: list[directory_module.Vm]) -> None:
         """Share the executors with listed and heard entry VMs."""
--- a/src/knapweedwharf/scheduling/owner.py
+++ b/src/knapweedwharf/scheduling/owner.py
@@ -8,6 +8,7 @@
 
 import dataclasses
 import json
+import typing
 import uuid
 
 from returns import result
@@ -54,6 +55,30 @@
             return granted
         return await self._claim(granted.unwrap())
 
+    async def watch(self, vacated: typing.Callable[[], None]) -> None:
+        """Call ``vacated`` when nobody holds the ownership.
+
+        Returns when the watch breaks or the store does not answer.
+        """
+
+        def changed(
+            _entries: list[store_module.Entry],
+            deleted: list[str],
+            _version: int,
+        ) -> None:
+            if deleted:
+                vacated()
+
+        listed = await self._store.list(self._owner_key)
+        if isinstance(listed, result.Failure):
+            return
+        page = listed.unwrap()
+        if not page.entries:
+            vacated()
+        await self._store.watch(
+            self._owner_key, after_version=page.version, callback=changed
+        )
+
     async def _claim(
         self, lease_id: int
     ) -> result.Result[Ownership, errors.Fault]:
--- a/src/knapweedwharf/scheduling/role.py
+++ b/src/knapweedwharf/scheduling/role.py
@@ -9,6 +9,7 @@
 import asyncio
 import dataclasses
 import functools
+import random
 import time
 import typing
 
@@ -17,6 +18,7 @@
 from knapweedwharf.adapters import directory as directory_module
 from knapweedwharf.adapters import store as store_module
 from knapweedwharf.adapters import worker as worker_module
+from knapweedwharf import backoff
 from knapweedwharf.charts import chart
 from knapweedwharf.core import engine as engine_module
 from knapweedwharf.core import model
@@ -31,7 +33,7 @@
 from knapweedwharf.scheduling import tenure as tenure_module
 from knapweedwharf import settings as settings_module
 
-_RETRY_S = 0.5
+_RETRY_S = 1.0
 _TICK_S = 1.0
 _LEAST_LISTED_SHARE = 0.5
 
@@ -134,6 +136,8 @@
         self._chart = chart.load("owner")
         self._vms: tuple[directory_module.Vm, ...] = ()
         self._configuration = model.Configuration()
+        self._vacant = asyncio.Event()
+        self._random = random.Random(settings.node_id)
         self._watcher: asyncio.Task | None = None
         self._store_seen_since_s: float | None = None
         self.tenure: tenure_module.Tenure | None = None
@@ -143,6 +147,7 @@
     async def start(self) -> None:
         """Stand for election from now on."""
         await super().start()
+        self.spawn(self._watch_owner())
         self.spawn(self._stand())
         self.spawn(self._tick())
 
@@ -180,7 +185,24 @@
                 await self._try_election()
             else:
                 await self._renew(self.ownership)
-            await asyncio.sleep(pause_s if self.ownership else _RETRY_S)
+            if self.ownership is None:
+                await self._until_vacant(pause_s)
+            else:
+                await asyncio.sleep(pause_s)
+
+    async def _until_vacant(self, limit_s: float) -> None:
+        """Wait until the ownership is free; a watch may miss it."""
+        try:
+            async with asyncio.timeout(limit_s):
+                await self._vacant.wait()
+        except TimeoutError:
+            pass
+        self._vacant.clear()
+
+    async def _watch_owner(self) -> None:
+        while True:
+            await self._election.watch(self._vacant.set)
+            await asyncio.sleep(backoff.spread_s(_RETRY_S, self._random))
 
     async def _try_election(self) -> None:
         won = await self._election.run()
@@ -263,7 +285,7 @@
                         self._post_inbox(epoch, changed)
                     ),
                 )
-            await asyncio.sleep(_RETRY_S)
+            await asyncio.sleep(backoff.spread_s(_RETRY_S, self._random))
 
     def _post_inbox(
         self, epoch: int, entries: list[store_module.Entry]
--- a/standins/in_process.py
+++ b/standins/in_process.py
@@ -258,7 +258,8 @@
         return await self._call("", "lease", end)
 
     async def watch(self, prefix, *, after_version, callback):
-        """Report changed entries; deletions are not reported."""
+        """Report changed entries and deleted keys."""
+        present = self._present(prefix)
         while True:
             await asyncio.sleep(TICK_S)
             await self._link.running.wait()
@@ -271,8 +272,13 @@
                 if key.startswith(prefix) and entry.version > after_version
             ]
             after_version = self._keys.version
-            if changed:
-                callback(changed, [], after_version)
+            deleted = sorted(present - self._present(prefix))
+            present = self._present(prefix)
+            if changed or deleted:
+                callback(changed, deleted, after_version)
+
+    def _present(self, prefix: str) -> set[str]:
+        return {key for key in self._keys.entries if key.startswith(prefix)}
 
     def close(self) -> None:
         """Nothing is open."""
