Send a job only to a data centre that is heard

Cause: without a data centre in the submission, the account's guarantee chose one that had no live VM; the job waited there unseen. Two scenarios of testing/features/test_jobs.py showed it (cancellation wave, a worker that fails everything).

Now only data centres whose owner is heard, and the VM's own, are chosen from.

(The watch test needed its own PYTHONPATH outside make.)

--- a/src/knapweedwharf/scheduling/choice.py
+++ b/src/knapweedwharf/scheduling/choice.py
@@ -29,6 +29,7 @@
     """Return where to send a job whose place is this VM's by default.
 
     The account's guarantee goes first, then room, then this VM's own.
+    A data centre whose owner is not heard is never chosen.
 
     :param rooms: free accelerators of the data centres that are heard.
     """
@@ -36,7 +37,8 @@
     able = [
         name
         for name in sorted(configuration.data_centres)
-        if can_ever_run(configuration, _moved(job, name))
+        if (name == own or name in rooms)
+        and can_ever_run(configuration, _moved(job, name))
     ]
     promised = {
         guarantee.data_centre
--- a/testing/web/test_job_interface.py
+++ b/testing/web/test_job_interface.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import abc
+import os
 import pathlib
 import subprocess
 import sys
@@ -121,6 +122,7 @@
             f"--url={site.fleet.nodes[1].url}",
             f"--token={site.tokens[ACCOUNT]}",
         ],
+        env={**os.environ, "PYTHONPATH": "src"},
         capture_output=True,
         text=True,
         check=False,
@@ -136,3 +138,14 @@
     finally:
         site.fleet.faults(outage=False)
     assert asked.status == 503
+
+
+def test_a_data_centre_that_is_not_heard_is_not_chosen(site: Site) -> None:
+    # The account's guarantee stands in another one, which has no VM.
+    answer = site.call(
+        "POST",
+        "/v1/jobs",
+        account="aguacates-sur",
+        document={"job_id": "unplaced", "declared_run_s": 0.1},
+    )
+    assert answer.json()["data_centre"] == "antigua"
