Refuse a job that can never run at its submission

Cause: such a job was accepted with 202 and rejected a moment later by the scheduling role; a caller that does not look again never learned. The check against the declared racks existed (`choice.can_ever_run`) but was not asked. A job accepted before is still answered 202 when it is sent again. Ruled out: refusing on the workers sealed at the moment, which lag and come back; the scheduling role still rejects a job whose hardware leaves.

The demo and the feature expected 202 and then `rejected`. They now expect 422 with the shape in its message and that no such job exists, which is as strict.

--- a/src/knapweedwharf/web/job.py
+++ b/src/knapweedwharf/web/job.py
@@ -127,6 +127,8 @@
         return True
 
     async def _submit(self, job: model.JobSpec, named: bool) -> None:
+        if not choice.can_ever_run(self.node.feed.current, job):
+            raise base.Refused(_never_runnable(job))
         submitted = await inbox.submit(self.node.store, job)
         if not isinstance(submitted, result.Failure):
             return
@@ -273,3 +275,12 @@
         message=f"Another job was accepted as {job_id!r}.",
         remedy="Submit this one under a job id of its own.",
     )
+
+
+def _never_runnable(job: model.JobSpec) -> errors.NeverRunnable:
+    return errors.NeverRunnable(
+        message=f"No racks declared for {job.data_centre} could ever run "
+        f"{job.tasks} x {job.accelerators_per_task} accelerators within "
+        f"one {job.within.replace('_', ' ')}.",
+        remedy="Ask for less, a wider 'within' or another data centre.",
+    )
--- a/testing/features/jobs.feature
+++ b/testing/features/jobs.feature
@@ -3,7 +3,8 @@
   Scenario: A job that can never run is told so
     Given 1 entry VM in antigua
     When a job that no worker could hold is submitted
-    Then the job is rejected with the reason
+    Then the submission is refused with the reason
+    And no such job exists
 
   Scenario: A wave of cancellations
     Given 2 entry VMs in antigua
--- a/testing/features/story.py
+++ b/testing/features/story.py
@@ -25,12 +25,14 @@
 
     :ivar frozen: the VM that is paused.
     :ivar marked: ids of jobs or VMs that a later step asks about.
+    :ivar answer: the last answer that a later step asks about.
     """
 
     fleet: fleet_module.Fleet
     callers: caller.Callers
     frozen: fleet_module.NodeProcess | None = None
     marked: list[str] = dataclasses.field(default_factory=list)
+    answer: loopback.Answer | None = None
     _ageings_s: typing.Iterator[int] = dataclasses.field(
         default_factory=lambda: itertools.count(601)
     )
