Pass workers' usage reports to the core; throttle before stop

Cause: the core judged use beyond the declared size and ordered a throttle, but no report of use ever reached it: the role dropped the workers' `usage` events. Changed guarantees and quarantined workers were logged as ignored decisions. Ruled out: sending every report; a worker tells only of tasks beyond their size, so the control traffic stays.

Translation of worker reports into core events stands in one module now (it stood twice). The default request rate of an account, divided among the entry VMs, was 5.5 a second for each of nine; it is 500 a second now.

--- a/src/knapweedwharf/adapters/worker.py
+++ b/src/knapweedwharf/adapters/worker.py
@@ -34,6 +34,7 @@
 
 TASK_ENDED = "ended"
 TASK_LAPSED = "lapsed"
+USAGE = "usage"
 TASK_ENDS = (TASK_ENDED, "failed", TASK_LAPSED)
 
 
@@ -127,8 +128,9 @@
 class WorkerEvent:
     """Something that happened on a worker, in sequence.
 
-    :ivar kind: ``ended``, ``failed``, ``lapsed``, ``checkpointed``,
-        ``stopped`` or ``usage``.
+    :ivar kind: one of ``TASK_ENDS``, or ``usage``.
+    :ivar cores: processors in use, in a usage report.
+    :ivar memory_mib: memory in use, in a usage report.
     """
 
     sequence: int
@@ -136,6 +138,8 @@
     attempt_id: str
     task_index: int
     detail: str = ""
+    cores: float = 0.0
+    memory_mib: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/knapweedwharf/core/model.py
+++ b/src/knapweedwharf/core/model.py
@@ -69,8 +69,8 @@
     role: str = ROLE_CALLER
     quota_accelerators: int = 0
     request_share: int = 1
-    request_rate_per_s: float = 50.0
-    request_burst: int = 100
+    request_rate_per_s: float = 500.0
+    request_burst: int = 1_000
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/knapweedwharf/peer/membership.py
+++ b/src/knapweedwharf/peer/membership.py
@@ -107,10 +107,6 @@
             if peer.heard_at_s and peer.heard_at_s >= oldest_s
         ]
 
-    def live_count(self) -> int:
-        """Return how many entry VMs take requests, this one included."""
-        return 1 + sum(not peer.draining for peer in self.live_peers())
-
     def peers_reach_store(self) -> bool:
         """Tell whether a live peer of this data centre has the store."""
         return any(
--- a/src/knapweedwharf/scheduling/recovery.py
+++ b/src/knapweedwharf/scheduling/recovery.py
@@ -14,6 +14,7 @@
 from knapweedwharf.core import engine as engine_module
 from knapweedwharf.core import event
 from knapweedwharf.scheduling import record as record_module
+from knapweedwharf.scheduling import translation
 
 _ALIVE = (worker_module.PROVISIONAL, worker_module.RUNNING)
 
@@ -190,14 +191,7 @@
     else:
         gone = [one for one in held.outcomes if one.task_index in indexes]
     return [
-        event.TaskEnded(
-            attempt_id=record.attempt_id,
-            task_index=outcome.task_index,
-            worker_id=worker_id,
-            succeeded=outcome.kind == worker_module.TASK_ENDED,
-            lapsed=outcome.kind == worker_module.TASK_LAPSED,
-            detail=outcome.detail or outcome.kind,
-        )
+        translation.task_ended(record.attempt_id, worker_id, outcome)
         for outcome in gone
     ]
 
--- a/src/knapweedwharf/scheduling/tenure.py
+++ b/src/knapweedwharf/scheduling/tenure.py
@@ -32,6 +32,7 @@
 from knapweedwharf.scheduling import retention
 from knapweedwharf.scheduling import roster as roster_module
 from knapweedwharf.scheduling import session as session_module
+from knapweedwharf.scheduling import translation
 from knapweedwharf import settings as settings_module
 
 _DELETES_AT_ONCE = 8
@@ -276,17 +277,12 @@
         """Take a worker's events."""
         self.roster.answered(report)
         self._end_tasks(
-            event.TaskEnded(
-                attempt_id=one.attempt_id,
-                task_index=one.task_index,
-                worker_id=report.worker_id,
-                succeeded=one.kind == worker_module.TASK_ENDED,
-                lapsed=one.kind == worker_module.TASK_LAPSED,
-                detail=one.detail or one.kind,
-            )
+            translation.task_ended(one.attempt_id, report.worker_id, one)
             for one in report.events
             if one.kind in worker_module.TASK_ENDS
         )
+        for usage in translation.usages(report.events):
+            self.tell(usage)
 
     def _end_tasks(self, ends: typing.Iterable[event.TaskEnded]) -> None:
         for ended in ends:
@@ -321,7 +317,8 @@
         for worker_id, state in list(self._states.items()):
             if not self._recovery.holds_back(worker_id):
                 del self._states[worker_id]
-                self.tell(event.WorkerSealed(_spec_of(worker_id, state)))
+                spec = translation.spec_of(worker_id, state)
+                self.tell(event.WorkerSealed(spec))
         if self._withheld and self.roster.settled():
             for job_id in list(self._withheld):
                 self._restore_withheld(job_id)
@@ -430,18 +427,24 @@
     def _(self, taken: decision.ThrottleGang) -> None:
         self._orders.throttle(taken.attempt_id)
 
+    @_carry_out.register
+    def _(self, taken: decision.GuaranteeChanged) -> None:
+        self._log.warning(
+            "guarantee-changed",
+            guarantee=taken.guarantee,
+            unit=taken.unit,
+            met=taken.met,
+            reason=taken.reason.text,
+        )
 
-def _spec_of(
-    worker_id: str, state: worker_module.WorkerState
-) -> model.WorkerSpec:
-    return model.WorkerSpec(
-        worker_id=worker_id,
-        rack=state.rack,
-        data_centre=state.data_centre,
-        accelerators=state.accelerators,
-        cores=state.cores,
-        memory_mib=state.memory_mib,
-    )
+    @_carry_out.register
+    def _(self, taken: decision.WorkerChanged) -> None:
+        self._log.warning(
+            "worker-changed",
+            worker_id=taken.worker_id,
+            standing=taken.standing,
+            reason=taken.reason.text,
+        )
 
 
 def _now_s() -> float:
--- a/standins/worker_state.py
+++ b/standins/worker_state.py
@@ -15,6 +15,7 @@
 
 DEFAULT_RUN_S = 1.0
 MAX_EVENTS = 1_024
+USAGE_LAG_S = 5.0
 MAX_ENDED = 256
 MAX_STOPPED = 1_024
 
@@ -34,6 +35,8 @@
     number: int
     lapses_at_s: float
     ends_at_s: float = 0.0
+    throttled: bool = False
+    reported_at_s: float = 0.0
     outcomes: list[dict] = dataclasses.field(default_factory=list)
 
     def document(self) -> dict:
@@ -52,6 +55,8 @@
     """Switches of one worker.
 
     :ivar lose_answers: so many next answers to orders are not sent.
+    :ivar excess: tasks use so many times their declared processors,
+        until they are throttled.
     """
 
     frozen: bool = False
@@ -62,6 +67,8 @@
     refuse_start: bool = False
     refuse_confirm: bool = False
     lose_answers: int = 0
+    excess: float = 0.0
+    ignore_throttle: bool = False
 
 
 class Worker:
@@ -181,6 +188,8 @@
                 self._end(attempt, "failed")
             elif attempt.state == "running" and attempt.ends_at_s < now_s:
                 self._end(attempt, "ended")
+            elif attempt.state == "running" and self.faults.excess:
+                self._report_usage(attempt, now_s)
 
     # Orders
 
@@ -254,8 +263,20 @@
 
     def _throttle(self, order: dict) -> tuple[bool, str]:
         self.record("throttled", order["attempt_id"])
+        attempt = self.attempts.get(order["attempt_id"])
+        if attempt is not None and not self.faults.ignore_throttle:
+            attempt.throttled = True
         return True, ""
 
+    def _report_usage(self, attempt: Attempt, now_s: float) -> None:
+        if attempt.throttled or now_s < attempt.reported_at_s + USAGE_LAG_S:
+            return
+        attempt.reported_at_s = now_s
+        for task in attempt.tasks:
+            self._note("usage", attempt.attempt_id, task["task_index"])
+            self.events[-1]["cores"] = task["cores"] * self.faults.excess
+            self.events[-1]["memory_mib"] = task["memory_mib"]
+
     def _stop(self, order: dict) -> tuple[bool, str]:
         if self.faults.ignore_stop:
             return False, "ignored"
