--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 SOURCES := src standins testing bench tools
 export PYTHONPATH := src:.
 
-.PHONY: demo test bench faults reference lint format binary generate
+.PHONY: demo playground test bench faults reference lint format binary generate
 
 $(READY): requirements/runtime.txt requirements/dev.txt
 	python3 -m venv $(VENV)
@@ -16,6 +16,9 @@
 demo: $(READY)
 	$(PYTHON) -m standins.demo
 
+playground: $(READY)
+	$(PYTHON) -m standins.playground
+
 test: $(READY)
 	$(PYTHON) -m pytest $(ARGS)
 
