--- a/bench/_workload.py
+++ b/bench/_workload.py
@@ -162,22 +162,20 @@
         for number in range(rack.workers)
     )
     kinds = {"escaleras": _ESCALERAS, "kobberfryd": _KOBBERFRYD}[name]
-    accelerators = sum(worker.accelerators for worker in workers)
-    return Workload(
-        name=name,
-        data_centre=data_centre,
-        configuration=configuration,
-        workers=workers,
-        arrivals=_arrivals(
-            kinds,
-            data_centre,
-            work_s=load * accelerators * days * DAY_S,
+    return _with_arrivals(
+        Workload(
+            name=name,
+            data_centre=data_centre,
+            configuration=configuration,
+            workers=workers,
+            arrivals=(),
             length_s=days * DAY_S,
-            rng=random.Random(seed),
+            large=8,
+            failing=workers[-1].worker_id,
         ),
-        length_s=days * DAY_S,
-        large=8,
-        failing=workers[-1].worker_id,
+        kinds,
+        load=load,
+        seed=seed,
     )
 
 
@@ -226,24 +224,36 @@
     workers = plan_workers(136, data_centre)
     accounts = tuple(f"team-{number:02d}" for number in range(15))
     configuration = plan_configuration(workers, accounts, data_centre)
-    kinds = _plan_kinds(accounts)
-    accelerators = sum(worker.accelerators for worker in workers)
-    return Workload(
-        name="plan",
-        data_centre=data_centre,
-        configuration=configuration,
-        workers=workers,
-        arrivals=_arrivals(
-            kinds,
-            data_centre,
-            work_s=load * accelerators * days * DAY_S,
+    return _with_arrivals(
+        Workload(
+            name="plan",
+            data_centre=data_centre,
+            configuration=configuration,
+            workers=workers,
+            arrivals=(),
             length_s=days * DAY_S,
-            rng=random.Random(seed),
+            large=16,
+            failing=workers[-1].worker_id,
         ),
-        length_s=days * DAY_S,
-        large=16,
-        failing=workers[-1].worker_id,
+        _plan_kinds(accounts),
+        load=load,
+        seed=seed,
+    )
+
+
+def _with_arrivals(
+    empty: Workload, kinds: tuple[Kind, ...], *, load: float, seed: int
+) -> Workload:
+    """Return a workload whose arrivals load its accelerators so far."""
+    accelerators = sum(worker.accelerators for worker in empty.workers)
+    arrivals = _arrivals(
+        kinds,
+        empty.data_centre,
+        work_s=load * accelerators * empty.length_s,
+        length_s=empty.length_s,
+        rng=random.Random(seed),
     )
+    return dataclasses.replace(empty, arrivals=arrivals)
 
 
 def plan_workers(count: int, data_centre: str) -> tuple[model.WorkerSpec, ...]:
