Drop code that nothing calls; classify a broken exchange once

Cause: the read-through found four methods whose names stand nowhere else in the tree (reclaim.covered, topology.set_usable, topology.occupied, transport.get_json), left behind when their callers were rewritten, and two except branches in the transport with the same body. Behaviour is unchanged and no test was touched.

Measured: make lint clean; testing/core, adapters, end_to_end, docs, cli and configuration/test_log.py: 113 passed.

--- a/src/knapweedwharf/adapters/transport.py
+++ b/src/knapweedwharf/adapters/transport.py
@@ -96,9 +96,11 @@
                     body=body or b"",
                     on_chunk=on_chunk,
                 )
-        except (OSError, iostream.StreamClosedError) as error:
-            return result.Failure(_classify(error, url, channel))
-        except channel_module.Broken as error:
+        except (
+            OSError,
+            iostream.StreamClosedError,
+            channel_module.Broken,
+        ) as error:
             return result.Failure(_classify(error, url, channel))
         finally:
             self._give_back(parts.netloc, channel)
@@ -185,15 +187,6 @@
         )
         return outcome.bind(_decode_json)
 
-    async def get_json(
-        self, url: str, *, timeout_s: float
-    ) -> result.Result[typing.Any, errors.Fault]:
-        """Fetch a JSON document."""
-        outcome = await self.exchange(
-            method="GET", url=url, timeout_s=timeout_s
-        )
-        return outcome.bind(_decode_json)
-
 
 def _decode_json(reply: Reply) -> result.Result[typing.Any, errors.Fault]:
     if reply.status == 409:
--- a/src/knapweedwharf/core/reclaim.py
+++ b/src/knapweedwharf/core/reclaim.py
@@ -41,13 +41,6 @@
             return True
         return self._state.settled and self._preempt(record, units)
 
-    def covered(self, job: model.JobSpec) -> bool:
-        """Tell whether some unit of the account is large enough."""
-        return any(
-            job.accelerators <= unit.guarantee.accelerators
-            for unit in self._state.ledger.units_of(job.account)
-        )
-
     def promote(self, account: str) -> None:
         """Put borrowed work of an account inside free units."""
         state = self._state
--- a/src/knapweedwharf/core/topology.py
+++ b/src/knapweedwharf/core/topology.py
@@ -147,13 +147,6 @@
             room.barred.discard(why)
             self.refresh(room)
 
-    def set_usable(self, worker_id: str, *, usable: bool) -> None:
-        """Mark a worker as answering or lost."""
-        if usable:
-            self.allow(worker_id, LOST)
-        else:
-            self.bar(worker_id, LOST)
-
     def occupy(
         self, attempt_id: str, assignments: abc.Iterable[model.Assignment]
     ) -> None:
@@ -197,10 +190,6 @@
         """Return the places that an attempt occupies now."""
         return self._occupied.get(attempt_id, [])
 
-    def occupied(self) -> dict[str, list[model.Assignment]]:
-        """Return every attempt's places."""
-        return self._occupied
-
     def free_accelerators(self) -> int:
         """Count free accelerators on usable workers."""
         return self._free_accelerators
