--- a/src/knapweedwharf/cli/main.py
+++ b/src/knapweedwharf/cli/main.py
@@ -7,6 +7,7 @@
 from knapweedwharf.cli import audit
 from knapweedwharf.cli import config
 from knapweedwharf.cli import job
+from knapweedwharf.cli import platform
 from knapweedwharf.cli import serve
 from knapweedwharf.cli import status
 
@@ -22,6 +23,7 @@
 
 
 cli.add_command(serve.serve)
+cli.add_command(platform.platform)
 cli.add_command(config.config)
 cli.add_command(job.job)
 cli.add_command(status.status)
--- /dev/null
+++ b/src/knapweedwharf/core/constraint.py
@@ -0,0 +1,95 @@
+"""Workers that a job must not or had better not go to."""
+
+from __future__ import annotations
+
+from collections import abc
+import dataclasses
+
+from knapweedwharf.core import model
+from knapweedwharf.core import placement
+from knapweedwharf.core import record as record_module
+from knapweedwharf.core import topology as topology_module
+
+Records = abc.Callable[[str], record_module.JobRecord | None]
+"""from an attempt's id to its job's record"""
+
+Constraint = tuple[str, str, bool, str]
+"""(label, data rack, prefers one rack, group with a limit)"""
+
+
+def of_job(job: model.JobSpec) -> Constraint:
+    """Return what sets a job apart from others of its size."""
+    group = job.spread_group if job.max_per_worker else ""
+    return (job.label, job.data_rack, job.prefers_rack, group)
+
+
+def is_patient(constraint: Constraint) -> bool:
+    """Tell whether time alone widens the choice of workers."""
+    return bool(constraint[1] or constraint[2])
+
+
+def unsuitable(
+    topology: topology_module.Topology,
+    job: model.JobSpec,
+    record_of: Records,
+) -> set[str]:
+    """Return the workers without the label or at the group's limit."""
+    found: set[str] = set()
+    if job.label:
+        found.update(
+            worker_id
+            for worker_id, room in topology.workers.items()
+            if job.label not in room.spec.labels
+        )
+    if job.max_per_worker:
+        found.update(
+            worker_id
+            for worker_id, room in topology.workers.items()
+            if _of_group(room, job, record_of) >= job.max_per_worker
+        )
+    return found
+
+
+def _of_group(
+    room: topology_module.WorkerRoom,
+    job: model.JobSpec,
+    record_of: Records,
+) -> int:
+    count = 0
+    for attempt_id, places in room.occupants.items():
+        record = record_of(attempt_id)
+        if record and record.job.spread_group == job.spread_group:
+            count += len(places)
+    return count
+
+
+def distant(
+    topology: topology_module.Topology, job: model.JobSpec
+) -> set[str]:
+    """Return the workers that are not in the rack of the job's data."""
+    return {
+        worker_id
+        for worker_id, room in topology.workers.items()
+        if room.spec.rack != job.data_rack
+    }
+
+
+def near_variants(
+    topology: topology_module.Topology, job: model.JobSpec
+) -> list[model.JobSpec]:
+    """Return the job confined to the places where it is fast.
+
+    Empty where no place is better than another, or where the present
+    workers could not hold it so.
+    """
+    confined = job
+    specs = [room.spec for room in topology.workers.values()]
+    if job.data_rack:
+        specs = [spec for spec in specs if spec.rack == job.data_rack]
+    elif not (job.prefers_rack and job.tasks > 1):
+        return []
+    if job.tasks > 1:
+        confined = dataclasses.replace(job, within=model.WITHIN_RACK)
+    if not placement.could_ever_fit(specs, confined):
+        return []
+    return [confined]
--- a/src/knapweedwharf/core/feasibility.py
+++ b/src/knapweedwharf/core/feasibility.py
@@ -10,7 +10,7 @@
 
 MAX_SHAPES = 4000
 
-Shape = tuple[str, int, amount.Amount]
+Shape = tuple[str, int, amount.Amount, str, int]
 
 
 class Feasibility:
@@ -89,4 +89,5 @@
 
 
 def _shape_of(job: model.JobSpec) -> Shape:
-    return (job.within, job.tasks, amount.of_task(job))
+    need = amount.of_task(job)
+    return (job.within, job.tasks, need, job.label, job.max_per_worker)
--- a/src/knapweedwharf/core/lifecycle.py
+++ b/src/knapweedwharf/core/lifecycle.py
@@ -252,7 +252,10 @@
         self, record: record_module.JobRecord, reason: model.Reason
     ) -> None:
         record.failures += 1
-        limit = self._state.configuration.policy.max_attempts
+        limit = (
+            record.job.max_attempts
+            or self._state.configuration.policy.max_attempts
+        )
         after = "fail" if record.failures >= limit else "requeue"
         self._state.stop(record, after, reason)
 
--- a/src/knapweedwharf/core/model.py
+++ b/src/knapweedwharf/core/model.py
@@ -32,6 +32,7 @@
     accelerators: int
     cores: int
     memory_mib: int
+    labels: frozenset[str] = frozenset()
 
 
 @dataclasses.dataclass(frozen=True)
@@ -105,6 +106,9 @@
     :ivar fragmentation_weight: 0 puts completion time first, 1 puts
         unbroken room first.
     :ivar reserve_after_s: wait after which a job gets a reservation.
+    :ivar near_patience_s: how long a job waits for a place near its
+        data, or in one rack, before it takes a distant one.
+    :ivar urgent_patience_s: wait after which urgent work stops others.
     """
 
     fragmentation_weight: float = 0.5
@@ -115,6 +119,8 @@
     quarantine_failures: int = 3
     quarantine_s: float = 300.0
     max_attempts: int = 3
+    near_patience_s: float = 0.0
+    urgent_patience_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -141,6 +147,13 @@
     :ivar within: the widest distance the gang may span.
     :ivar declared_run_s: the caller's guess, never trusted for safety.
     :ivar restartable: may start while the store is out of reach.
+    :ivar max_attempts: failures allowed; 0 takes the policy's figure.
+    :ivar handicap_s: how much later than its arrival it is in line.
+    :ivar label: only workers with this label run it.
+    :ivar data_rack: it is much slower in any other rack.
+    :ivar prefers_rack: it is much slower when spread over racks.
+    :ivar spread_group: jobs whose tasks count for ``max_per_worker``.
+    :ivar max_per_worker: most tasks of the group on a worker, or 0.
     """
 
     job_id: str
@@ -156,6 +169,13 @@
     declared_run_s: float = 3600.0
     restartable: bool = True
     submitted_s: float = 0.0
+    max_attempts: int = 0
+    handicap_s: float = 0.0
+    label: str = ""
+    data_rack: str = ""
+    prefers_rack: bool = False
+    spread_group: str = ""
+    max_per_worker: int = 0
 
     @property
     def accelerators(self) -> int:
--- a/src/knapweedwharf/core/placement.py
+++ b/src/knapweedwharf/core/placement.py
@@ -35,11 +35,14 @@
     :ivar search: finds open room for a gang.
     :ivar preempts: stops borrowers for guarantees and urgent work.
     :ivar reserves: gives reservations to gangs that wait long.
+    :ivar moves: stops borrowers for work that was delayed more, and to
+        make adjacent room; worth it for runs of many minutes only.
     """
 
     search: Search
     preempts: bool
     reserves: bool
+    moves: bool
 
 
 POLICIES: registry.Registry[Search] = registry.Registry(
@@ -48,11 +51,17 @@
 
 
 def policy(name: str) -> Policy:
-    """Return a policy; only ``guaranteed`` preempts and reserves."""
-    ours = name == "guaranteed"
-    return Policy(search=POLICIES.get(name), preempts=ours, reserves=ours)
+    """Return a policy; the product's own preempt and reserve."""
+    ours = name in ("guaranteed", "short-runs")
+    return Policy(
+        search=POLICIES.get(name),
+        preempts=ours,
+        reserves=ours,
+        moves=name == "guaranteed",
+    )
 
 
+@POLICIES.register("short-runs")
 @POLICIES.register("guaranteed")
 def tightest(
     topology: topology_module.Topology,
@@ -192,9 +201,10 @@
     """Spread the gang over the rooms in their order, or return None."""
     need = amount.of_task(job)
     left = job.tasks
+    most = job.max_per_worker or job.tasks
     share: Share = []
     for room in rooms:
-        count = min(left, room.open.holds(need))
+        count = min(left, room.open.holds(need), most)
         if count:
             share.append((room, count))
             left -= count
@@ -228,11 +238,14 @@
 ) -> bool:
     """Tell whether empty workers could run the gang."""
     need = amount.of_task(job)
+    most = job.max_per_worker or job.tasks
     counts: dict[str, int] = {}
     for spec in specs:
         group = group_of(spec, job.within)
         count = counts.get(group, 0)
-        count += min(job.tasks, amount.of_worker(spec).holds(need))
+        if job.label and job.label not in spec.labels:
+            continue
+        count += min(most, amount.of_worker(spec).holds(need))
         if count >= job.tasks:
             return True
         counts[group] = count
--- a/src/knapweedwharf/core/reserve.py
+++ b/src/knapweedwharf/core/reserve.py
@@ -54,13 +54,15 @@
             for job_id, at_s in self._later.items()
             if at_s > state.now_s
         }
-        for job_id in self._most_delayed():
-            self._overtake(state.records[job_id])
+        if state.policy.moves:
+            for job_id in self._most_delayed():
+                self._overtake(state.records[job_id])
         for job_id in state.waiting.first(HEADS_LOOKED_AT):
             job = state.records[job_id].job
             if state.over_quota(job):
                 continue
-            if job_id not in self._later and self._make_room(job):
+            may_move = state.policy.moves and job_id not in self._later
+            if may_move and self._make_room(job):
                 continue
             if not self._not_due(job):
                 self._reserve(job, made_s=state.now_s)
@@ -133,7 +135,9 @@
         state = self._state
         best: claim.Reservation | None = None
         groups = borrowers.groups(state.topology, job.within)
-        for rooms in itertools.islice(groups, GROUPS_TRIED):
+        avoid = state.avoided(job)
+        for group in itertools.islice(groups, GROUPS_TRIED):
+            rooms = [r for r in group if r.spec.worker_id not in avoid]
             found = self._earliest(rooms, job, made_s)
             if found is None:
                 continue
@@ -304,7 +308,10 @@
     gang can fit decides.
     """
     groups = borrowers.groups(state.topology, job.within)
-    failed_on = state.quarantine.failed_on(job.job_id)
+    avoid = state.avoided(job).union(state.quarantine.failed_on(job.job_id))
+    limits = None
+    if job.max_per_worker:
+        limits = dict.fromkeys(state.topology.workers, job.max_per_worker)
     best: victims.Choice | None = None
     while best is None:
         portion = list(itertools.islice(groups, GROUPS_TRIED))
@@ -316,9 +323,10 @@
                 rooms={
                     room.spec.worker_id: open_on(room)
                     for room in rooms
-                    if room.spec.worker_id not in failed_on
+                    if room.spec.worker_id not in avoid
                 },
                 victims=borrowers.victims_on(state, rooms, allowed),
+                limits=limits,
             ).run()
             if choice is None:
                 continue
--- a/src/knapweedwharf/core/scheduler.py
+++ b/src/knapweedwharf/core/scheduler.py
@@ -4,6 +4,7 @@
 
 from knapweedwharf.core import amount
 from knapweedwharf.core import borrowers
+from knapweedwharf.core import constraint
 from knapweedwharf.core import explain
 from knapweedwharf.core import model
 from knapweedwharf.core import reclaim
@@ -27,6 +28,9 @@
         """Look at what time alone can change."""
         state = self._state
         state.waiting.due(state.now_s)
+        policy = state.configuration.policy
+        if policy.near_patience_s or policy.urgent_patience_s:
+            state.waiting.wake_impatient()
         if state.settled and not self._settled:
             self._settled = True
             state.ledger.repair()
@@ -120,12 +124,17 @@
             return False
         if not state.settled:
             return False
-        choice = reserve.cheapest(
-            state,
-            job,
-            allowed=_not_urgent,
-            open_on=borrowers.usable_room,
-        )
+        waited_s = state.now_s - job.submitted_s
+        if waited_s < state.configuration.policy.urgent_patience_s:
+            return False
+        choice = None
+        for variant in (*constraint.near_variants(state.topology, job), job):
+            choice = choice or reserve.cheapest(
+                state,
+                variant,
+                allowed=_not_urgent,
+                open_on=borrowers.usable_room,
+            )
         if choice is None:
             return False
         why = "Urgent work goes before borrowed work."
--- a/src/knapweedwharf/core/state.py
+++ b/src/knapweedwharf/core/state.py
@@ -4,6 +4,7 @@
 
 from knapweedwharf.charts import chart
 from knapweedwharf.core import claim
+from knapweedwharf.core import constraint
 from knapweedwharf.core import decision
 from knapweedwharf.core import estimate
 from knapweedwharf.core import ledger
@@ -125,17 +126,45 @@
         """
         policy = self.configuration.policy
         if not self.policy.reserves:
-            return (0, job.submitted_s, job.job_id)
+            return (0, job.submitted_s + job.handicap_s, job.job_id)
         if job.urgency == model.URGENT:
             return (0, job.submitted_s, job.job_id)
         level = model.URGENCIES.index(job.urgency) - 1
         length_s = min(run_s, MAX_LENGTH_AGEINGS * policy.ageing_s)
         length_s *= 1.0 - policy.fragmentation_weight
-        later_s = level * policy.ageing_s + length_s
+        later_s = level * policy.ageing_s + length_s + job.handicap_s
         return (1, job.submitted_s + later_s, job.job_id)
 
     def search(self, job: model.JobSpec) -> placement.Share | None:
-        """Find open room on workers that the job has not failed on.
+        """Find open room, near its data or in one rack if that matters.
+
+        A job takes a distant place once it has waited for a near one.
+        """
+        near = constraint.near_variants(self.topology, job)
+        for confined in near:
+            share = self._search(confined, self.avoided(confined, near=True))
+            if share is not None:
+                return share
+        if near and not self.is_impatient(job):
+            return None
+        return self._search(job, self.avoided(job))
+
+    def is_impatient(self, job: model.JobSpec) -> bool:
+        """Tell whether a job has waited long enough for a near place."""
+        waited_s = self.now_s - job.submitted_s
+        return waited_s >= self.configuration.policy.near_patience_s
+
+    def avoided(self, job: model.JobSpec, *, near: bool = False) -> set[str]:
+        """Return the workers that a job may not be placed on."""
+        found = constraint.unsuitable(self.topology, job, self.job_of_attempt)
+        if near and job.data_rack:
+            found |= constraint.distant(self.topology, job)
+        return found
+
+    def _search(
+        self, job: model.JobSpec, avoid: set[str]
+    ) -> placement.Share | None:
+        """Search workers that the job has not failed on.
 
         Where those left could never hold it, all are searched.
         """
@@ -145,10 +174,11 @@
                 room.spec
                 for room in self.topology.workers.values()
                 if room.spec.worker_id not in failed_on
+                and room.spec.worker_id not in avoid
             )
-            if not placement.could_ever_fit(others, job):
-                failed_on = ()
-        return self.policy.search(self.topology, job, failed_on)
+            if placement.could_ever_fit(others, job):
+                avoid = avoid.union(failed_on)
+        return self.policy.search(self.topology, job, avoid)
 
     # Attempts
 
--- a/src/knapweedwharf/core/waiting.py
+++ b/src/knapweedwharf/core/waiting.py
@@ -14,13 +14,15 @@
 import math
 
 from knapweedwharf.core import amount
+from knapweedwharf.core import constraint
 from knapweedwharf.core import model
 
 OrderKey = tuple[int, float, str]
 """(rank, time, job id), the smallest first"""
 
-ClassKey = tuple[str, str, str, int, amount.Amount, int]
-"""(account, urgency, within, tasks, need of a task, level of run time)"""
+ClassKey = tuple[str, str, str, int, amount.Amount, int, constraint.Constraint]
+"""(account, urgency, within, tasks, need of a task, level of run time,
+constraint)"""
 
 
 def class_of(job: model.JobSpec, run_s: float) -> ClassKey:
@@ -32,6 +34,7 @@
         job.tasks,
         amount.of_task(job),
         math.frexp(run_s)[1],
+        constraint.of_job(job),
     )
 
 
@@ -137,6 +140,13 @@
             if class_key not in self._ready and room.covers(job_class.need):
                 self._ready[class_key] = None
 
+    def wake_impatient(self) -> None:
+        """Look again at classes that time alone can help."""
+        for class_key in self._classes:
+            urgent = class_key[1] == model.URGENT
+            if urgent or constraint.is_patient(class_key[6]):
+                self._ready[class_key] = None
+
     def wake_all(self) -> None:
         """Look at every class again."""
         self._ready = dict.fromkeys(self._classes)
--- /dev/null
+++ b/src/knapweedwharf/core/workflow.py
@@ -0,0 +1,290 @@
+"""Jobs of several steps, cut into the parts that the engine places.
+
+A part is what starts and ends together: a whole step where its tasks
+need one another, else one task. The engine knows a part as a job of
+its own; a workflow knows which parts may start and what they add up to.
+"""
+
+from __future__ import annotations
+
+from collections import abc
+import dataclasses
+import math
+import typing
+
+from knapweedwharf.core import model
+
+QUEUED = "queued"
+ACTIVE = "active"
+COMPLETED = "completed"
+FAILED = "failed"
+CANCELLED = "cancelled"
+FINAL_STATES = frozenset({COMPLETED, FAILED, CANCELLED})
+
+MILLI = 1000
+RUNS_PER_EPOCH = 1000
+"""Run numbers that one owner may use for a part before the next's."""
+
+
+class Step(typing.NamedTuple):
+    """One step of a job: ``tasks`` equal tasks.
+
+    :ivar after: numbers of earlier steps that must be done.
+    :ivar is_gang: all tasks run together or none does.
+    :ivar wants_one_rack: much slower when spread over racks.
+    :ivar label: an executor must have it.
+    :ivar data_rack: much slower on any other rack.
+    :ivar max_per_executor: 0 sets no limit.
+    :ivar is_lasting: runs until cancelled; started again when it ends.
+    :ivar fills_spare: takes the cores that others leave; needs none.
+    """
+
+    tasks: int
+    cores_milli: int
+    memory_mib: int
+    accelerators: int
+    expected_run_s: float
+    after: tuple[int, ...] = ()
+    saves_progress: bool = False
+    is_gang: bool = False
+    wants_one_rack: bool = False
+    label: str = ""
+    data_rack: str = ""
+    max_per_executor: int = 0
+    is_speculative: bool = False
+    is_lasting: bool = False
+    allowed_misses: int = 0
+    image: str = ""
+    tail_target_ms: int = 0
+    fills_spare: bool = False
+
+
+@dataclasses.dataclass(frozen=True)
+class Job:
+    """A submitted job.
+
+    :ivar submitted_s: Unix time of the acceptance, by its VM's clock.
+    :ivar repetitions: 0 for a job that runs once.
+    :ivar first_run_s: Unix time at which repetition 0 is due.
+    """
+
+    job_id: str
+    route: str
+    service: str
+    account: str
+    specification: str
+    steps: tuple[Step, ...]
+    submitted_s: float
+    priority: int = 1
+    max_attempts: int = 1
+    repetitions: int = 0
+    first_run_s: float = 0.0
+    interval_s: float = 0.0
+
+    @property
+    def occurrences(self) -> int:
+        """How many times the steps run."""
+        return max(1, self.repetitions)
+
+    @property
+    def is_timed(self) -> bool:
+        """Whether occurrences wait for their time."""
+        return self.repetitions > 0
+
+    @property
+    def accelerators(self) -> int:
+        """Accelerators of the widest step."""
+        return max(s.tasks * s.accelerators for s in self.steps)
+
+    def due_s(self, occurrence: int) -> float:
+        """Return the Unix time before which an occurrence waits."""
+        if not self.is_timed:
+            return 0.0
+        return self.first_run_s + occurrence * self.interval_s
+
+
+@dataclasses.dataclass(slots=True)
+class Part:
+    """A step's tasks that start together, and what became of them.
+
+    :ivar part_id: the engine's id of it.
+    :ivar first_index: number of its first task in the step.
+    :ivar run: highest run number used; runs of a part share a number.
+    :ivar failures: runs that ended ``failed``.
+    :ivar checkpoint: newest saved progress.
+    :ivar places: where the attempt in hand runs or may run.
+    """
+
+    part_id: str
+    occurrence: int
+    step: int
+    first_index: int
+    tasks: int
+    done: bool = False
+    failures: int = 0
+    run: int = 0
+    checkpoint: str = ""
+    places: tuple[model.Assignment, ...] = ()
+
+    def task_id(self, job_id: str, index: int) -> str:
+        """Return the name of a task by its place in the part."""
+        number = self.first_index + index
+        return f"{job_id}.{self.occurrence}.{self.step}.{number}"
+
+
+class Workflow:
+    """Progress of one job.
+
+    :ivar parts: parts that were let in, by id.
+    :ivar begun: whether a task of it was ever started.
+    """
+
+    def __init__(self, job: Job) -> None:
+        self.job = job
+        self.parts: dict[str, Part] = {}
+        self.begun = False
+        self.cancelled = False
+        self.failed = False
+        self.completed = False
+        self._opened: set[tuple[int, int]] = set()
+
+    @property
+    def state(self) -> str:
+        """The state that callers are shown."""
+        if self.completed:
+            return COMPLETED
+        if self.failed:
+            return FAILED
+        if self.cancelled:
+            return CANCELLED
+        return ACTIVE if self.begun else QUEUED
+
+    @property
+    def is_final(self) -> bool:
+        """Whether nothing of it may start any more."""
+        return self.state in FINAL_STATES
+
+    def open_parts(self, now_s: float) -> list[Part]:
+        """Let in the parts whose turn has come; returns the new ones."""
+        if self.is_final:
+            return []
+        opened: list[Part] = []
+        for occurrence in range(self.job.occurrences):
+            if self.job.due_s(occurrence) > now_s:
+                break
+            for number, step in enumerate(self.job.steps):
+                key = (occurrence, number)
+                if key in self._opened:
+                    continue
+                if all(self._step_done(occurrence, n) for n in step.after):
+                    opened.extend(self._open(occurrence, number))
+        return opened
+
+    def _open(self, occurrence: int, number: int) -> abc.Iterator[Part]:
+        self._opened.add((occurrence, number))
+        for part in cut(self.job, occurrence, number):
+            part = self.parts.setdefault(part.part_id, part)
+            if not part.done:
+                yield part
+
+    def _step_done(self, occurrence: int, number: int) -> bool:
+        if (occurrence, number) not in self._opened:
+            return False
+        return all(
+            self.parts[part.part_id].done
+            for part in cut(self.job, occurrence, number)
+        )
+
+    def next_due_s(self, now_s: float) -> float | None:
+        """Return when the next occurrence is due, if one is to come."""
+        if self.is_final or not self.job.is_timed:
+            return None
+        for occurrence in range(self.job.occurrences):
+            due_s = self.job.due_s(occurrence)
+            if due_s > now_s:
+                return due_s
+        return None
+
+    def part_done(self, part: Part) -> None:
+        """Note that a part has ended well; the last one completes."""
+        part.done = True
+        part.places = ()
+        self.completed = not self.cancelled and all(
+            self._step_done(occurrence, number)
+            for occurrence in range(self.job.occurrences)
+            for number in range(len(self.job.steps))
+        )
+
+    def next_run(self, part: Part, ordinal: int) -> int:
+        """Return an unused run number for the next start of a part.
+
+        :param ordinal: the owner's, from 1; a later owner's numbers are
+            above all that an earlier one may have used.
+        """
+        part.run = max(part.run, (ordinal - 1) * RUNS_PER_EPOCH) + 1
+        return part.run
+
+
+def cut(job: Job, occurrence: int, number: int) -> list[Part]:
+    """Return the parts of a step: one gang, or one part for each task."""
+    step = job.steps[number]
+    name = f"{job.job_id}.{occurrence}.{number}"
+    if step.is_gang:
+        return [Part(name, occurrence, number, 0, step.tasks)]
+    return [
+        Part(f"{name}.{index}", occurrence, number, index, 1)
+        for index in range(step.tasks)
+    ]
+
+
+def job_id_of(part_or_task_id: str) -> str:
+    """Return the job that a part or task belongs to."""
+    return part_or_task_id.split(".", 1)[0]
+
+
+def part_id_of(job: Job, task_id: str) -> str | None:
+    """Return the part that a task belongs to; None for a foreign name."""
+    fields = task_id.split(".")
+    if len(fields) != 4 or not all(f.isdecimal() for f in fields[1:]):
+        return None
+    number = int(fields[2])
+    if number >= len(job.steps):
+        return None
+    if job.steps[number].is_gang:
+        return ".".join(fields[:3])
+    return task_id
+
+
+def spec_of(
+    workflow: Workflow, part: Part, *, urgency: str, handicap_s: float
+) -> model.JobSpec:
+    """Return a part as the engine's job.
+
+    Fractions of cores count as whole ones.
+
+    :param handicap_s: how much later than its arrival it is in line.
+    """
+    job = workflow.job
+    step = job.steps[part.step]
+    cores = 0 if step.fills_spare else math.ceil(step.cores_milli / MILLI)
+    submitted_s = max(job.submitted_s, job.due_s(part.occurrence))
+    return model.JobSpec(
+        job_id=part.part_id,
+        account=job.account,
+        data_centre=job.service,
+        kind=f"{job.route}/{part.step}",
+        tasks=part.tasks,
+        accelerators_per_task=step.accelerators,
+        cores_per_task=cores,
+        memory_mib_per_task=step.memory_mib,
+        urgency=urgency,
+        declared_run_s=max(step.expected_run_s, 0.1),
+        submitted_s=submitted_s,
+        max_attempts=job.max_attempts,
+        handicap_s=handicap_s,
+        label=step.label,
+        data_rack=step.data_rack,
+        prefers_rack=step.wants_one_rack,
+        spread_group=f"{job.job_id}.{part.occurrence}.{part.step}",
+        max_per_worker=step.max_per_executor,
+    )
--- /dev/null
+++ b/src/knapweedwharf/fleet/clock.py
@@ -0,0 +1,19 @@
+"""Clocks of a process.
+
+Ages of beliefs and leases are measured on a clock that also counts the
+time in which the VM was suspended.
+"""
+
+from __future__ import annotations
+
+import time
+
+
+def elapsed_s() -> float:
+    """Return seconds on a steady clock that counts suspended time."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+def unix_s() -> float:
+    """Return the time of day in seconds since 1970."""
+    return time.time()
--- /dev/null
+++ b/src/knapweedwharf/fleet/door.py
@@ -0,0 +1,346 @@
+"""What callers ask: submit, look, cancel, count. Any VM answers.
+
+A submission and a cancellation are stored under the condition that the
+desired state is the one by which they were allowed. A refusal is given
+only where nothing can have been stored; where that is not known, the
+answer says so.
+"""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+
+from returns import result
+
+from knapweedwharf.core import workflow
+from knapweedwharf import errors
+from knapweedwharf.fleet import clock
+from knapweedwharf.fleet import desired as desired_module
+from knapweedwharf.fleet import model
+from knapweedwharf.fleet import records
+from knapweedwharf import log
+
+TRY_TIMEOUT_S = 0.8
+"""Eighty times the store's usual answer; leaves time for two tries."""
+
+STORE_SUSPECT_S = 2.7
+"""A whole watch and its slack: nothing was heard of the store."""
+
+RETRY_AFTER_S = 1.0
+"""Outages last seconds; other VMs may have a path already."""
+
+MAX_SPECIFICATION_BYTES = 4_000
+PENDING_AGE_S = 0.5
+FINAL_STATES_KEPT = 4_096
+
+
+@dataclasses.dataclass(frozen=True)
+class Call:
+    """Who asks for what, and until when an answer is of use.
+
+    :ivar until_s: on the elapsed clock.
+    """
+
+    host: str
+    path: str
+    key: str
+    until_s: float
+
+
+@dataclasses.dataclass(frozen=True)
+class Allowed:
+    """A call that the desired state allows."""
+
+    desired: model.Desired
+    route: model.Route
+    account: str
+    job_id: str
+
+
+@dataclasses.dataclass(frozen=True)
+class Gone(errors.NotFound):
+    """No such job was accepted."""
+
+    code = "no-such-job"
+    http_status = 410
+
+
+class Door:
+    """Answers callers from the store and the desired state."""
+
+    def __init__(
+        self,
+        *,
+        store,
+        desired: desired_module.DesiredState,
+        catalogue: model.Catalogue,
+    ) -> None:
+        self._store = store
+        self._desired = desired
+        self._config_key = catalogue.config_key
+        self._log = log.get("door")
+        self._final: collections.OrderedDict[str, tuple[str, str]] = (
+            collections.OrderedDict()
+        )
+        self._pending: dict[str, int] = {}
+        self._pending_s = float("-inf")
+
+    # Permission
+
+    def allow(self, call: Call) -> result.Result[Allowed, errors.Fault]:
+        """Find the route and the account of a call."""
+        desired = self._desired.current
+        if desired is None or not self._desired.is_fresh:
+            return self._not_now("desired-state-not-confirmed")
+        route = desired.route_for(call.host, call.path)
+        if route is None:
+            return result.Failure(
+                errors.NotFound(
+                    message="There is no such queue.",
+                    remedy="Check host and path.",
+                )
+            )
+        account = desired.account_by_key.get(call.key, "")
+        if not account and not route.is_public:
+            return result.Failure(
+                errors.Unauthenticated(
+                    message="The key is not known.",
+                    remedy="Use a key of the account in force.",
+                )
+            )
+        job_id = call.path[len(route.prefix) :]
+        return result.Success(Allowed(desired, route, account, job_id))
+
+    def _not_now(self, why: str) -> result.Failure:
+        return result.Failure(
+            errors.DidNotRun(
+                message=f"Nothing was done: {why}.",
+                remedy="Ask again, any VM will do.",
+                retry_after_s=RETRY_AFTER_S,
+            )
+        )
+
+    # Submission
+
+    async def submit(
+        self,
+        call: Call,
+        *,
+        specification: str,
+        steps: tuple[workflow.Step, ...],
+        repetitions: int = 0,
+        first_run_s: float = 0.0,
+        interval_s: float = 0.0,
+    ) -> result.Result[str, errors.Fault]:
+        """Store a job; returns its id."""
+
+        def commit(allowed: Allowed) -> model.Commit:
+            job = workflow.Job(
+                job_id=allowed.job_id,
+                route=allowed.route.name,
+                service=allowed.route.service,
+                account=allowed.account,
+                specification=specification,
+                steps=steps,
+                submitted_s=round(clock.unix_s(), 3),
+                priority=allowed.route.priority,
+                max_attempts=allowed.route.max_attempts,
+                repetitions=repetitions,
+                first_run_s=first_run_s,
+                interval_s=interval_s,
+            )
+            key = records.key(job.job_id, records.SPEC)
+            return model.Commit(
+                {self._config_key: allowed.desired.revision, key: 0},
+                (model.Write(key, records.dump_job(job)),),
+            )
+
+        return await self._store_call(call, commit, event="submission")
+
+    async def _store_call(
+        self, call: Call, commit_for, *, event: str
+    ) -> result.Result[str, errors.Fault]:
+        """Commit under the desired state that allows the call."""
+        maybe_stored = False
+        tries = 0
+        while True:
+            permitted = self.allow(call)
+            if isinstance(permitted, result.Failure):
+                return self._refused(permitted.failure(), maybe_stored)
+            allowed = permitted.unwrap()
+            left_s = call.until_s - clock.elapsed_s()
+            if left_s <= 0 or tries and not maybe_stored and tries > 3:
+                return self._refused(_late(), maybe_stored)
+            if self._desired.age_s > STORE_SUSPECT_S and not maybe_stored:
+                return self._not_now("store-silent")
+            tries += 1
+            sent_s = clock.elapsed_s()
+            stored = await self._store.commit(
+                commit_for(allowed), timeout_s=min(TRY_TIMEOUT_S, left_s)
+            )
+            if isinstance(stored, result.Success):
+                self._desired.confirmed(sent_s)
+                self._log.info(
+                    f"{event}-stored",
+                    job_id=allowed.job_id,
+                    route=allowed.route.name,
+                    account=allowed.account,
+                    desired_revision=allowed.desired.revision,
+                    revision=stored.unwrap(),
+                    tries=tries,
+                )
+                return result.Success(allowed.job_id)
+            fault = stored.failure()
+            if isinstance(fault, errors.Conflict):
+                if self._is_known(fault.mismatch, allowed):
+                    return result.Success(allowed.job_id)
+                continue
+            maybe_stored |= not isinstance(fault, errors.Unreachable)
+            if not maybe_stored:
+                return self._not_now("store-not-reached")
+
+    def _is_known(self, mismatch: model.Mismatch, allowed: Allowed) -> bool:
+        config = mismatch.current.get(self._config_key)
+        if config is not None and config.revision:
+            self._desired.take(config)
+        spec = mismatch.current.get(records.key(allowed.job_id, records.SPEC))
+        return spec is not None and spec.revision > 0
+
+    def _refused(
+        self, fault: errors.Fault, maybe_stored: bool
+    ) -> result.Failure:
+        if not maybe_stored:
+            return result.Failure(fault)
+        return result.Failure(
+            errors.OutcomeUnknown(
+                message="Whether the call was stored is not known.",
+                remedy="Ask again with the same id.",
+            )
+        )
+
+    # State and cancellation
+
+    async def state(self, call: Call) -> result.Result[str, errors.Fault]:
+        """Return the state of a job."""
+        permitted = self.allow(call)
+        if isinstance(permitted, result.Failure):
+            return permitted
+        allowed = permitted.unwrap()
+        known = self._final.get(allowed.job_id)
+        if known is not None and _same_account(known[1], allowed.account):
+            return result.Success(known[0])
+        read = await self._records(call, allowed)
+        if isinstance(read, result.Failure):
+            return read
+        kinds = read.unwrap()
+        again = self.allow(call)
+        if isinstance(again, result.Failure):
+            return again
+        state = _state_of(kinds)
+        if state in workflow.FINAL_STATES:
+            self._remember(allowed, state)
+        self._log.info("state-shown", job_id=allowed.job_id, state=state)
+        return result.Success(state)
+
+    def _remember(self, allowed: Allowed, state: str) -> None:
+        self._final[allowed.job_id] = (state, allowed.account)
+        if len(self._final) > FINAL_STATES_KEPT:
+            self._final.popitem(last=False)
+
+    async def _records(
+        self, call: Call, allowed: Allowed
+    ) -> result.Result[dict[str, model.Item], errors.Fault]:
+        if self._desired.age_s > STORE_SUSPECT_S:
+            return self._not_now("store-silent")
+        prefix = records.job_prefix(allowed.job_id)
+        while True:
+            left_s = call.until_s - clock.elapsed_s()
+            if left_s <= 0:
+                return self._not_now("store-too-slow")
+            listed = await self._store.list(
+                prefix, timeout_s=min(TRY_TIMEOUT_S, left_s)
+            )
+            if isinstance(listed, result.Success):
+                break
+            if isinstance(listed.failure(), errors.Unreachable):
+                return self._not_now("store-not-reached")
+        kinds = {
+            records.split_key(item.key)[1]: item
+            for item in listed.unwrap().items
+        }
+        spec = kinds.get(records.SPEC)
+        if spec is None or not _same_account(
+            records.load_job(spec.value).account, allowed.account
+        ):
+            return result.Failure(
+                Gone(
+                    message="There is no such job.",
+                    remedy="Check its id; ended jobs are kept for a while.",
+                )
+            )
+        return result.Success(kinds)
+
+    async def cancel(self, call: Call) -> result.Result[str, errors.Fault]:
+        """Store the cancellation of a job."""
+        permitted = self.allow(call)
+        if isinstance(permitted, result.Failure):
+            return permitted
+        read = await self._records(call, permitted.unwrap())
+        if isinstance(read, result.Failure):
+            return read
+        kinds = read.unwrap()
+        if _state_of(kinds) in workflow.FINAL_STATES:
+            return result.Success(permitted.unwrap().job_id)
+
+        def commit(allowed: Allowed) -> model.Commit:
+            key = records.key(allowed.job_id, records.CANCEL)
+            return model.Commit(
+                {self._config_key: allowed.desired.revision},
+                (model.Write(key, b"{}"),),
+            )
+
+        return await self._store_call(call, commit, event="cancellation")
+
+    async def pending(self, call: Call) -> result.Result[int, errors.Fault]:
+        """Return how many jobs of a queue have not begun."""
+        permitted = self.allow(call)
+        if isinstance(permitted, result.Failure):
+            return permitted
+        if clock.elapsed_s() - self._pending_s > PENDING_AGE_S:
+            sent_s = clock.elapsed_s()
+            read = await self._store.read(
+                records.PENDING_KEY, timeout_s=TRY_TIMEOUT_S
+            )
+            if isinstance(read, result.Failure):
+                return self._not_now("store-not-reached")
+            item = read.unwrap()
+            self._pending = records.load_pending(item.value) if item else {}
+            self._pending_s = sent_s
+        again = self.allow(call)
+        return again.map(
+            lambda allowed: self._pending.get(allowed.route.name, 0)
+        )
+
+
+def _late() -> errors.DidNotRun:
+    return errors.DidNotRun(
+        message="Nothing was done in the caller's time.",
+        remedy="Ask again, any VM will do.",
+        retry_after_s=RETRY_AFTER_S,
+    )
+
+
+def _same_account(owner: str, account: str) -> bool:
+    """Tell whether a caller may see a job; public queues have no owner."""
+    return not owner or not account or owner == account
+
+
+def _state_of(kinds: dict[str, model.Item]) -> str:
+    progress = kinds.get(records.PROGRESS)
+    state = workflow.QUEUED
+    if progress is not None:
+        state = records.load_state(progress.value)
+    if state not in workflow.FINAL_STATES and records.CANCEL in kinds:
+        return workflow.CANCELLED
+    return state
--- /dev/null
+++ b/src/knapweedwharf/fleet/model.py
@@ -0,0 +1,305 @@
+"""Types of the fleet: its site, desired state, executors and answers.
+
+Times are in seconds unless a field says otherwise, memory is in MiB.
+"""
+
+from __future__ import annotations
+
+from collections import abc
+import dataclasses
+
+READY = "ready"
+DRAINING = "draining"
+
+DONE = "done"
+FAILED = "failed"
+STOPPED = "stopped"
+LAPSED = "lapsed"
+BROKEN = "broken"
+ALONE = "alone"
+REFUSED = "refused"
+"""The executor rejected the start; nothing ran."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Bounds:
+    """Time limits that the platform states for this deployment.
+
+    :ivar max_lease_s: longest lease an executor grants to its runs.
+    :ivar stop_timeout_s: longest time an executor takes for a stop.
+    :ivar gang_timeout_s: how long a gang member waits for the others.
+    :ivar revocation_s: a key must be dead this long after its removal.
+    :ivar grace_period_s: time between SIGTERM and SIGKILL.
+    :ivar owner_lease_s: longest time without an owner after one is lost.
+    :ivar status_retention_s: how long an ended job stays readable.
+    """
+
+    max_lease_s: float = 6.0
+    stop_timeout_s: float = 0.9
+    gang_timeout_s: float = 3.0
+    revocation_s: float = 5.0
+    grace_period_s: float = 6.0
+    owner_lease_s: float = 3.0
+    status_retention_s: float = 120.0
+    reclaim_timeout_s: float = 3.4
+
+
+@dataclasses.dataclass(frozen=True)
+class Site:
+    """Where a process runs and what it may reach.
+
+    :ivar frontend_address: IP:port for callers.
+    :ivar readiness_address: IP:port that the balancer probes.
+    :ivar store_address: IP:port of the platform's store.
+    :ivar min_lease_s: shortest lease that the store grants.
+    """
+
+    node_id: str
+    data_centre: str
+    ip_address: str
+    frontend_address: str
+    readiness_address: str
+    store_address: str
+    min_lease_s: float = 1.0
+    advisor_address: str = ""
+    machines_address: str = ""
+    bounds: Bounds = Bounds()
+
+
+@dataclasses.dataclass(frozen=True)
+class Account:
+    """A client account, its keys and the accelerators it may reclaim."""
+
+    name: str
+    keys: frozenset[str]
+    guaranteed_accelerators: int = 0
+
+
+@dataclasses.dataclass(frozen=True)
+class Route:
+    """A queue of jobs, found by host and path prefix.
+
+    :ivar priority: 0 comes first and may reclaim guaranteed room.
+    :ivar slowdown_factor: objective as a multiple of the chain of work.
+    :ivar latency_target_s: added to the objective.
+    :ivar has_advisor: starts need a ticket of the advisor.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    service: str
+    priority: int = 1
+    max_attempts: int = 1
+    slowdown_factor: float = 1.0
+    latency_target_s: float = 1.0
+    is_public: bool = False
+    has_advisor: bool = False
+
+
+@dataclasses.dataclass(frozen=True)
+class Service:
+    """A pool of executors.
+
+    :ivar enforces_capacity: executors reject what does not fit.
+    :ivar is_standby: its machines are off until they are moved.
+    """
+
+    name: str
+    enforces_capacity: bool = True
+    is_standby: bool = False
+
+
+@dataclasses.dataclass(frozen=True)
+class Desired:
+    """The operator's desired state.
+
+    :ivar revision: the store's revision of the entry that held it.
+    :ivar version: the operator's own count.
+    """
+
+    revision: int
+    version: int
+    routes: tuple[Route, ...]
+    services: dict[str, Service]
+    accounts: dict[str, Account]
+    account_by_key: dict[str, str]
+
+    def route_for(self, host: str, path: str) -> Route | None:
+        """Return the route with the longest matching prefix."""
+        best: Route | None = None
+        for route in self.routes:
+            if route.host != host or not path.startswith(route.prefix):
+                continue
+            if best is None or len(route.prefix) > len(best.prefix):
+                best = route
+        return best
+
+    def route_named(self, name: str) -> Route | None:
+        """Return a route by its name."""
+        for route in self.routes:
+            if route.name == name:
+                return route
+        return None
+
+
+@dataclasses.dataclass(frozen=True)
+class Executor:
+    """What an executor says of itself.
+
+    :ivar incarnation_ms: Unix time of its start; a new value means that
+        it holds nothing of before.
+    :ivar labels: its kind and its rack, in this order.
+    """
+
+    executor_id: str
+    address: str
+    service: str
+    data_centre: str
+    state: str
+    cores_milli: int
+    memory_mib: int
+    accelerators: int
+    labels: tuple[str, ...] = ()
+    machine: str = ""
+    incarnation_ms: int = 0
+
+    @property
+    def rack(self) -> str:
+        """The rack, or the executor itself where none is named."""
+        return self.labels[1] if len(self.labels) > 1 else self.executor_id
+
+
+@dataclasses.dataclass(frozen=True)
+class Run:
+    """A run that an executor has at work.
+
+    :ivar checkpoint: newest saved progress, or empty.
+    :ivar percent: how far it is.
+    :ivar load: tail latency in ms of a serving task, else cores in use.
+    """
+
+    task_id: str
+    run: int
+    checkpoint: str
+    percent: int
+    load: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True)
+class End:
+    """A run that has ended.
+
+    :ivar number: counts up from 1 in each incarnation.
+    """
+
+    number: int
+    task_id: str
+    run: int
+    how: str
+    checkpoint: str
+
+
+@dataclasses.dataclass(frozen=True)
+class Report:
+    """An executor's answer to a renewal.
+
+    :ivar clock_ms: its steady clock when it answered.
+    """
+
+    clock_ms: int
+    incarnation_ms: int
+    runs: tuple[Run, ...]
+    ends: tuple[End, ...]
+
+
+@dataclasses.dataclass(frozen=True)
+class Order:
+    """A start of one run on an executor.
+
+    :ivar not_after_ms: on the executor's clock; later it is rejected.
+    """
+
+    task_id: str
+    run: int
+    specification: str
+    not_after_ms: int
+    epoch: int
+    checkpoint: str = ""
+    ticket: str = ""
+
+
+@dataclasses.dataclass(frozen=True)
+class Item:
+    """An entry of the store.
+
+    :ivar revision: of its last change; 0 where it does not exist.
+    """
+
+    key: str
+    value: bytes
+    revision: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Listing:
+    """Entries under a prefix and the revision they were read at."""
+
+    items: tuple[Item, ...]
+    revision: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Changes:
+    """What a watch saw: entries as written, and removed keys."""
+
+    items: tuple[Item, ...]
+    removed: tuple[str, ...]
+    revision: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Write:
+    """One key's new value; it goes with the lease, if there is one."""
+
+    key: str
+    value: bytes
+    lease_id: int = 0
+
+
+@dataclasses.dataclass(frozen=True)
+class Commit:
+    """A transaction: all of it or nothing.
+
+    :ivar expected: revision by key; 0 expects that it does not exist.
+    """
+
+    expected: dict[str, int]
+    writes: tuple[Write, ...] = ()
+    removes: tuple[str, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True)
+class Catalogue:
+    """Where the operator's and the executors' entries lie in the store.
+
+    :ivar decode_desired: from an entry's value and revision.
+    :ivar decode_executor: from an executor's id and its entry's value.
+        Both raise ``ValueError`` on an entry that holds no such thing.
+    """
+
+    config_key: str
+    operator_prefix: str
+    executor_prefix: str
+    decode_desired: abc.Callable[[bytes, int], Desired]
+    decode_executor: abc.Callable[[str, bytes], Executor]
+
+
+@dataclasses.dataclass(frozen=True)
+class Mismatch:
+    """A transaction whose condition did not hold; nothing was done.
+
+    :ivar current: the expected keys as they are now.
+    """
+
+    current: dict[str, Item]
--- /dev/null
+++ b/src/knapweedwharf/fleet/records.py
@@ -0,0 +1,170 @@
+"""Durable records of the fleet: their keys and their encoding."""
+
+from __future__ import annotations
+
+import dataclasses
+import json
+import typing
+
+from knapweedwharf.core import model as core_model
+from knapweedwharf.core import workflow
+
+JOBS = "jobs/"
+OWNER_KEY = "control/owner"
+EPOCH_KEY = "control/epoch"
+PENDING_KEY = "published/pending"
+
+SPEC = "spec"
+PROGRESS = "progress"
+CANCEL = "cancel"
+
+_DEFAULTS = workflow.Step._field_defaults
+
+
+def job_prefix(job_id: str) -> str:
+    """Return the prefix of all records of a job."""
+    return f"{JOBS}{job_id}/"
+
+
+def key(job_id: str, kind: str) -> str:
+    """Return the key of one record of a job."""
+    return job_prefix(job_id) + kind
+
+
+def split_key(key_: str) -> tuple[str, str] | None:
+    """Return (job id, kind) of a job's record; None for another key."""
+    if not key_.startswith(JOBS):
+        return None
+    job_id, _slash, kind = key_[len(JOBS) :].partition("/")
+    return (job_id, kind) if kind else None
+
+
+def _dump(document: typing.Any) -> bytes:
+    return json.dumps(document, separators=(",", ":")).encode()
+
+
+def dump_job(job: workflow.Job) -> bytes:
+    """Encode a submitted job; fields at their default are left out."""
+    document = {
+        field.name: getattr(job, field.name)
+        for field in dataclasses.fields(job)
+        if field.name != "steps"
+    }
+    document["steps"] = [
+        {
+            name: value
+            for name, value in step._asdict().items()
+            if name not in _DEFAULTS or value != _DEFAULTS[name]
+        }
+        for step in job.steps
+    ]
+    return _dump(document)
+
+
+def load_job(value: bytes) -> workflow.Job:
+    """Decode a submitted job."""
+    document = json.loads(value)
+    steps = []
+    for step in document.pop("steps"):
+        step["after"] = tuple(step.get("after", ()))
+        steps.append(workflow.Step(**step))
+    return workflow.Job(steps=tuple(steps), **document)
+
+
+def dump_progress(progress: workflow.Workflow) -> bytes:
+    """Encode what became of a job.
+
+    A part is [done, failures, run, checkpoint, places]; a place is
+    [task, worker, accelerators].
+    """
+    return _dump(
+        {
+            "state": progress.state,
+            "begun": progress.begun,
+            "parts": {
+                part_id: _dump_part(part)
+                for part_id, part in progress.parts.items()
+                if part.done or part.run
+            },
+        }
+    )
+
+
+def _dump_part(part: workflow.Part) -> list:
+    places = [
+        [place.task_index, place.worker_id, list(place.accelerators)]
+        for place in part.places
+    ]
+    return [int(part.done), part.failures, part.run, part.checkpoint, places]
+
+
+def load_state(value: bytes) -> str:
+    """Return the state that a progress record shows."""
+    return json.loads(value)["state"]
+
+
+def load_progress(job: workflow.Job, value: bytes) -> workflow.Workflow:
+    """Decode a job's progress."""
+    document = json.loads(value)
+    progress = workflow.Workflow(job)
+    progress.begun = document["begun"]
+    progress.completed = document["state"] == workflow.COMPLETED
+    progress.failed = document["state"] == workflow.FAILED
+    progress.cancelled = document["state"] == workflow.CANCELLED
+    for part_id, row in document["parts"].items():
+        part = _load_part(job, part_id, row)
+        progress.parts[part_id] = part
+    return progress
+
+
+def _load_part(job: workflow.Job, part_id: str, row: list) -> workflow.Part:
+    fields = part_id.split(".")
+    occurrence, number = int(fields[1]), int(fields[2])
+    step = job.steps[number]
+    done, failures, run, checkpoint, places = row
+    probe = workflow.Part(
+        part_id,
+        occurrence,
+        number,
+        int(fields[3]) if len(fields) > 3 else 0,
+        step.tasks if step.is_gang else 1,
+        done=bool(done),
+        failures=failures,
+        run=run,
+        checkpoint=checkpoint,
+    )
+    spec = workflow.spec_of(
+        workflow.Workflow(job), probe, urgency=core_model.NORMAL, handicap_s=0
+    )
+    probe.places = tuple(
+        core_model.Assignment(
+            task_index=index,
+            worker_id=worker_id,
+            accelerators=tuple(accelerators),
+            cores=spec.cores_per_task,
+            memory_mib=spec.memory_mib_per_task,
+        )
+        for index, worker_id, accelerators in places
+    )
+    return probe
+
+
+def dump_epoch(*, ordinal: int, node_id: str, nonce: str) -> bytes:
+    """Encode who became owner, and as the how-manieth."""
+    return _dump({"ordinal": ordinal, "node_id": node_id, "nonce": nonce})
+
+
+def load_epoch(value: bytes) -> tuple[int, str]:
+    """Return the ordinal of the last owner and its nonce."""
+    document = json.loads(value)
+    return document["ordinal"], document["nonce"]
+
+
+def dump_pending(pending: dict[str, int]) -> bytes:
+    """Encode how many jobs of each queue have not begun."""
+    return _dump(pending)
+
+
+def load_pending(value: bytes) -> dict[str, int]:
+    """Decode how many jobs of each queue have not begun."""
+    return json.loads(value)
--- /dev/null
+++ b/src/knapweedwharf/fleet/registry.py
@@ -0,0 +1,235 @@
+"""The executors: their entries in the store and a session for each."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import abc
+
+from knapweedwharf.core import event
+from knapweedwharf.core import model as core_model
+from knapweedwharf.fleet import clock
+from knapweedwharf.fleet import model
+from knapweedwharf.fleet import session as session_module
+from knapweedwharf.fleet import watcher as watcher_module
+from knapweedwharf import log
+
+WATCH_WAIT_S = 1.0
+"""Half of the time within which a draining executor gets no start."""
+
+RETURN_S = 2.0
+"""How long after its removal an entry may come back."""
+
+Tell = abc.Callable[[str, event.Event], None]
+"""(service, event) to the service's engine"""
+
+
+class Registry:
+    """Follows the executors' entries and keeps a session with each.
+
+    :param hooks: what the sessions tell.
+    :param on_draining: called when an executor takes no more starts.
+    :ivar sessions: by executor id.
+    """
+
+    def __init__(
+        self,
+        *,
+        site: model.Site,
+        store,
+        client,
+        catalogue: model.Catalogue,
+        epoch: int,
+        hooks: session_module.Hooks,
+        on_draining: abc.Callable[[session_module.Session], None],
+    ) -> None:
+        self._site = site
+        self._client = client
+        self._catalogue = catalogue
+        self._epoch = epoch
+        self._hooks = hooks
+        self._on_draining = on_draining
+        self._log = log.get("registry")
+        self._announced: dict[str, model.Executor] = {}
+        self._expected: dict[str, float] = {}
+        self._removed_s: dict[str, float] = {}
+        self._closing: set[asyncio.Task] = set()
+        self._began_s = clock.elapsed_s()
+        self.sessions: dict[str, session_module.Session] = {}
+        self._watcher = watcher_module.Watcher(
+            store,
+            catalogue.executor_prefix,
+            wait_s=WATCH_WAIT_S,
+            on_listing=self._listed,
+            on_changes=self._changed,
+        )
+
+    async def start(self) -> None:
+        """Begin to follow the entries."""
+        self._began_s = clock.elapsed_s()
+        await self._watcher.start()
+
+    async def close(self) -> None:
+        """End every session."""
+        await self._watcher.close()
+        sessions = list(self.sessions.values())
+        await asyncio.gather(*(session.close() for session in sessions))
+        await asyncio.gather(*self._closing, return_exceptions=True)
+
+    def expect(self, executor_id: str) -> None:
+        """Await an executor on which something may run."""
+        self._expected[executor_id] = clock.elapsed_s()
+
+    # Entries
+
+    def _listed(self, listing: model.Listing) -> None:
+        self._take(listing.items)
+        present = {self._id_of(item.key) for item in listing.items}
+        for executor_id in self.sessions:
+            if executor_id not in present:
+                self._remove(executor_id)
+
+    def _changed(self, changes: model.Changes) -> None:
+        self._take(changes.items)
+        for key in changes.removed:
+            self._remove(self._id_of(key))
+
+    def _id_of(self, key: str) -> str:
+        return key[len(self._catalogue.executor_prefix) :]
+
+    def _take(self, items: abc.Iterable[model.Item]) -> None:
+        for item in items:
+            executor_id = self._id_of(item.key)
+            try:
+                executor = self._catalogue.decode_executor(
+                    executor_id, item.value
+                )
+            except ValueError as error:
+                self._log.warning(
+                    "executor-entry-malformed",
+                    executor=executor_id,
+                    revision=item.revision,
+                    why=str(error),
+                )
+                continue
+            self._take_executor(executor, item.revision)
+
+    def _take_executor(self, executor: model.Executor, revision: int) -> None:
+        executor_id = executor.executor_id
+        self._expected.pop(executor_id, None)
+        self._removed_s.pop(executor_id, None)
+        session = self.sessions.get(executor_id)
+        if session is not None and _is_reborn(session.executor, executor):
+            self._log.warning("executor-reborn", executor=executor_id)
+            self._drop(session)
+            session = None
+        if session is None:
+            self._open(executor, revision)
+            return
+        was_ready = session.executor.state == model.READY
+        session.executor = executor
+        session.listed = True
+        if was_ready and executor.state == model.DRAINING:
+            self._log.info("executor-draining", executor=executor_id)
+            self._bar(session)
+
+    def _open(self, executor: model.Executor, revision: int) -> None:
+        session = session_module.Session(
+            executor=executor,
+            client=self._client,
+            epoch=self._epoch,
+            bounds=self._site.bounds,
+            hooks=self._hooks,
+        )
+        self.sessions[executor.executor_id] = session
+        self._log.info(
+            "executor-seen",
+            executor=executor.executor_id,
+            revision=revision,
+            state=executor.state,
+            rack=executor.rack,
+        )
+        self._run(session.start())
+
+    def _run(self, work: abc.Coroutine) -> None:
+        task = asyncio.create_task(work)
+        self._closing.add(task)
+        task.add_done_callback(self._closing.discard)
+
+    def _remove(self, executor_id: str) -> None:
+        session = self.sessions.get(executor_id)
+        if session is None or not session.listed:
+            return
+        session.listed = False
+        self._removed_s[executor_id] = clock.elapsed_s()
+        self._log.info("executor-unlisted", executor=executor_id)
+        self._bar(session)
+
+    def _bar(self, session: session_module.Session) -> None:
+        self._announced.pop(session.executor_id, None)
+        self._on_draining(session)
+
+    def _drop(self, session: session_module.Session) -> None:
+        self._announced.pop(session.executor_id, None)
+        self._run(session.close())
+        self._hooks.gone(session)
+
+    # The engine's view
+
+    def seal(self, session: session_module.Session, tell: Tell) -> None:
+        """Let the engine use an executor that answers and is ready."""
+        executor = session.executor
+        usable = session.listed and executor.state == model.READY
+        known = self._announced.get(executor.executor_id)
+        if not usable or session.is_silent or known == executor:
+            return
+        self._announced[executor.executor_id] = executor
+        tell(
+            executor.service,
+            event.WorkerSealed(
+                core_model.WorkerSpec(
+                    worker_id=executor.executor_id,
+                    rack=executor.rack,
+                    data_centre=executor.service,
+                    accelerators=executor.accelerators,
+                    cores=executor.cores_milli // 1000,
+                    memory_mib=executor.memory_mib,
+                    labels=frozenset(executor.labels),
+                )
+            ),
+        )
+
+    def silent(self, session: session_module.Session) -> None:
+        """Announce an executor anew once it answers again."""
+        self._announced.pop(session.executor_id, None)
+
+    def tick(self) -> None:
+        """Give up executors that left, and those that never came."""
+        now_s = clock.elapsed_s()
+        for executor_id, removed_s in list(self._removed_s.items()):
+            session = self.sessions.get(executor_id)
+            left = session and session.executor.state == model.DRAINING
+            late = now_s - removed_s > RETURN_S
+            if session is None or (session.is_silent and (left or late)):
+                del self._removed_s[executor_id]
+                if session is not None and left:
+                    self._drop(session)
+
+    def lapsed(self) -> list[str]:
+        """Return awaited executors whose runs have surely ended."""
+        lease_s = self._site.bounds.max_lease_s * (
+            1 + session_module.SLOW_CLOCK_SHARE
+        )
+        oldest_s = clock.elapsed_s() - lease_s - session_module.LAPSE_MARGIN_S
+        gone = [
+            e for e, since_s in self._expected.items() if since_s < oldest_s
+        ]
+        for executor_id in gone:
+            del self._expected[executor_id]
+        return gone
+
+
+def _is_reborn(known: model.Executor, seen: model.Executor) -> bool:
+    return (
+        known.incarnation_ms != seen.incarnation_ms
+        or known.address != seen.address
+    )
--- /dev/null
+++ b/src/knapweedwharf/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Translation between the users' platform and the product's own types."""
--- /dev/null
+++ b/src/knapweedwharf/platform/program.py
@@ -0,0 +1,193 @@
+"""The process on the users' platform: its parts, start and close."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+
+from returns import result
+
+from knapweedwharf.fleet import desired as desired_module
+from knapweedwharf.fleet import door as door_module
+from knapweedwharf.fleet import election as election_module
+from knapweedwharf.fleet import model
+from knapweedwharf.fleet import tenure as tenure_module
+from knapweedwharf import log
+from knapweedwharf.platform import decode
+from knapweedwharf.platform import executors as executors_module
+from knapweedwharf.platform import ingress as ingress_module
+from knapweedwharf.platform import settings as settings_module
+from knapweedwharf.platform import store as store_module
+
+STORE_TIMEOUT_S = 1.0
+"""A hundred times the store's usual answer, also while it is slow."""
+
+ORDER_TIMEOUT_S = 0.7
+"""A hundred times an executor's usual answer."""
+
+EXIT_MARGIN_S = 0.8
+"""How long before SIGKILL the process ends by itself."""
+
+SETTINGS_CHECK_S = 2.0
+"""The file may change without a signal; nothing in it is urgent."""
+
+CATALOGUE = model.Catalogue(
+    config_key="op/config",
+    operator_prefix="op/",
+    executor_prefix="servers/",
+    decode_desired=decode.desired,
+    decode_executor=decode.executor,
+)
+
+
+class Program:
+    """Composition of the process; every VM runs the same.
+
+    :ivar draining: a SIGTERM was received.
+    :ivar in_flight: calls that were read and not yet answered.
+    """
+
+    def __init__(self, site: model.Site, *, settings_path: str = "") -> None:
+        self.site = site
+        self._settings_path = settings_path
+        self._log = log.get("program")
+        self.draining = False
+        self.in_flight = 0
+        self.store = store_module.Store(
+            site.store_address, timeout_s=STORE_TIMEOUT_S
+        )
+        self.executors = executors_module.Executors(timeout_s=ORDER_TIMEOUT_S)
+        self.desired = desired_module.DesiredState(
+            store=self.store, catalogue=CATALOGUE, bounds=site.bounds
+        )
+        self.door = door_module.Door(
+            store=self.store, desired=self.desired, catalogue=CATALOGUE
+        )
+        self.election = election_module.Election(
+            site=site,
+            store=self.store,
+            on_won=self._won,
+            on_lost=self._lost,
+        )
+        self.tenure: tenure_module.Tenure | None = None
+        self._frontend = ingress_module.frontend(self)
+        self._readiness = ingress_module.readiness(self)
+        self._stopped = asyncio.Event()
+        self._tasks: set[asyncio.Task] = set()
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether new connections are welcome."""
+        return not self.draining and self.desired.is_fresh
+
+    async def start(self) -> None:
+        """Start every part."""
+        _listen(self._frontend, self.site.frontend_address)
+        _listen(self._readiness, self.site.readiness_address)
+        await self.desired.start()
+        await self.election.start()
+        self._log.info(
+            "started",
+            data_centre=self.site.data_centre,
+            address=self.site.frontend_address,
+        )
+
+    async def run(self) -> None:
+        """Serve until a signal has drained the process."""
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, self._terminate)
+        loop.add_signal_handler(signal.SIGINT, self._terminate)
+        loop.add_signal_handler(signal.SIGHUP, self._reload, "signal")
+        await self.start()
+        self._spawn(self._follow_settings())
+        await self._stopped.wait()
+        await self.close()
+
+    async def close(self) -> None:
+        """Close every part."""
+        await self.election.close()
+        if self.tenure is not None:
+            await self.tenure.close()
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self.desired.close()
+        self._frontend.stop()
+        self._readiness.stop()
+        self.executors.close()
+        self.store.close()
+        self._log.info("stopped", in_flight=self.in_flight)
+
+    def _spawn(self, work) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    # Ownership
+
+    def _won(self, ownership: election_module.Ownership) -> None:
+        self.tenure = tenure_module.Tenure(
+            site=self.site,
+            store=self.store,
+            client=self.executors,
+            catalogue=CATALOGUE,
+            desired=self.desired,
+            election=self.election,
+            ownership=ownership,
+        )
+        self._spawn(self.tenure.start())
+
+    def _lost(self, _why: str) -> None:
+        tenure, self.tenure = self.tenure, None
+        if tenure is not None:
+            self._spawn(tenure.close())
+
+    # Signals
+
+    def _terminate(self) -> None:
+        if self.draining:
+            return
+        self.draining = True
+        self._log.info("draining", in_flight=self.in_flight)
+        self._spawn(self._drain())
+
+    async def _drain(self) -> None:
+        """Hand the ownership over; serve until shortly before the end.
+
+        Callers use open connections until the process is gone.
+        """
+        await self.election.resign()
+        await asyncio.sleep(self.site.bounds.grace_period_s - EXIT_MARGIN_S)
+        self._stopped.set()
+
+    def _reload(self, why: str) -> None:
+        read = settings_module.read(self._settings_path)
+        if isinstance(read, result.Failure):
+            for fault in read.failure():
+                self._log.error("settings-refused", why=str(fault))
+            return
+        if read.unwrap() != self.site:
+            self._log.info("settings-changed", why=why)
+            self.site = read.unwrap()
+
+    async def _follow_settings(self) -> None:
+        changed_at = self._changed_at()
+        while True:
+            await asyncio.sleep(SETTINGS_CHECK_S)
+            now = self._changed_at()
+            if now != changed_at:
+                changed_at = now
+                self._reload("file")
+
+    def _changed_at(self) -> float:
+        try:
+            return os.stat(self._settings_path).st_mtime
+        except OSError:
+            # The file is being replaced; the settings in hand hold.
+            return 0.0
+
+
+def _listen(server, address: str) -> None:
+    host, _colon, port = address.rpartition(":")
+    server.listen(int(port), host)
--- /dev/null
+++ b/src/knapweedwharf/platform/settings.py
@@ -0,0 +1,146 @@
+"""The platform's settings file, checked and turned into a site."""
+
+from __future__ import annotations
+
+import pathlib
+import typing
+
+import marshmallow
+from marshmallow import fields
+from marshmallow import validate
+from returns import result
+
+from knapweedwharf import errors
+from knapweedwharf.fleet import model
+
+PATH_VARIABLE = "KNAPWEEDWHARF_SETTINGS"
+DEFAULT_PATH = "/etc/knapweedwharf/node.conf"
+
+_MILLI = 1000.0
+_ADDRESS = validate.Regexp(
+    r"^[0-9.]+:[0-9]{1,5}$", error="Not an IP:port address."
+)
+
+
+def _positive() -> fields.Float:
+    return fields.Float(validate=validate.Range(min=0, min_inclusive=False))
+
+
+class _FileSchema(marshmallow.Schema):
+    """The fields that the product uses; others are let pass."""
+
+    class Meta:
+        """Fields of other contracts come and go."""
+
+        unknown = marshmallow.EXCLUDE
+
+    node_name = fields.Str(required=True)
+    ip_address = fields.Str(required=True)
+    zone = fields.Str(required=True)
+    frontend = fields.Str(
+        required=True,
+        data_key="listen_addresses.frontend",
+        validate=_ADDRESS,
+    )
+    ready = fields.Str(
+        required=True, data_key="listen_addresses.ready", validate=_ADDRESS
+    )
+    platform = fields.Str(
+        required=True, data_key="platform.address", validate=_ADDRESS
+    )
+    min_ttl_ms = fields.Float(
+        load_default=1000.0, data_key="platform.min_ttl_ms"
+    )
+    advisor = fields.Str(load_default="")
+    cloud_api = fields.Str(load_default="", data_key="cloud_api.address")
+    max_hold_ms = _positive()
+    stop_timeout_ms = _positive()
+    gang_timeout_ms = _positive()
+    revocation_ms = _positive()
+    lease_duration_ms = _positive()
+    reclaim_timeout_ms = _positive()
+    grace_period_s = _positive()
+    status_s = _positive()
+
+
+_BOUNDS = {
+    "max_hold_ms": "max_lease_s",
+    "stop_timeout_ms": "stop_timeout_s",
+    "gang_timeout_ms": "gang_timeout_s",
+    "revocation_ms": "revocation_s",
+    "lease_duration_ms": "owner_lease_s",
+    "reclaim_timeout_ms": "reclaim_timeout_s",
+    "grace_period_s": "grace_period_s",
+    "status_s": "status_retention_s",
+}
+"""The platform's name of a bound, and ours."""
+
+
+def read(path: str) -> result.Result[model.Site, list[errors.Fault]]:
+    """Read and check the settings file; every fault is returned."""
+    try:
+        text = pathlib.Path(path).read_text("utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        return result.Failure(
+            [
+                errors.InvalidField(
+                    message=f"The settings cannot be read: {error}.",
+                    remedy=f"Set {PATH_VARIABLE} to a readable file.",
+                    source=path,
+                    field="",
+                    value="",
+                )
+            ]
+        )
+    return parse(text, source=path)
+
+
+def parse(
+    text: str, *, source: str
+) -> result.Result[model.Site, list[errors.Fault]]:
+    """Check settings of the form ``a.b=value``, one a line."""
+    raw: dict[str, str] = {}
+    for line in text.splitlines():
+        name, equals, value = line.partition("=")
+        if equals and not line.lstrip().startswith("#"):
+            raw[name.strip().removeprefix("bounds.")] = value.strip()
+    try:
+        loaded = _FileSchema().load(raw)
+    except marshmallow.ValidationError as error:
+        return result.Failure(_faults(error, raw, source))
+    return result.Success(_site(loaded))
+
+
+def _faults(
+    error: marshmallow.ValidationError, raw: dict[str, str], source: str
+) -> list[errors.Fault]:
+    return [
+        errors.InvalidField(
+            message=" ".join(map(str, messages)),
+            remedy="Correct this line of the settings file.",
+            source=source,
+            field=name,
+            value=repr(raw.get(name, "")),
+        )
+        for name, messages in error.normalized_messages().items()
+    ]
+
+
+def _site(loaded: dict[str, typing.Any]) -> model.Site:
+    bounds = {
+        ours: loaded[theirs] / (_MILLI if theirs.endswith("_ms") else 1.0)
+        for theirs, ours in _BOUNDS.items()
+        if theirs in loaded
+    }
+    return model.Site(
+        node_id=loaded["node_name"],
+        data_centre=loaded["zone"],
+        ip_address=loaded["ip_address"],
+        frontend_address=loaded["frontend"],
+        readiness_address=loaded["ready"],
+        store_address=loaded["platform"],
+        min_lease_s=loaded["min_ttl_ms"] / _MILLI,
+        advisor_address=loaded["advisor"],
+        machines_address=loaded["cloud_api"],
+        bounds=model.Bounds(**bounds),
+    )
--- /dev/null
+++ b/src/knapweedwharf/platform/store.py
@@ -0,0 +1,250 @@
+"""Client of the platform's store.
+
+Failures: ``Unreachable`` (nothing was done), ``OutcomeUnknown`` (a
+transaction may take effect, now or seconds later), ``NotFound`` (a
+lease or a stretch of history has ended), ``Conflict`` (with the
+present entries: the condition of a transaction did not hold).
+"""
+
+from __future__ import annotations
+
+import base64
+import dataclasses
+import json
+import typing
+import urllib.parse
+
+from returns import result
+
+from knapweedwharf.adapters import transport as transport_module
+from knapweedwharf import errors
+from knapweedwharf.fleet import model
+
+REFUSED_STATUSES = frozenset({429, 503})
+"""Statuses that say that nothing was done."""
+
+MAX_ANSWER_BYTES = 8 * 1024 * 1024
+"""A page of 1 MB of items in base64, with room to spare."""
+
+_WATCH_SLACK_S = 1.0
+"""How much later than its wait a watch is taken for silent."""
+
+Answer = result.Result[typing.Any, errors.Fault]
+
+
+@dataclasses.dataclass(frozen=True)
+class ConditionFailed(errors.Conflict):
+    """A transaction's condition did not hold; nothing was done."""
+
+    mismatch: model.Mismatch
+
+    code = "condition-failed"
+
+
+class Store:
+    """The platform's key-value store over HTTP.
+
+    :param timeout_s: how long one call may take.
+    """
+
+    def __init__(self, address: str, *, timeout_s: float) -> None:
+        self._base = f"http://{address}"
+        self._timeout_s = timeout_s
+        self._transport = transport_module.HttpTransport(
+            max_body_bytes=MAX_ANSWER_BYTES, reuse=True
+        )
+
+    def close(self) -> None:
+        """Close every connection."""
+        self._transport.close()
+
+    async def read(
+        self, key: str, *, timeout_s: float = 0.0
+    ) -> result.Result[model.Item | None, errors.Fault]:
+        """Read one key; None where it does not exist."""
+        answer = await self._call(
+            "GET", "/kv-key", {"key": key}, timeout_s=timeout_s
+        )
+        if isinstance(answer, result.Failure):
+            if isinstance(answer.failure(), errors.NotFound):
+                return result.Success(None)
+            return answer
+        return result.Success(_item(answer.unwrap()))
+
+    async def list(
+        self, prefix: str, *, timeout_s: float = 0.0
+    ) -> result.Result[model.Listing, errors.Fault]:
+        """Read every entry under a prefix.
+
+        The revision is that of the first page: a watch from there
+        misses nothing.
+        """
+        items: list[model.Item] = []
+        revision = 0
+        query = {"prefix": prefix}
+        while True:
+            answer = await self._call(
+                "GET", "/kv-range", query, timeout_s=timeout_s
+            )
+            if isinstance(answer, result.Failure):
+                return answer
+            page = answer.unwrap()
+            items.extend(map(_item, page["items"]))
+            revision = revision or page["at"]
+            if not page.get("has_more") or not page["items"]:
+                return result.Success(model.Listing(tuple(items), revision))
+            query["after"] = page["items"][-1]["key"]
+
+    async def watch(
+        self, prefix: str, *, after: int, wait_s: float
+    ) -> result.Result[model.Changes, errors.Fault]:
+        """Wait for changes after a revision.
+
+        :returns: ``NotFound`` once that history is gone: list again.
+        """
+        query = {
+            "prefix": prefix,
+            "after": str(after),
+            "wait_ms": str(int(wait_s * 1000)),
+        }
+        answer = await self._call(
+            "GET", "/kv-watch", query, timeout_s=wait_s + _WATCH_SLACK_S
+        )
+        if isinstance(answer, result.Failure):
+            return answer
+        document = answer.unwrap()
+        events = document["events"]
+        return result.Success(
+            model.Changes(
+                items=tuple(_item(e) for e in events if not e.get("deleted")),
+                removed=tuple(e["key"] for e in events if e.get("deleted")),
+                revision=document["at"],
+            )
+        )
+
+    async def commit(
+        self, commit: model.Commit, *, timeout_s: float = 0.0
+    ) -> result.Result[int, errors.Fault]:
+        """Carry out a transaction; returns its revision."""
+        document = {
+            "expect": [
+                {"key": key, "revision": revision}
+                for key, revision in commit.expected.items()
+            ],
+            "write": [_write(write) for write in commit.writes],
+            "remove": list(commit.removes),
+        }
+        answer = await self._call(
+            "POST", "/kv-txn", {}, document, timeout_s=timeout_s
+        )
+        return answer.map(lambda body: body["revision"])
+
+    async def grant(self, ttl_s: float) -> result.Result[int, errors.Fault]:
+        """Grant a lease; returns its id."""
+        answer = await self._call(
+            "POST", "/kv-lease", {}, {"ttl_ms": int(ttl_s * 1000)}
+        )
+        return answer.map(lambda body: body["lease"])
+
+    async def renew(
+        self, lease_id: int, *, timeout_s: float = 0.0
+    ) -> result.Result[None, errors.Fault]:
+        """Renew a lease; ``NotFound`` once it has ended."""
+        answer = await self._call(
+            "POST", f"/kv-keep/{lease_id}", {}, {}, timeout_s=timeout_s
+        )
+        return answer.map(lambda _body: None)
+
+    async def end(self, lease_id: int) -> result.Result[None, errors.Fault]:
+        """End a lease; its keys are removed."""
+        path = f"/kv-lease-end/{lease_id}"
+        answer = await self._call("DELETE", path, {})
+        return answer.map(lambda _body: None)
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        query: dict[str, str],
+        document: object = None,
+        *,
+        timeout_s: float = 0.0,
+    ) -> Answer:
+        url = self._base + path
+        if query:
+            url += "?" + urllib.parse.urlencode(query, safe="/")
+        body = b"" if document is None else json.dumps(document).encode()
+        answer = await self._transport.exchange(
+            method=method,
+            url=url,
+            headers={"Content-Type": "application/json"},
+            body=body,
+            timeout_s=timeout_s or self._timeout_s,
+        )
+        if isinstance(answer, result.Failure):
+            # A silent connection may have silent neighbours.
+            self._transport.discard(url)
+            return answer
+        return _outcome(answer.unwrap())
+
+
+def _outcome(reply: transport_module.Reply) -> Answer:
+    try:
+        document = json.loads(reply.body) if reply.body else {}
+    except ValueError:
+        return _unknown(f"The store's answer {reply.status} is not JSON.")
+    if reply.status == 200:
+        return result.Success(document)
+    if reply.status in REFUSED_STATUSES:
+        return result.Failure(
+            errors.Unreachable(
+                message=f"The store refused the call ({reply.status}).",
+                remedy="Call again later.",
+            )
+        )
+    if reply.status in (404, 410):
+        return result.Failure(
+            errors.NotFound(
+                message="The key, lease or history does not exist.",
+                remedy="List the keys again.",
+            )
+        )
+    if reply.status == 412:
+        return result.Failure(_condition_failed(document))
+    return _unknown(f"The store answered status {reply.status}.")
+
+
+def _unknown(message: str) -> result.Failure:
+    return result.Failure(
+        errors.OutcomeUnknown(
+            message=message, remedy="Read the keys before repeating it."
+        )
+    )
+
+
+def _condition_failed(document: dict) -> ConditionFailed:
+    items = (_item(one) for one in document.get("items") or () if one)
+    return ConditionFailed(
+        message="Another writer changed an expected key.",
+        remedy="Decide again on the present entries.",
+        mismatch=model.Mismatch({item.key: item for item in items}),
+    )
+
+
+def _item(document: dict) -> model.Item:
+    value = document.get("value")
+    return model.Item(
+        key=document["key"],
+        value=base64.b64decode(value) if value else b"",
+        revision=document.get("revision", 0),
+    )
+
+
+def _write(write: model.Write) -> dict[str, object]:
+    document: dict[str, object] = {
+        "key": write.key,
+        "value": base64.b64encode(write.value).decode(),
+    }
+    if write.lease_id:
+        document["lease"] = write.lease_id
+    return document
