Note a gang's ends only once stored; weigh racks and precedence

Handlers also raised after each answer because a field hid one of the server library.

Change: an end is noted once all that is known of its job is stored. A job waits 1.2 expected runs for one rack (it runs three times as long when spread); work of priority 0 may stop work of lower precedence.

Ruled out: a late transaction of the former owner (epoch condition held).

--- a/src/knapweedwharf/core/borrowers.py
+++ b/src/knapweedwharf/core/borrowers.py
@@ -46,10 +46,14 @@
     if record.state == record_module.RUNNING:
         elapsed_s = max(0.0, state.now_s - record.started_s)
     places = state.topology.places_of(attempt_id)
+    policy = state.configuration.policy
     victim = victims.Victim(
         attempt_id=attempt_id,
-        lost_s=state.estimates.lost_s(elapsed_s)
+        lost_s=state.estimates.lost_s(
+            record.job, elapsed_s, restart_s=policy.restart_s
+        )
         * max(record.job.accelerators, 1),
+        disturbance_s=policy.disturbance_s,
         frees=ledger.taken_by(places),
     )
     return victim if allowed(record, victim) else None
--- a/src/knapweedwharf/core/estimate.py
+++ b/src/knapweedwharf/core/estimate.py
@@ -14,7 +14,6 @@
 MAX_FACTOR = 16.0
 MAX_KINDS = 2000
 OVERRUN_SHARE = 0.5
-RESTART_S = 20.0
 SHORTEST_S = 10.0
 FAILED_CHECKPOINTS = 0.2
 """Share of checkpoints that fail, before any was seen."""
@@ -32,11 +31,14 @@
         change = (0.0 if saved else 1.0) - self._failed_checkpoints
         self._failed_checkpoints += LEARNING_SHARE / 4 * change
 
-    def lost_s(self, elapsed_s: float) -> float:
+    def lost_s(
+        self, job: model.JobSpec, elapsed_s: float, *, restart_s: float
+    ) -> float:
         """Return the expected loss of a stop, for each accelerator."""
         if not elapsed_s:
             return 0.0
-        return self._failed_checkpoints * elapsed_s + RESTART_S
+        unsaved = self._failed_checkpoints if job.saves_progress else 1.0
+        return unsaved * elapsed_s + restart_s
 
     def delay(
         self, job: model.JobSpec, *, end_s: float, more_s: float = 0.0
--- a/src/knapweedwharf/core/model.py
+++ b/src/knapweedwharf/core/model.py
@@ -106,8 +106,10 @@
     :ivar fragmentation_weight: 0 puts completion time first, 1 puts
         unbroken room first.
     :ivar reserve_after_s: wait after which a job gets a reservation.
-    :ivar near_patience_s: how long a job waits for a place near its
-        data, or in one rack, before it takes a distant one.
+    :ivar near_patience_runs: how many expected run times a job waits
+        for a place near its data, or in one rack.
+    :ivar restart_s: work that a stop loses beside unsaved progress.
+    :ivar disturbance_s: what a stop costs besides.
     :ivar urgent_patience_s: wait after which urgent work stops others.
     """
 
@@ -119,8 +121,10 @@
     quarantine_failures: int = 3
     quarantine_s: float = 300.0
     max_attempts: int = 3
-    near_patience_s: float = 0.0
+    near_patience_runs: float = 0.0
     urgent_patience_s: float = 0.0
+    restart_s: float = 20.0
+    disturbance_s: float = 60.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -154,6 +158,9 @@
     :ivar prefers_rack: it is much slower when spread over racks.
     :ivar spread_group: jobs whose tasks count for ``max_per_worker``.
     :ivar max_per_worker: most tasks of the group on a worker, or 0.
+    :ivar start_within_s: bound on its wait that must hold; 0 for none.
+    :ivar precedence: it may stop work of a lower precedence.
+    :ivar saves_progress: a stop loses little of what was done.
     """
 
     job_id: str
@@ -176,12 +183,20 @@
     prefers_rack: bool = False
     spread_group: str = ""
     max_per_worker: int = 0
+    start_within_s: float = 0.0
+    precedence: int = 0
+    saves_progress: bool = True
 
     @property
     def accelerators(self) -> int:
         """Accelerators of the whole gang."""
         return self.tasks * self.accelerators_per_task
 
+    @property
+    def rank(self) -> int:
+        """Who stops whom: urgent work goes before other work."""
+        return max(self.precedence, int(self.urgency == URGENT))
+
 
 @dataclasses.dataclass(frozen=True)
 class Assignment:
--- a/src/knapweedwharf/core/scheduler.py
+++ b/src/knapweedwharf/core/scheduler.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import functools
+
 from knapweedwharf.core import amount
 from knapweedwharf.core import borrowers
 from knapweedwharf.core import constraint
@@ -29,7 +31,7 @@
         state = self._state
         state.waiting.due(state.now_s)
         policy = state.configuration.policy
-        if policy.near_patience_s or policy.urgent_patience_s:
+        if policy.near_patience_runs or policy.urgent_patience_s:
             state.waiting.wake_impatient()
         if state.settled and not self._settled:
             self._settled = True
@@ -120,7 +122,7 @@
     def _preempt_for_urgent(self, record: record_module.JobRecord) -> bool:
         state = self._state
         job = record.job
-        if job.urgency != model.URGENT or not state.policy.preempts:
+        if not job.rank or not state.policy.preempts:
             return False
         if not state.settled:
             return False
@@ -132,7 +134,7 @@
             choice = choice or reserve.cheapest(
                 state,
                 variant,
-                allowed=_not_urgent,
+                allowed=functools.partial(_of_lower_rank, job.rank),
                 open_on=borrowers.usable_room,
             )
         if choice is None:
@@ -161,7 +163,7 @@
         return False
 
 
-def _not_urgent(
-    record: record_module.JobRecord, _victim: victims.Victim
+def _of_lower_rank(
+    rank: int, record: record_module.JobRecord, _victim: victims.Victim
 ) -> bool:
-    return record.job.urgency != model.URGENT
+    return record.job.rank < rank
--- a/src/knapweedwharf/core/state.py
+++ b/src/knapweedwharf/core/state.py
@@ -151,8 +151,11 @@
 
     def is_impatient(self, job: model.JobSpec) -> bool:
         """Tell whether a job has waited long enough for a near place."""
-        waited_s = self.now_s - job.submitted_s
-        return waited_s >= self.configuration.policy.near_patience_s
+        runs = self.configuration.policy.near_patience_runs
+        patience_s = runs * self.estimates.run_s(job)
+        if job.start_within_s:
+            patience_s = min(patience_s, job.start_within_s / 2)
+        return self.now_s - job.submitted_s >= patience_s
 
     def avoided(self, job: model.JobSpec, *, near: bool = False) -> set[str]:
         """Return the workers that a job may not be placed on."""
--- a/src/knapweedwharf/core/victims.py
+++ b/src/knapweedwharf/core/victims.py
@@ -15,25 +15,25 @@
 from knapweedwharf.core import amount
 from knapweedwharf.core import model
 
-DISTURBANCE_S = 60.0
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Victim:
     """An attempt that may be stopped.
 
     :ivar lost_s: accelerator-seconds it is expected to lose.
+    :ivar disturbance_s: fixed price of a stop.
     :ivar frees: what its stop frees, by worker.
     """
 
     attempt_id: str
     lost_s: float
+    disturbance_s: float
     frees: dict[str, amount.Amount]
 
     @property
     def cost(self) -> float:
         """Lost work with the fixed price of a disturbance."""
-        return self.lost_s + DISTURBANCE_S
+        return self.lost_s + self.disturbance_s
 
 
 @dataclasses.dataclass(slots=True)
--- a/src/knapweedwharf/core/workflow.py
+++ b/src/knapweedwharf/core/workflow.py
@@ -103,6 +103,16 @@
         return self.first_run_s + occurrence * self.interval_s
 
 
+@dataclasses.dataclass(frozen=True)
+class Standing:
+    """How a job stands against others; see ``model.JobSpec``."""
+
+    urgency: str = model.NORMAL
+    handicap_s: float = 0.0
+    precedence: int = 0
+    start_within_s: float = 0.0
+
+
 @dataclasses.dataclass(slots=True)
 class Part:
     """A step's tasks that start together, and what became of them.
@@ -256,13 +266,13 @@
 
 
 def spec_of(
-    workflow: Workflow, part: Part, *, urgency: str, handicap_s: float
+    workflow: Workflow, part: Part, *, standing: Standing
 ) -> model.JobSpec:
     """Return a part as the engine's job.
 
     Fractions of cores count as whole ones.
 
-    :param handicap_s: how much later than its arrival it is in line.
+    :param standing: how it stands against other work.
     """
     job = workflow.job
     step = job.steps[part.step]
@@ -277,14 +287,17 @@
         accelerators_per_task=step.accelerators,
         cores_per_task=cores,
         memory_mib_per_task=step.memory_mib,
-        urgency=urgency,
+        urgency=standing.urgency,
         declared_run_s=max(step.expected_run_s, 0.1),
         submitted_s=submitted_s,
         max_attempts=job.max_attempts,
-        handicap_s=handicap_s,
+        handicap_s=standing.handicap_s,
         label=step.label,
         data_rack=step.data_rack,
         prefers_rack=step.wants_one_rack,
         spread_group=f"{job.job_id}.{part.occurrence}.{part.step}",
         max_per_worker=step.max_per_executor,
+        start_within_s=standing.start_within_s,
+        precedence=standing.precedence,
+        saves_progress=step.saves_progress,
     )
--- a/src/knapweedwharf/fleet/ledger.py
+++ b/src/knapweedwharf/fleet/ledger.py
@@ -50,6 +50,7 @@
         self._log = log.get("ledger")
         self._revisions: dict[str, int] = {}
         self._dirty: dict[str, list[Then]] = {}
+        self._under_way: frozenset[str] = frozenset()
         self._wake = asyncio.Event()
         self._task: asyncio.Task | None = None
 
@@ -74,6 +75,13 @@
             waiting.append(then)
         self._wake.set()
 
+    def when_stored(self, job_id: str, then: Then) -> None:
+        """Call ``then`` once all that is known of a job is stored."""
+        if job_id in self._dirty or job_id in self._under_way:
+            self.mark(job_id, then)
+        else:
+            then()
+
     async def _run(self) -> None:
         waits = backoff.Backoff(
             first_s=_FIRST_RETRY_S, longest_s=_LONGEST_RETRY_S
@@ -86,7 +94,10 @@
                 continue
             thens = {job_id: self._dirty.pop(job_id) for job_id in batch}
             values = {job_id: self._dump(job_id) for job_id in batch}
-            if await self._write(values):
+            self._under_way = frozenset(batch)
+            written = await self._write(values)
+            self._under_way = frozenset()
+            if written:
                 waits.reset()
                 for waiting in thens.values():
                     for then in waiting:
--- a/src/knapweedwharf/fleet/policy.py
+++ b/src/knapweedwharf/fleet/policy.py
@@ -15,8 +15,17 @@
 URGENT_PATIENCE_S = 0.9
 """Leaves two thirds of the shortest reclaim time for stop and start."""
 
-NEAR_PATIENCE_S = 4.0
-"""Half of a typical run; a distant run takes three times as long."""
+NEAR_PATIENCE_RUNS = 1.2
+"""A distant run takes three times as long, so two runs are saved."""
+
+RESTART_S = 0.6
+"""The time an executor takes to restore a checkpoint."""
+
+DISTURBANCE_S = 1.0
+"""A stop and a start, and the place that is lost meanwhile."""
+
+GUARANTEED_PRECEDENCE = 2
+FIRST_PRECEDENCE = 1
 
 RESERVE_AFTER_S = 3.0
 """A typical wait for the end of some run."""
@@ -37,24 +46,35 @@
             reserve_after_s=RESERVE_AFTER_S,
             ageing_s=0.0,
             quarantine_s=QUARANTINE_S,
-            near_patience_s=NEAR_PATIENCE_S,
+            near_patience_runs=NEAR_PATIENCE_RUNS,
             urgent_patience_s=URGENT_PATIENCE_S,
+            restart_s=RESTART_S,
+            disturbance_s=DISTURBANCE_S,
         ),
     )
 
 
-def urgency(job: workflow.Job, *, guaranteed: int, claimed: int) -> str:
-    """Return how urgent a job is, by its account's guarantee.
+def standing(
+    job: workflow.Job,
+    *,
+    guaranteed: int,
+    claimed: int,
+    reclaim_timeout_s: float,
+) -> workflow.Standing:
+    """Return how a job stands, by its queue and its account's guarantee.
 
     :param guaranteed: accelerators that the account may reclaim.
     :param claimed: accelerators of all its unended jobs of priority 0,
         this one included.
     """
-    if job.priority == 0 and claimed <= guaranteed:
-        return model.URGENT
-    return model.NORMAL
-
-
-def handicap_s(job: workflow.Job) -> float:
-    """Return how much later than its arrival a job is in line."""
-    return job.priority * HANDICAP_PER_LEVEL_S
+    if job.priority > 0:
+        return workflow.Standing(
+            handicap_s=job.priority * HANDICAP_PER_LEVEL_S
+        )
+    if claimed > guaranteed:
+        return workflow.Standing(precedence=FIRST_PRECEDENCE)
+    return workflow.Standing(
+        urgency=model.URGENT,
+        precedence=GUARANTEED_PRECEDENCE,
+        start_within_s=reclaim_timeout_s,
+    )
--- a/src/knapweedwharf/fleet/records.py
+++ b/src/knapweedwharf/fleet/records.py
@@ -134,7 +134,7 @@
         checkpoint=checkpoint,
     )
     spec = workflow.spec_of(
-        workflow.Workflow(job), probe, urgency=core_model.NORMAL, handicap_s=0
+        workflow.Workflow(job), probe, standing=workflow.Standing()
     )
     probe.places = tuple(
         core_model.Assignment(
--- a/src/knapweedwharf/fleet/session.py
+++ b/src/knapweedwharf/fleet/session.py
@@ -11,6 +11,7 @@
 import collections
 from collections import abc
 import dataclasses
+import functools
 
 from returns import result
 
@@ -70,7 +71,7 @@
     left: set[str]
 
 
-Mark = abc.Callable[[str, abc.Callable[[], None]], None]
+WhenStored = abc.Callable[[str, abc.Callable[[], None]], None]
 """(job id, what to call once its record is stored)"""
 
 
@@ -131,7 +132,7 @@
         passed_s = clock.elapsed_s() - self._clock_at_s + ahead_s
         return self._clock_ms + int(passed_s * 1000)
 
-    def note(self, job_ids: list[str], mark: Mark) -> None:
+    def note(self, job_ids: list[str], when_stored: WhenStored) -> None:
         """Let the executor forget the ends seen, once they are stored.
 
         :param job_ids: jobs whose records the newest ends changed.
@@ -139,7 +140,7 @@
         taken = _Note(self.seen_end, set(job_ids))
         self._notes.append(taken)
         for job_id in job_ids:
-            mark(job_id, lambda job_id=job_id: self._stored(taken, job_id))
+            when_stored(job_id, functools.partial(self._stored, taken, job_id))
         self._advance()
 
     def _stored(self, taken: _Note, job_id: str) -> None:
--- a/src/knapweedwharf/fleet/tenure.py
+++ b/src/knapweedwharf/fleet/tenure.py
@@ -283,13 +283,10 @@
         self, found: workflow.Workflow, part: workflow.Part
     ) -> core_model.JobSpec:
         return workflow.spec_of(
-            found,
-            part,
-            urgency=self._urgency(found.job),
-            handicap_s=policy.handicap_s(found.job),
+            found, part, standing=self._standing(found.job)
         )
 
-    def _urgency(self, job: workflow.Job) -> str:
+    def _standing(self, job: workflow.Job) -> workflow.Standing:
         desired = self._desired.current
         account = desired.accounts.get(job.account) if desired else None
         owed = account.guaranteed_accelerators if account else 0
@@ -300,7 +297,12 @@
             and other.job.priority == 0
             and not other.is_final
         )
-        return policy.urgency(job, guaranteed=owed, claimed=claimed)
+        return policy.standing(
+            job,
+            guaranteed=owed,
+            claimed=claimed,
+            reclaim_timeout_s=self._site.bounds.reclaim_timeout_s,
+        )
 
     def _open(self, found: workflow.Workflow) -> None:
         held = {
@@ -662,16 +664,19 @@
                 continue
             session.seen_end = end.number
             key = (session.executor_id, end.task_id, end.run)
+            jobs[workflow.job_id_of(end.task_id)] = None
             held = self._members.get(key)
             if held is None:
+                # A gang's other members may have told of its end.
                 continue
             attempt, index = held
             self._end(attempt, attempt.members[index], end.how, end.checkpoint)
             touched[attempt.attempt_id] = attempt
-            jobs[attempt.job.job_id] = None
         for attempt in touched.values():
             self._settle(attempt)
-        session.note(list(jobs), self._ledger.mark)
+        for attempt in touched.values():
+            self._ledger.mark(attempt.job.job_id)
+        session.note(list(jobs), self._ledger.when_stored)
 
     def _take_run(
         self,
@@ -683,6 +688,9 @@
     ) -> None:
         held = self._members.get((session.executor_id, task_id, run))
         if held is None:
+            if self._has_ended(task_id):
+                # The rest of a gang that is done ends by itself.
+                return
             self._log.warning(
                 "stray-run",
                 job_id=workflow.job_id_of(task_id),
@@ -700,6 +708,14 @@
             self._started(attempt, member)
             touched[attempt.attempt_id] = attempt
 
+    def _has_ended(self, task_id: str) -> bool:
+        found = self.workflows.get(workflow.job_id_of(task_id))
+        if found is None or found.cancelled or found.failed:
+            return False
+        part_id = workflow.part_id_of(found.job, task_id)
+        part = found.parts.get(part_id or "")
+        return part is not None and part.done
+
     def _silent(self, session: session_module.Session) -> None:
         self.registry.silent(session)
         self._draining(session)
--- a/src/knapweedwharf/platform/ingress.py
+++ b/src/knapweedwharf/platform/ingress.py
@@ -61,7 +61,7 @@
     def initialize(self, ingress: Ingress) -> None:
         """Take the program from the route."""
         self._ingress = ingress
-        self._log = log.get("ingress")
+        self._logger = log.get("ingress")
         ingress.in_flight += 1
 
     def set_default_headers(self) -> None:
@@ -163,7 +163,7 @@
     def _refuse(self, fault: errors.Fault) -> None:
         if isinstance(fault, errors.DidNotRun):
             self.set_header("Retry-After", str(math.ceil(fault.retry_after_s)))
-        self._log.info(
+        self._logger.info(
             "call-refused",
             method=self.request.method,
             path=self.request.path,
