Hold reserved room for gangs; count failures of attempts being stopped

BUDGET: a failure of an attempt that was being stopped was not counted.

Change: for short runs reserved room stays free of work that outlasts the wait, order follows precedence, first work stops others only where that loses under 0.2 of its own size or its guarantee is due.

--- a/src/knapweedwharf/core/constraint.py
+++ b/src/knapweedwharf/core/constraint.py
@@ -23,11 +23,6 @@
     return (job.label, job.data_rack, job.prefers_rack, group)
 
 
-def is_patient(constraint: Constraint) -> bool:
-    """Tell whether time alone widens the choice of workers."""
-    return bool(constraint[1] or constraint[2])
-
-
 def unsuitable(
     topology: topology_module.Topology,
     job: model.JobSpec,
--- a/src/knapweedwharf/core/lifecycle.py
+++ b/src/knapweedwharf/core/lifecycle.py
@@ -30,6 +30,7 @@
         self._usage = usage.Usage()
         self._refusals: dict[str, int] = {}
         self._unseated: dict[str, None] = {}
+        self._failed: dict[str, None] = {}
         self.feasibility = feasibility.Feasibility(state)
 
     # Records of an earlier epoch
@@ -239,6 +240,7 @@
     ) -> None:
         state = self._state
         if record.state == record_module.STOPPING:
+            self._failed_while_stopping(record, happened)
             return
         if happened.lapsed:
             text = f"The lease of task {happened.task_index} lapsed."
@@ -248,16 +250,32 @@
         text = f"Task {happened.task_index} failed: {happened.detail}"
         self._stop_failed(record, state.reason("task-failed", text))
 
+    def _failed_while_stopping(
+        self, record: record_module.JobRecord, happened: event.TaskEnded
+    ) -> None:
+        """Count the failure; an attempt that is stopped may fail first."""
+        if happened.lapsed or record.attempt_id in self._failed:
+            return
+        after = self._count_failure(record)
+        if record.after_stop == "requeue":
+            record.after_stop = after
+        text = f"Task {happened.task_index} failed: {happened.detail}"
+        self._state.changed(record, self._state.reason("task-failed", text))
+
     def _stop_failed(
         self, record: record_module.JobRecord, reason: model.Reason
     ) -> None:
+        self._state.stop(record, self._count_failure(record), reason)
+
+    def _count_failure(self, record: record_module.JobRecord) -> str:
+        """Return the chart event that follows the stop."""
+        self._failed[record.attempt_id] = None
         record.failures += 1
         limit = (
             record.job.max_attempts
             or self._state.configuration.policy.max_attempts
         )
-        after = "fail" if record.failures >= limit else "requeue"
-        self._state.stop(record, after, reason)
+        return "fail" if record.failures >= limit else "requeue"
 
     def usage_reported(self, happened: event.UsageReported) -> None:
         """Throttle an attempt beyond its size; stop it if that lasts."""
@@ -286,6 +304,7 @@
     def _release(self, record: record_module.JobRecord) -> None:
         account = record.job.account
         self._usage.forget(record.attempt_id)
+        self._failed.pop(record.attempt_id, None)
         self._unseated.pop(record.job.job_id, None)
         was_inside = bool(record.guarantee)
         self._state.release(record)
--- a/src/knapweedwharf/core/model.py
+++ b/src/knapweedwharf/core/model.py
@@ -110,6 +110,8 @@
         for a place near its data, or in one rack.
     :ivar restart_s: work that a stop loses beside unsaved progress.
     :ivar disturbance_s: what a stop costs besides.
+    :ivar most_lost_runs: work that may be stopped for urgent work, as a
+        multiple of its own; 0 sets no limit.
     :ivar urgent_patience_s: wait after which urgent work stops others.
     """
 
@@ -125,6 +127,7 @@
     urgent_patience_s: float = 0.0
     restart_s: float = 20.0
     disturbance_s: float = 60.0
+    most_lost_runs: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -158,7 +161,8 @@
     :ivar prefers_rack: it is much slower when spread over racks.
     :ivar spread_group: jobs whose tasks count for ``max_per_worker``.
     :ivar max_per_worker: most tasks of the group on a worker, or 0.
-    :ivar start_within_s: bound on its wait that must hold; 0 for none.
+    :ivar start_within_s: after this wait it takes any place and stops
+        whatever it must; 0 for none.
     :ivar precedence: it may stop work of a lower precedence.
     :ivar saves_progress: a stop loses little of what was done.
     """
--- a/src/knapweedwharf/core/placement.py
+++ b/src/knapweedwharf/core/placement.py
@@ -35,14 +35,15 @@
     :ivar search: finds open room for a gang.
     :ivar preempts: stops borrowers for guarantees and urgent work.
     :ivar reserves: gives reservations to gangs that wait long.
-    :ivar moves: stops borrowers for work that was delayed more, and to
-        make adjacent room; worth it for runs of many minutes only.
+    :ivar holds: keeps reserved room free of work that would outlast the
+        wait for it. Without it such work starts, and is stopped later:
+        worth it where a restart costs little against a run.
     """
 
     search: Search
     preempts: bool
     reserves: bool
-    moves: bool
+    holds: bool
 
 
 POLICIES: registry.Registry[Search] = registry.Registry(
@@ -57,7 +58,7 @@
         search=POLICIES.get(name),
         preempts=ours,
         reserves=ours,
-        moves=name == "guaranteed",
+        holds=name == "short-runs",
     )
 
 
--- a/src/knapweedwharf/core/reserve.py
+++ b/src/knapweedwharf/core/reserve.py
@@ -17,6 +17,7 @@
 from knapweedwharf.core import amount
 from knapweedwharf.core import borrowers
 from knapweedwharf.core import claim
+from knapweedwharf.core import constraint
 from knapweedwharf.core import model
 from knapweedwharf.core import record as record_module
 from knapweedwharf.core import state as state_module
@@ -54,14 +55,14 @@
             for job_id, at_s in self._later.items()
             if at_s > state.now_s
         }
-        if state.policy.moves:
+        if not state.policy.holds:
             for job_id in self._most_delayed():
                 self._overtake(state.records[job_id])
         for job_id in state.waiting.first(HEADS_LOOKED_AT):
             job = state.records[job_id].job
             if state.over_quota(job):
                 continue
-            may_move = state.policy.moves and job_id not in self._later
+            may_move = not state.policy.holds and job_id not in self._later
             if may_move and self._make_room(job):
                 continue
             if not self._not_due(job):
@@ -110,7 +111,7 @@
     def _gives_way(
         self, other: record_module.JobRecord, kept: claim.Reservation
     ) -> bool:
-        if other.job.urgency == model.URGENT:
+        if other.job.urgency == model.URGENT or self._state.policy.holds:
             return False
         if other.state == record_module.STARTING:
             return True
@@ -134,8 +135,10 @@
     def _reserve(self, job: model.JobSpec, *, made_s: float) -> None:
         state = self._state
         best: claim.Reservation | None = None
-        groups = borrowers.groups(state.topology, job.within)
-        avoid = state.avoided(job)
+        near = constraint.near_variants(state.topology, job)
+        fast = near[0] if near and not state.is_impatient(job) else job
+        groups = borrowers.groups(state.topology, fast.within)
+        avoid = state.avoided(job, near=fast is not job)
         for group in itertools.islice(groups, GROUPS_TRIED):
             rooms = [r for r in group if r.spec.worker_id not in avoid]
             found = self._earliest(rooms, job, made_s)
--- a/src/knapweedwharf/core/scheduler.py
+++ b/src/knapweedwharf/core/scheduler.py
@@ -30,9 +30,9 @@
         """Look at what time alone can change."""
         state = self._state
         state.waiting.due(state.now_s)
-        policy = state.configuration.policy
-        if policy.near_patience_runs or policy.urgent_patience_s:
-            state.waiting.wake_impatient()
+        if state.policy.holds:
+            # A reservation that ends frees no room, yet opens some.
+            state.waiting.wake_all()
         if state.settled and not self._settled:
             self._settled = True
             state.ledger.repair()
@@ -137,13 +137,24 @@
                 allowed=functools.partial(_of_lower_rank, job.rank),
                 open_on=borrowers.usable_room,
             )
-        if choice is None:
+        if choice is None or not self._is_worth(job, choice):
             return False
         why = "Urgent work goes before borrowed work."
         borrowers.claim_room(state, record, choice, why=why)
         self._start_claims()
         return True
 
+    def _is_worth(self, job: model.JobSpec, choice: victims.Choice) -> bool:
+        """Tell whether a stop loses little enough for the job's sake."""
+        state = self._state
+        limit = state.configuration.policy.most_lost_runs
+        waited_s = state.now_s - job.submitted_s
+        must_start = job.start_within_s and waited_s >= job.start_within_s
+        if not limit or must_start:
+            return True
+        own_s = state.estimates.run_s(job) * max(job.accelerators, 1)
+        return choice.cost[0] <= limit * own_s
+
     def _start_on_probation(self, record: record_module.JobRecord) -> bool:
         state = self._state
         job = record.job
--- a/src/knapweedwharf/core/state.py
+++ b/src/knapweedwharf/core/state.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from knapweedwharf.charts import chart
+from knapweedwharf.core import amount
 from knapweedwharf.core import claim
 from knapweedwharf.core import constraint
 from knapweedwharf.core import decision
@@ -122,18 +123,18 @@
 
         Urgent work goes first. A lower urgency counts as an arrival
         later by one ageing time, and so does a longer run, within a
-        bound; thus nothing is overtaken for ever.
+        bound; thus nothing of one precedence is overtaken for ever.
         """
         policy = self.configuration.policy
         if not self.policy.reserves:
             return (0, job.submitted_s + job.handicap_s, job.job_id)
         if job.urgency == model.URGENT:
-            return (0, job.submitted_s, job.job_id)
+            return (-job.precedence, job.submitted_s, job.job_id)
         level = model.URGENCIES.index(job.urgency) - 1
         length_s = min(run_s, MAX_LENGTH_AGEINGS * policy.ageing_s)
         length_s *= 1.0 - policy.fragmentation_weight
         later_s = level * policy.ageing_s + length_s + job.handicap_s
-        return (1, job.submitted_s + later_s, job.job_id)
+        return (1 - job.precedence, job.submitted_s + later_s, job.job_id)
 
     def search(self, job: model.JobSpec) -> placement.Share | None:
         """Find open room, near its data or in one rack if that matters.
@@ -154,7 +155,7 @@
         runs = self.configuration.policy.near_patience_runs
         patience_s = runs * self.estimates.run_s(job)
         if job.start_within_s:
-            patience_s = min(patience_s, job.start_within_s / 2)
+            patience_s = min(patience_s, job.start_within_s)
         return self.now_s - job.submitted_s >= patience_s
 
     def avoided(self, job: model.JobSpec, *, near: bool = False) -> set[str]:
@@ -162,6 +163,26 @@
         found = constraint.unsuitable(self.topology, job, self.job_of_attempt)
         if near and job.data_rack:
             found |= constraint.distant(self.topology, job)
+        if self.policy.holds:
+            found |= self._held_for_others(job)
+        return found
+
+    def _held_for_others(self, job: model.JobSpec) -> set[str]:
+        """Return workers whose room a job would keep from one before it."""
+        run_s = self.estimates.run_s(job)
+        need = amount.of_task(job)
+        order = self.order_of(job, run_s)
+        found: set[str] = set()
+        for kept in self.reservations.by_job.values():
+            ends_in_time = self.now_s + run_s <= kept.expected_s
+            if kept.job.job_id == job.job_id or ends_in_time:
+                continue
+            if order < self.order_of(kept.job, self.estimates.run_s(kept.job)):
+                continue
+            for worker_id in kept.tasks:
+                room = self.topology.workers.get(worker_id)
+                if room and not (room.open - room.reserved).covers(need):
+                    found.add(worker_id)
         return found
 
     def _search(
--- a/src/knapweedwharf/core/waiting.py
+++ b/src/knapweedwharf/core/waiting.py
@@ -140,13 +140,6 @@
             if class_key not in self._ready and room.covers(job_class.need):
                 self._ready[class_key] = None
 
-    def wake_impatient(self) -> None:
-        """Look again at classes that time alone can help."""
-        for class_key in self._classes:
-            urgent = class_key[1] == model.URGENT
-            if urgent or constraint.is_patient(class_key[6]):
-                self._ready[class_key] = None
-
     def wake_all(self) -> None:
         """Look at every class again."""
         self._ready = dict.fromkeys(self._classes)
--- a/src/knapweedwharf/fleet/policy.py
+++ b/src/knapweedwharf/fleet/policy.py
@@ -9,6 +9,7 @@
 
 from knapweedwharf.core import model
 from knapweedwharf.core import workflow
+from knapweedwharf.fleet import model as fleet_model
 
 ENGINE_POLICY = "short-runs"
 
@@ -24,11 +25,17 @@
 DISTURBANCE_S = 1.0
 """A stop and a start, and the place that is lost meanwhile."""
 
+MOST_LOST_RUNS = 0.2
+"""Stopped work costs about as much as first work gains by its start."""
+
+ORDER_MARGIN_S = 0.6
+"""Time from the decision to stop others to the start on their room."""
+
 GUARANTEED_PRECEDENCE = 2
 FIRST_PRECEDENCE = 1
 
-RESERVE_AFTER_S = 3.0
-"""A typical wait for the end of some run."""
+RESERVE_AFTER_S = 0.4
+"""Time for a gang to find room at the end of some run."""
 
 HANDICAP_PER_LEVEL_S = 8.0
 """One typical run: less urgent work is overtaken for about as long."""
@@ -50,6 +57,7 @@
             urgent_patience_s=URGENT_PATIENCE_S,
             restart_s=RESTART_S,
             disturbance_s=DISTURBANCE_S,
+            most_lost_runs=MOST_LOST_RUNS,
         ),
     )
 
@@ -59,7 +67,7 @@
     *,
     guaranteed: int,
     claimed: int,
-    reclaim_timeout_s: float,
+    bounds: fleet_model.Bounds,
 ) -> workflow.Standing:
     """Return how a job stands, by its queue and its account's guarantee.
 
@@ -76,5 +84,7 @@
     return workflow.Standing(
         urgency=model.URGENT,
         precedence=GUARANTEED_PRECEDENCE,
-        start_within_s=reclaim_timeout_s,
+        start_within_s=(
+            bounds.reclaim_timeout_s - bounds.stop_timeout_s - ORDER_MARGIN_S
+        ),
     )
--- a/src/knapweedwharf/fleet/tenure.py
+++ b/src/knapweedwharf/fleet/tenure.py
@@ -301,7 +301,7 @@
             job,
             guaranteed=owed,
             claimed=claimed,
-            reclaim_timeout_s=self._site.bounds.reclaim_timeout_s,
+            bounds=self._site.bounds,
         )
 
     def _open(self, found: workflow.Workflow) -> None:
@@ -574,6 +574,7 @@
         if attempt.start_failed:
             if attempt.all_ended:
                 self._over(attempt)
+                self._tell_failures(attempt)
                 self._tell(
                     service,
                     event.GangRefused(
@@ -593,6 +594,12 @@
             )
             self._tell(service, stopped)
 
+    def _tell_failures(self, attempt: attempt_module.Attempt) -> None:
+        """Let failures count that came while a start was given up."""
+        for member in attempt.untold_ends():
+            if member.how == model.FAILED:
+                self._tell_end(attempt, member, succeeded=False)
+
     def _tell_ends(self, attempt: attempt_module.Attempt) -> None:
         done = attempt.is_done
         if done:
@@ -600,18 +607,27 @@
             for member in attempt.running():
                 self._end(attempt, member, model.DONE, "")
         for member in attempt.untold_ends():
-            member.told = True
-            self._tell(
-                attempt.job.service,
-                event.TaskEnded(
-                    attempt_id=attempt.attempt_id,
-                    task_index=member.index,
-                    worker_id=member.executor_id,
-                    succeeded=done,
-                    detail=member.how,
-                    lapsed=member.how != model.FAILED,
-                ),
-            )
+            self._tell_end(attempt, member, succeeded=done)
+
+    def _tell_end(
+        self,
+        attempt: attempt_module.Attempt,
+        member: attempt_module.Member,
+        *,
+        succeeded: bool,
+    ) -> None:
+        member.told = True
+        self._tell(
+            attempt.job.service,
+            event.TaskEnded(
+                attempt_id=attempt.attempt_id,
+                task_index=member.index,
+                worker_id=member.executor_id,
+                succeeded=succeeded,
+                detail=member.how,
+                lapsed=member.how != model.FAILED,
+            ),
+        )
 
     def _over(self, attempt: attempt_module.Attempt) -> None:
         attempt.over = True
