--- /dev/null
+++ b/src/knapweedwharf/fleet/board.py
@@ -0,0 +1,149 @@
+"""What an owner knows: the jobs, their attempts and who runs where."""
+
+from __future__ import annotations
+
+from collections import abc
+
+from knapweedwharf.core import workflow
+from knapweedwharf.fleet import attempt as attempt_module
+from knapweedwharf.fleet import clock
+from knapweedwharf.fleet import records
+
+RunKey = tuple[str, str, int]
+"""(executor id, task id, run number)"""
+
+
+class Board:
+    """Jobs and attempts of one ownership.
+
+    :ivar workflows: every job that was read, by id.
+    :ivar attempts: attempts that may still run, by the engine's id.
+    :ivar ended_s: when a job was seen to have ended.
+    """
+
+    def __init__(self) -> None:
+        self.workflows: dict[str, workflow.Workflow] = {}
+        self.attempts: dict[str, attempt_module.Attempt] = {}
+        self.ended_s: dict[str, float] = {}
+        self._runs: dict[RunKey, tuple[attempt_module.Attempt, int]] = {}
+
+    def dump(self, job_id: str) -> bytes | None:
+        """Return a job's record; None once it was dropped."""
+        found = self.workflows.get(job_id)
+        return records.dump_progress(found) if found else None
+
+    def of_part(
+        self, part_id: str
+    ) -> tuple[workflow.Workflow, workflow.Part] | None:
+        """Return a part and its job, unless the job was dropped."""
+        found = self.workflows.get(workflow.job_id_of(part_id))
+        part = found.parts.get(part_id) if found else None
+        return (found, part) if part is not None else None
+
+    def ended(self, job_id: str) -> None:
+        """Note that a job has ended now."""
+        self.ended_s.setdefault(job_id, clock.elapsed_s())
+
+    def add(
+        self,
+        attempt_id: str,
+        found: workflow.Workflow,
+        part: workflow.Part,
+        *,
+        phase: str,
+    ) -> attempt_module.Attempt:
+        """Track an attempt at the part's places under its run number."""
+        attempt = attempt_module.Attempt(
+            attempt_id=attempt_id,
+            part=part,
+            job=found.job,
+            run=part.run,
+            members={
+                place.task_index: attempt_module.Member(
+                    index=place.task_index,
+                    task_id=part.task_id(found.job.job_id, place.task_index),
+                    executor_id=place.worker_id,
+                    phase=phase,
+                    is_inherited=phase == attempt_module.ORDERED,
+                )
+                for place in part.places
+            },
+        )
+        self.attempts[attempt_id] = attempt
+        for member in attempt.members.values():
+            key = (member.executor_id, member.task_id, attempt.run)
+            self._runs[key] = (attempt, member.index)
+        return attempt
+
+    def forget(self, attempt: attempt_module.Attempt) -> None:
+        """Track an attempt no longer."""
+        self.attempts.pop(attempt.attempt_id, None)
+        for member in attempt.members.values():
+            key = (member.executor_id, member.task_id, attempt.run)
+            self._runs.pop(key, None)
+
+    def member(
+        self, executor_id: str, task_id: str, run: int
+    ) -> tuple[attempt_module.Attempt, attempt_module.Member] | None:
+        """Return the member that a run belongs to."""
+        held = self._runs.get((executor_id, task_id, run))
+        if held is None:
+            return None
+        attempt, index = held
+        return attempt, attempt.members[index]
+
+    def members_on(
+        self, executor_id: str
+    ) -> abc.Iterator[tuple[attempt_module.Attempt, attempt_module.Member]]:
+        """Yield the members placed on an executor."""
+        for key, (attempt, index) in list(self._runs.items()):
+            if key[0] == executor_id:
+                yield attempt, attempt.members[index]
+
+    def is_busy(self, executor_id: str) -> bool:
+        """Tell whether something may run on an executor."""
+        return any(key[0] == executor_id for key in self._runs)
+
+    def held_parts(self, job_id: str) -> set[str]:
+        """Return a job's parts that have an attempt."""
+        return {
+            attempt.part.part_id
+            for attempt in self.attempts.values()
+            if attempt.job.job_id == job_id
+        }
+
+    def has_ended(self, task_id: str) -> bool:
+        """Tell whether a task's part is done, for the rest of a gang."""
+        found = self.workflows.get(workflow.job_id_of(task_id))
+        if found is None or found.cancelled or found.failed:
+            return False
+        part_id = workflow.part_id_of(found.job, task_id)
+        part = found.parts.get(part_id or "")
+        return part is not None and part.done
+
+    def claimed_accelerators(self, account: str) -> int:
+        """Return what an account's unended first-priority jobs ask for."""
+        return sum(
+            found.job.accelerators
+            for found in self.workflows.values()
+            if found.job.account == account
+            and found.job.priority == 0
+            and not found.is_final
+        )
+
+    def pending(self) -> dict[str, int]:
+        """Return how many jobs of each queue have not begun."""
+        counts: dict[str, int] = {}
+        for found in self.workflows.values():
+            if not found.begun and not found.is_final:
+                route = found.job.route
+                counts[route] = counts.get(route, 0) + 1
+        return counts
+
+    def take_expired(self, kept_s: float) -> list[workflow.Workflow]:
+        """Drop the jobs that ended longer ago than ``kept_s``."""
+        oldest_s = clock.elapsed_s() - kept_s
+        expired = [j for j, at_s in self.ended_s.items() if at_s < oldest_s]
+        for job_id in expired:
+            del self.ended_s[job_id]
+        return [self.workflows.pop(job_id) for job_id in expired]
--- /dev/null
+++ b/src/knapweedwharf/fleet/decider.py
@@ -0,0 +1,254 @@
+"""The engines and what their decisions do to jobs and attempts."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import abc
+import functools
+import typing
+
+from knapweedwharf.core import decision
+from knapweedwharf.core import engine as engine_module
+from knapweedwharf.core import event
+from knapweedwharf.core import model as core_model
+from knapweedwharf.core import record as record_module
+from knapweedwharf.core import workflow
+from knapweedwharf.fleet import attempt as attempt_module
+from knapweedwharf.fleet import board as board_module
+from knapweedwharf.fleet import clock
+from knapweedwharf.fleet import ledger as ledger_module
+from knapweedwharf.fleet import model
+from knapweedwharf.fleet import policy
+from knapweedwharf import log
+
+Carry = abc.Callable[[attempt_module.Attempt], None]
+
+
+class Decider:
+    """One engine for each service; jobs in, attempts out.
+
+    :param ordinal: the owner's; makes run numbers its own.
+    :param start: sends an attempt's starts; its places are stored.
+    :param settle: called once the engine wants an attempt stopped.
+    """
+
+    def __init__(
+        self,
+        *,
+        board: board_module.Board,
+        ledger: ledger_module.Ledger,
+        desired,
+        bounds: model.Bounds,
+        ordinal: int,
+        start: Carry,
+        settle: Carry,
+    ) -> None:
+        self._board = board
+        self._ledger = ledger
+        self._desired = desired
+        self._bounds = bounds
+        self._ordinal = ordinal
+        self._start = start
+        self._settle = settle
+        self._log = log.get("decider").bind(epoch=ordinal)
+        self._engines: dict[str, engine_module.Engine] = {}
+
+    def _engine(self, service: str) -> engine_module.Engine:
+        engine = self._engines.get(service)
+        if engine is None:
+            engine = engine_module.Engine(
+                data_centre=service,
+                attempt_prefix=f"{service}-{self._ordinal}",
+                policy=policy.ENGINE_POLICY,
+            )
+            self._engines[service] = engine
+            configured = event.ConfigurationChanged(policy.configuration())
+            engine.handle(configured, now_s=clock.unix_s())
+        return engine
+
+    def tell(self, service: str, happened: event.Event) -> None:
+        """Tell a service's engine and carry out what it decides."""
+        engine = self._engine(service)
+        for taken in engine.handle(happened, now_s=clock.unix_s()):
+            self._carry_out(taken, service)
+
+    def tick(self) -> None:
+        """Let time pass, and let occurrences in whose time has come."""
+        for service in list(self._engines):
+            self.tell(service, event.Tick())
+        for found in list(self._board.workflows.values()):
+            if found.job.is_timed and not found.is_final:
+                self.open(found)
+
+    # Jobs
+
+    def restore(self, found: workflow.Workflow) -> None:
+        """Hand the engine a job's attempts that may still run."""
+        engine = self._engine(found.job.service)
+        for part in found.parts.values():
+            if part.done or not part.places:
+                continue
+            attempt = self._board.add(
+                f"{part.part_id}/{part.run}",
+                found,
+                part,
+                phase=attempt_module.ORDERED,
+            )
+            attempt.told_started = True
+            engine.restore(
+                record_module.JobRecord(
+                    job=self._spec(found, part),
+                    state=record_module.RUNNING,
+                    attempt_id=attempt.attempt_id,
+                    assignments=part.places,
+                    failures=part.failures,
+                    started_s=clock.unix_s(),
+                )
+            )
+
+    def open(self, found: workflow.Workflow) -> None:
+        """Submit the parts of a job whose turn has come."""
+        held = self._board.held_parts(found.job.job_id)
+        for part in found.open_parts(clock.unix_s()):
+            if part.part_id not in held:
+                submitted = event.JobSubmitted(self._spec(found, part))
+                self.tell(found.job.service, submitted)
+
+    def cancel(self, found: workflow.Workflow) -> None:
+        """Cancel a job."""
+        found.cancelled = True
+        self._log.info("job-cancelled", job_id=found.job.job_id)
+        self._end_job(found)
+
+    def drop(self, found: workflow.Workflow) -> None:
+        """Forget a job that ended long ago."""
+        engine = self._engine(found.job.service)
+        for part_id in found.parts:
+            engine.records.pop(part_id, None)
+
+    def _end_job(self, found: workflow.Workflow) -> None:
+        self._board.ended(found.job.job_id)
+        self._ledger.mark(found.job.job_id)
+        for part_id in list(found.parts):
+            self.tell(found.job.service, event.JobCancelled(part_id))
+
+    def _spec(
+        self, found: workflow.Workflow, part: workflow.Part
+    ) -> core_model.JobSpec:
+        job = found.job
+        desired = self._desired.current
+        account = desired.accounts.get(job.account) if desired else None
+        standing = policy.standing(
+            job,
+            guaranteed=account.guaranteed_accelerators if account else 0,
+            claimed=self._board.claimed_accelerators(job.account),
+            bounds=self._bounds,
+        )
+        return workflow.spec_of(found, part, standing=standing)
+
+    # Decisions
+
+    @functools.singledispatchmethod
+    def _carry_out(self, taken: typing.Any, service: str) -> None:
+        self._log.info("decision-ignored", kind=type(taken).__name__)
+
+    @_carry_out.register
+    def _(self, taken: decision.WorkerChanged, service: str) -> None:
+        self._log.warning(
+            "executor-standing",
+            executor=taken.worker_id,
+            standing=taken.standing,
+            reason=taken.reason.text,
+        )
+
+    @_carry_out.register
+    def _(self, taken: decision.JobChanged, service: str) -> None:
+        held = self._board.of_part(taken.job_id)
+        if held is None:
+            return
+        found, part = held
+        self._log.debug(
+            "part-changed",
+            job_id=found.job.job_id,
+            part=taken.job_id,
+            state=taken.state,
+            reason=taken.reason.code,
+        )
+        record = self._engine(service).records.get(taken.job_id)
+        if record is not None:
+            part.failures = record.failures
+        if taken.state == "finished":
+            self._part_done(found, part)
+        elif taken.state == "failed":
+            self._part_failed(found, part)
+        elif taken.state == record_module.QUEUED and part.places:
+            part.places = ()
+            self._ledger.mark(found.job.job_id)
+
+    def _part_done(
+        self, found: workflow.Workflow, part: workflow.Part
+    ) -> None:
+        found.part_done(part)
+        self._ledger.mark(found.job.job_id)
+        if found.completed:
+            self._board.ended(found.job.job_id)
+            self._log.info(
+                "job-completed",
+                job_id=found.job.job_id,
+                after_s=round(clock.unix_s() - found.job.submitted_s, 3),
+            )
+        # Not from inside the engine's own event.
+        asyncio.get_running_loop().call_soon(self.open, found)
+
+    def _part_failed(
+        self, found: workflow.Workflow, part: workflow.Part
+    ) -> None:
+        part.places = ()
+        if found.is_final:
+            return
+        found.failed = True
+        self._log.info(
+            "job-failed",
+            job_id=found.job.job_id,
+            part=part.part_id,
+            failures=part.failures,
+            max_attempts=found.job.max_attempts,
+        )
+        asyncio.get_running_loop().call_soon(self._end_job, found)
+
+    @_carry_out.register
+    def _(self, taken: decision.StartGang, service: str) -> None:
+        found, part = self._board.of_part(taken.job.job_id)
+        found.next_run(part, self._ordinal)
+        part.places = taken.assignments
+        attempt = self._board.add(
+            taken.attempt_id, found, part, phase=attempt_module.INTENDED
+        )
+        self._log.info(
+            "part-placed",
+            job_id=found.job.job_id,
+            part=part.part_id,
+            run=part.run,
+            executors=sorted({p.worker_id for p in taken.assignments}),
+            reason=taken.reason.code,
+            waited_s=round(clock.unix_s() - taken.job.submitted_s, 3),
+        )
+        self._ledger.mark(
+            found.job.job_id, functools.partial(self._start, attempt)
+        )
+
+    @_carry_out.register
+    def _(self, taken: decision.StopGang, service: str) -> None:
+        attempt = self._board.attempts.get(taken.attempt_id)
+        if attempt is None:
+            return
+        attempt.stopping = True
+        self._log.info(
+            "part-stopping",
+            job_id=attempt.job.job_id,
+            part=attempt.part.part_id,
+            run=attempt.run,
+            reason=taken.reason.code,
+            why=taken.reason.text,
+        )
+        asyncio.get_running_loop().call_soon(self._settle, attempt)
--- a/src/knapweedwharf/fleet/door.py
+++ b/src/knapweedwharf/fleet/door.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import collections
 import dataclasses
 
@@ -24,6 +25,12 @@
 TRY_TIMEOUT_S = 0.8
 """Eighty times the store's usual answer; leaves time for two tries."""
 
+MIN_TRY_S = 0.05
+"""A few times the store's usual answer; a shorter try tells nothing."""
+
+RETRY_PAUSE_S = 0.05
+"""Between tries whose outcome matters; the store may refuse at once."""
+
 STORE_SUSPECT_S = 2.7
 """A whole watch and its slack: nothing was heard of the store."""
 
@@ -170,7 +177,7 @@
                 return self._refused(permitted.failure(), maybe_stored)
             allowed = permitted.unwrap()
             left_s = call.until_s - clock.elapsed_s()
-            if left_s <= 0 or tries and not maybe_stored and tries > 3:
+            if left_s < MIN_TRY_S:
                 return self._refused(_late(), maybe_stored)
             if self._desired.age_s > STORE_SUSPECT_S and not maybe_stored:
                 return self._not_now("store-silent")
@@ -199,6 +206,7 @@
             maybe_stored |= not isinstance(fault, errors.Unreachable)
             if not maybe_stored:
                 return self._not_now("store-not-reached")
+            await asyncio.sleep(RETRY_PAUSE_S)
 
     def _is_known(self, mismatch: model.Mismatch, allowed: Allowed) -> bool:
         config = mismatch.current.get(self._config_key)
@@ -256,7 +264,7 @@
         prefix = records.job_prefix(allowed.job_id)
         while True:
             left_s = call.until_s - clock.elapsed_s()
-            if left_s <= 0:
+            if left_s < MIN_TRY_S:
                 return self._not_now("store-too-slow")
             listed = await self._store.list(
                 prefix, timeout_s=min(TRY_TIMEOUT_S, left_s)
--- /dev/null
+++ b/src/knapweedwharf/fleet/intake.py
@@ -0,0 +1,113 @@
+"""Jobs and cancellations, as callers' VMs have stored them."""
+
+from __future__ import annotations
+
+import asyncio
+
+from knapweedwharf.core import workflow
+from knapweedwharf.fleet import board as board_module
+from knapweedwharf.fleet import decider as decider_module
+from knapweedwharf.fleet import ledger as ledger_module
+from knapweedwharf.fleet import model
+from knapweedwharf.fleet import records
+from knapweedwharf.fleet import watcher as watcher_module
+from knapweedwharf import log
+
+WATCH_WAIT_S = 5.0
+"""A silent connection hides a submission or a cancel no longer."""
+
+
+class Intake:
+    """Reads every job's records, then follows new ones.
+
+    :ivar complete: set once all that was stored has been read.
+    """
+
+    def __init__(
+        self,
+        *,
+        store,
+        board: board_module.Board,
+        ledger: ledger_module.Ledger,
+        decider: decider_module.Decider,
+    ) -> None:
+        self._board = board
+        self._ledger = ledger
+        self._decider = decider
+        self._log = log.get("intake")
+        self.complete = asyncio.Event()
+        self._watcher = watcher_module.Watcher(
+            store,
+            records.JOBS,
+            wait_s=WATCH_WAIT_S,
+            on_listing=self._listed,
+            on_changes=self._changed,
+        )
+
+    async def start(self) -> None:
+        """Begin to read."""
+        await self._watcher.start()
+
+    async def close(self) -> None:
+        """Stop reading."""
+        await self._watcher.close()
+
+    def _listed(self, listing: model.Listing) -> None:
+        found: dict[str, dict[str, model.Item]] = {}
+        for item in listing.items:
+            split = records.split_key(item.key)
+            if split is not None:
+                found.setdefault(split[0], {})[split[1]] = item
+        for job_id, kinds in found.items():
+            self._take(job_id, kinds)
+        if not self.complete.is_set():
+            self.complete.set()
+            self._log.info(
+                "records-read",
+                jobs=len(self._board.workflows),
+                revision=listing.revision,
+            )
+
+    def _changed(self, changes: model.Changes) -> None:
+        for item in changes.items:
+            split = records.split_key(item.key)
+            if split is not None:
+                self._take(split[0], {split[1]: item})
+
+    def _take(self, job_id: str, kinds: dict[str, model.Item]) -> None:
+        spec = kinds.get(records.SPEC)
+        if spec is not None and job_id not in self._board.workflows:
+            self._take_job(job_id, spec, kinds.get(records.PROGRESS))
+        found = self._board.workflows.get(job_id)
+        cancelled = records.CANCEL in kinds
+        if cancelled and found is not None and not found.is_final:
+            self._decider.cancel(found)
+
+    def _take_job(
+        self, job_id: str, spec: model.Item, progress: model.Item | None
+    ) -> None:
+        try:
+            job = records.load_job(spec.value)
+            found = workflow.Workflow(job)
+            if progress is not None:
+                found = records.load_progress(job, progress.value)
+        except (ValueError, TypeError, KeyError) as error:
+            self._log.error("job-malformed", job_id=job_id, why=str(error))
+            return
+        if progress is not None:
+            self._ledger.known(job_id, progress.revision)
+        self._board.workflows[job_id] = found
+        if found.is_final:
+            self._board.ended(job_id)
+            return
+        self._log.info(
+            "job-taken",
+            job_id=job_id,
+            state=found.state,
+            revision=spec.revision,
+            steps=len(job.steps),
+            tasks=sum(step.tasks for step in job.steps),
+            accelerators=job.accelerators,
+        )
+        self._decider.restore(found)
+        self._decider.open(found)
--- /dev/null
+++ b/src/knapweedwharf/fleet/node.py
@@ -0,0 +1,76 @@
+"""One VM's part of the fleet, without its network and its signals."""
+
+from __future__ import annotations
+
+import asyncio
+
+from knapweedwharf.fleet import desired as desired_module
+from knapweedwharf.fleet import door as door_module
+from knapweedwharf.fleet import election as election_module
+from knapweedwharf.fleet import model
+from knapweedwharf.fleet import tenure as tenure_module
+
+
+class Node:
+    """Answers callers, and schedules while it is the owner.
+
+    :param store: client of the store.
+    :param executors: client of the executors.
+    :ivar tenure: the ownership in hand, or None.
+    """
+
+    def __init__(
+        self, site: model.Site, *, store, executors, catalogue: model.Catalogue
+    ) -> None:
+        self._site = site
+        self._store = store
+        self._executors = executors
+        self._catalogue = catalogue
+        self._tasks: set[asyncio.Task] = set()
+        self.tenure: tenure_module.Tenure | None = None
+        self.desired = desired_module.DesiredState(
+            store=store, catalogue=catalogue, bounds=site.bounds
+        )
+        self.door = door_module.Door(
+            store=store, desired=self.desired, catalogue=catalogue
+        )
+        self.election = election_module.Election(
+            site=site, store=store, on_won=self._won, on_lost=self._lost
+        )
+
+    async def start(self) -> None:
+        """Follow the desired state and compete for the ownership."""
+        await self.desired.start()
+        await self.election.start()
+
+    async def resign(self) -> None:
+        """Hand an ownership over, and compete no more."""
+        await self.election.resign()
+
+    async def close(self) -> None:
+        """Close every part."""
+        await self.election.close()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self.desired.close()
+
+    def _spawn(self, work) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def _won(self, ownership: election_module.Ownership) -> None:
+        self.tenure = tenure_module.Tenure(
+            site=self._site,
+            store=self._store,
+            client=self._executors,
+            catalogue=self._catalogue,
+            desired=self.desired,
+            election=self.election,
+            ownership=ownership,
+        )
+        self._spawn(self.tenure.start())
+
+    def _lost(self, _why: str) -> None:
+        tenure, self.tenure = self.tenure, None
+        if tenure is not None:
+            self._spawn(tenure.close())
--- /dev/null
+++ b/src/knapweedwharf/fleet/orders.py
@@ -0,0 +1,287 @@
+"""Starts and stops of attempts, and what the engine is told of them."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import abc
+
+from returns import result
+
+from knapweedwharf.core import event
+from knapweedwharf import errors
+from knapweedwharf.fleet import attempt as attempt_module
+from knapweedwharf.fleet import board as board_module
+from knapweedwharf.fleet import clock
+from knapweedwharf.fleet import election as election_module
+from knapweedwharf.fleet import ledger as ledger_module
+from knapweedwharf.fleet import model
+from knapweedwharf.fleet import session as session_module
+from knapweedwharf import log
+
+START_TRIES = 2
+"""A second try goes out on a fresh connection."""
+
+STOP_RETRY_S = 0.15
+MAX_STOP_RETRY_S = 0.6
+"""Stops are repeated until answered, several times a lease."""
+
+Tell = abc.Callable[[str, event.Event], None]
+"""(service, event) to the service's engine"""
+
+
+class Orders:
+    """Carries attempts out, each member by a task of its own.
+
+    :param sessions: by executor id.
+    :param election: tells whether orders may still be given.
+    :param tell: tells a service's engine.
+    """
+
+    def __init__(
+        self,
+        *,
+        board: board_module.Board,
+        ledger: ledger_module.Ledger,
+        sessions: dict[str, session_module.Session],
+        election: election_module.Election,
+        epoch: int,
+        tell: Tell,
+    ) -> None:
+        self._board = board
+        self._ledger = ledger
+        self._sessions = sessions
+        self._election = election
+        self._epoch = epoch
+        self._tell = tell
+        self._log = log.get("orders").bind(epoch=epoch)
+        self._tasks: set[asyncio.Task] = set()
+
+    async def close(self) -> None:
+        """Give no more orders."""
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def _spawn(self, work: abc.Coroutine) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._finished)
+
+    def _finished(self, task: asyncio.Task) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            self._log.error("order-broken", exc_info=task.exception())
+
+    # Starts
+
+    def start(self, attempt: attempt_module.Attempt) -> None:
+        """Start every member; the places are stored."""
+        for member in list(attempt.members.values()):
+            if member.phase != attempt_module.INTENDED:
+                continue
+            session = self._sessions.get(member.executor_id)
+            if attempt.must_stop or session is None:
+                self.end(attempt, member, model.REFUSED)
+                continue
+            member.phase = attempt_module.ORDERED
+            self._spawn(self._start(attempt, member, session))
+        self.settle(attempt)
+
+    async def _start(
+        self,
+        attempt: attempt_module.Attempt,
+        member: attempt_module.Member,
+        session: session_module.Session,
+    ) -> None:
+        order = model.Order(
+            task_id=member.task_id,
+            run=attempt.run,
+            specification=attempt.job.specification,
+            not_after_ms=0,
+            epoch=self._epoch,
+            checkpoint=attempt.part.checkpoint,
+        )
+        maybe_sent = False
+        for _try in range(START_TRIES):
+            if not self._election.is_owner:
+                return
+            answer = await session.start_run(order)
+            if isinstance(answer, result.Success):
+                self.started(attempt, member)
+                return
+            fault = answer.failure()
+            self._not_confirmed(attempt, member, fault)
+            if isinstance(fault, errors.Fenced):
+                return
+            maybe_sent |= isinstance(fault, errors.OutcomeUnknown)
+            repeatable = (errors.OutcomeUnknown, errors.Unreachable)
+            if not isinstance(fault, repeatable):
+                break
+        if member.phase != attempt_module.ORDERED:
+            return
+        attempt.blamed = member.executor_id
+        if maybe_sent:
+            await self._stop(attempt, member)
+        else:
+            self.end(attempt, member, model.REFUSED)
+            self.settle(attempt)
+
+    def _not_confirmed(
+        self,
+        attempt: attempt_module.Attempt,
+        member: attempt_module.Member,
+        fault: errors.Fault,
+    ) -> None:
+        self._log.info(
+            "start-not-confirmed",
+            job_id=attempt.job.job_id,
+            task=member.task_id,
+            run=attempt.run,
+            executor=member.executor_id,
+            why=getattr(fault, "reason", fault.code),
+        )
+        if isinstance(fault, errors.Fenced):
+            self._election.lose("fenced-by-executor")
+
+    def started(
+        self, attempt: attempt_module.Attempt, member: attempt_module.Member
+    ) -> None:
+        """Note that a member runs."""
+        if member.phase != attempt_module.ORDERED:
+            return
+        member.phase = attempt_module.RUNNING
+        member.since_s = clock.elapsed_s()
+        found = self._board.workflows.get(attempt.job.job_id)
+        if found is not None and not found.begun:
+            found.begun = True
+            self._ledger.mark(attempt.job.job_id)
+        self.settle(attempt)
+
+    # Stops
+
+    async def _stop(
+        self, attempt: attempt_module.Attempt, member: attempt_module.Member
+    ) -> None:
+        """Stop a run until the executor has answered or is gone."""
+        if member.stop_sent:
+            return
+        member.stop_sent = True
+        wait_s = STOP_RETRY_S
+        while member.phase != attempt_module.ENDED:
+            session = self._sessions.get(member.executor_id)
+            if session is None or not self._election.is_owner:
+                return
+            answer = await session.stop_run(member.task_id, attempt.run)
+            if isinstance(answer, result.Success):
+                member.stopped_s = clock.elapsed_s()
+                return
+            if isinstance(answer.failure(), errors.Fenced):
+                self._election.lose("fenced-by-executor")
+                return
+            await asyncio.sleep(wait_s)
+            wait_s = min(2 * wait_s, MAX_STOP_RETRY_S)
+
+    def stop_stray(
+        self, session: session_module.Session, task_id: str, run: int
+    ) -> None:
+        """Stop a run that no attempt accounts for."""
+        self._log.warning(
+            "stray-run", task=task_id, run=run, executor=session.executor_id
+        )
+        self._spawn(session.stop_run(task_id, run))
+
+    # What becomes of members
+
+    def end(
+        self,
+        attempt: attempt_module.Attempt,
+        member: attempt_module.Member,
+        how: str,
+        checkpoint: str = "",
+    ) -> None:
+        """Note the end of a member's run, once."""
+        if member.phase == attempt_module.ENDED:
+            return
+        member.phase = attempt_module.ENDED
+        member.how = how
+        if checkpoint:
+            attempt.part.checkpoint = checkpoint
+        self._log.info(
+            "run-ended",
+            job_id=attempt.job.job_id,
+            task=member.task_id,
+            run=attempt.run,
+            executor=member.executor_id,
+            how=how,
+        )
+
+    def settle(self, attempt: attempt_module.Attempt) -> None:
+        """Tell the engine what is now certain of an attempt."""
+        if attempt.over:
+            return
+        if attempt.must_stop and not attempt.is_done:
+            for member in attempt.running():
+                self._spawn(self._stop(attempt, member))
+        if attempt.start_failed:
+            if attempt.all_ended:
+                self._give_up(attempt)
+            return
+        if not attempt.told_started:
+            if attempt.pending():
+                return
+            attempt.told_started = True
+            started = event.GangStarted(attempt.attempt_id)
+            self._tell(attempt.job.service, started)
+        self._tell_ends(attempt)
+        if attempt.all_ended:
+            self._over(attempt)
+
+    def _give_up(self, attempt: attempt_module.Attempt) -> None:
+        """Tell of a start in which not every member began to run."""
+        attempt.over = True
+        self._board.forget(attempt)
+        for member in attempt.untold_ends():
+            if member.how == model.FAILED:
+                self._tell_end(attempt, member, succeeded=False)
+        refused = event.GangRefused(
+            attempt.attempt_id, attempt.blamed, "A member did not start."
+        )
+        self._tell(attempt.job.service, refused)
+
+    def _over(self, attempt: attempt_module.Attempt) -> None:
+        attempt.over = True
+        self._board.forget(attempt)
+        if attempt.stopping:
+            stopped = event.GangStopped(
+                attempt.attempt_id, bool(attempt.part.checkpoint)
+            )
+            self._tell(attempt.job.service, stopped)
+
+    def _tell_ends(self, attempt: attempt_module.Attempt) -> None:
+        done = attempt.is_done
+        if done:
+            # The members of a gang end together; one end tells of all.
+            for member in attempt.running():
+                self.end(attempt, member, model.DONE)
+        for member in attempt.untold_ends():
+            self._tell_end(attempt, member, succeeded=done)
+
+    def _tell_end(
+        self,
+        attempt: attempt_module.Attempt,
+        member: attempt_module.Member,
+        *,
+        succeeded: bool,
+    ) -> None:
+        member.told = True
+        self._tell(
+            attempt.job.service,
+            event.TaskEnded(
+                attempt_id=attempt.attempt_id,
+                task_index=member.index,
+                worker_id=member.executor_id,
+                succeeded=succeeded,
+                detail=member.how,
+                lapsed=member.how != model.FAILED,
+            ),
+        )
--- a/src/knapweedwharf/fleet/registry.py
+++ b/src/knapweedwharf/fleet/registry.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections import abc
+import dataclasses
 
 from knapweedwharf.core import event
 from knapweedwharf.core import model as core_model
@@ -27,7 +28,6 @@
     """Follows the executors' entries and keeps a session with each.
 
     :param hooks: what the sessions tell.
-    :param on_draining: called when an executor takes no more starts.
     :ivar sessions: by executor id.
     """
 
@@ -40,14 +40,13 @@
         catalogue: model.Catalogue,
         epoch: int,
         hooks: session_module.Hooks,
-        on_draining: abc.Callable[[session_module.Session], None],
     ) -> None:
         self._site = site
         self._client = client
         self._catalogue = catalogue
         self._epoch = epoch
-        self._hooks = hooks
-        self._on_draining = on_draining
+        self._hooks = dataclasses.replace(hooks, gone=self._gone)
+        self._on_gone = hooks.gone
         self._log = log.get("registry")
         self._announced: dict[str, model.Executor] = {}
         self._expected: dict[str, float] = {}
@@ -166,22 +165,34 @@
 
     def _bar(self, session: session_module.Session) -> None:
         self._announced.pop(session.executor_id, None)
-        self._on_draining(session)
+        self._hooks.barred(session)
 
     def _drop(self, session: session_module.Session) -> None:
         self._announced.pop(session.executor_id, None)
+        self.sessions.pop(session.executor_id, None)
         self._run(session.close())
-        self._hooks.gone(session)
+        self._on_gone(session)
+
+    def _gone(self, session: session_module.Session) -> None:
+        """Forget what ran there; go on asking while it is listed."""
+        if self.sessions.get(session.executor_id) is not session:
+            return
+        del self.sessions[session.executor_id]
+        self._announced.pop(session.executor_id, None)
+        self._on_gone(session)
+        if session.listed:
+            self._open(session.executor, 0)
 
     # The engine's view
 
-    def seal(self, session: session_module.Session, tell: Tell) -> None:
+    def announce(self, session: session_module.Session, tell: Tell) -> None:
         """Let the engine use an executor that answers and is ready."""
         executor = session.executor
         usable = session.listed and executor.state == model.READY
         known = self._announced.get(executor.executor_id)
-        if not usable or session.is_silent or known == executor:
+        if not usable or (known == executor and not session.was_silent):
             return
+        session.was_silent = False
         self._announced[executor.executor_id] = executor
         tell(
             executor.service,
@@ -198,10 +209,6 @@
             ),
         )
 
-    def silent(self, session: session_module.Session) -> None:
-        """Announce an executor anew once it answers again."""
-        self._announced.pop(session.executor_id, None)
-
     def tick(self) -> None:
         """Give up executors that left, and those that never came."""
         now_s = clock.elapsed_s()
@@ -214,7 +221,7 @@
                 if session is not None and left:
                     self._drop(session)
 
-    def lapsed(self) -> list[str]:
+    def take_lapsed(self) -> list[str]:
         """Return awaited executors whose runs have surely ended."""
         lease_s = self._site.bounds.max_lease_s * (
             1 + session_module.SLOW_CLOCK_SHARE
--- /dev/null
+++ b/src/knapweedwharf/fleet/reports.py
@@ -0,0 +1,132 @@
+"""What executors report, and what their silence means."""
+
+from __future__ import annotations
+
+from knapweedwharf.core import event
+from knapweedwharf.core import workflow
+from knapweedwharf.fleet import attempt as attempt_module
+from knapweedwharf.fleet import board as board_module
+from knapweedwharf.fleet import ledger as ledger_module
+from knapweedwharf.fleet import model
+from knapweedwharf.fleet import orders as orders_module
+from knapweedwharf.fleet import session as session_module
+from knapweedwharf import log
+
+Touched = dict[str, attempt_module.Attempt]
+
+
+class Reports:
+    """Compares executors' lists with the board."""
+
+    def __init__(
+        self,
+        *,
+        board: board_module.Board,
+        ledger: ledger_module.Ledger,
+        orders: orders_module.Orders,
+        tell: orders_module.Tell,
+    ) -> None:
+        self._board = board
+        self._ledger = ledger
+        self._orders = orders
+        self._tell = tell
+        self._log = log.get("reports")
+
+    def take(
+        self,
+        session: session_module.Session,
+        report: model.Report,
+        asked_s: float,
+    ) -> None:
+        """Take an executor's report.
+
+        :param asked_s: when it was asked for.
+        """
+        touched: Touched = {}
+        self._take_ends(session, report, touched)
+        present = {(run.task_id, run.run) for run in report.runs}
+        for run in report.runs:
+            self._take_run(session, run, touched)
+        for attempt, member in self._board.members_on(session.executor_id):
+            listed = (member.task_id, attempt.run) in present
+            if not listed and member.is_absent(asked_s):
+                self._lost(attempt, member, touched)
+        self._settle(touched)
+
+    def _take_ends(
+        self,
+        session: session_module.Session,
+        report: model.Report,
+        touched: Touched,
+    ) -> None:
+        jobs: dict[str, None] = {}
+        for end in report.ends:
+            if end.number <= session.seen_end:
+                continue
+            session.seen_end = end.number
+            jobs[workflow.job_id_of(end.task_id)] = None
+            held = self._board.member(
+                session.executor_id, end.task_id, end.run
+            )
+            if held is None:
+                # A gang's other members may have told of its end.
+                continue
+            attempt, member = held
+            self._orders.end(attempt, member, end.how, end.checkpoint)
+            touched[attempt.attempt_id] = attempt
+        self._settle(touched)
+        for attempt in touched.values():
+            self._ledger.mark(attempt.job.job_id)
+        if session.seen_end > session.noted_end:
+            session.note(list(jobs), self._ledger.when_stored)
+
+    def _take_run(
+        self,
+        session: session_module.Session,
+        run: model.Run,
+        touched: Touched,
+    ) -> None:
+        held = self._board.member(session.executor_id, run.task_id, run.run)
+        if held is None:
+            if not self._board.has_ended(run.task_id):
+                self._orders.stop_stray(session, run.task_id, run.run)
+            return
+        attempt, member = held
+        if run.checkpoint:
+            attempt.part.checkpoint = run.checkpoint
+        if member.phase == attempt_module.ORDERED and not member.stop_sent:
+            self._orders.started(attempt, member)
+            touched[attempt.attempt_id] = attempt
+
+    def executor_over(self, executor_id: str) -> None:
+        """Take note that nothing runs on an executor any more."""
+        self._log.warning("executor-gone", executor=executor_id)
+        touched: Touched = {}
+        for attempt, member in self._board.members_on(executor_id):
+            self._lost(attempt, member, touched)
+        self._settle(touched)
+
+    def gone(self, session: session_module.Session) -> None:
+        """Forget an executor on which nothing can run any more."""
+        self.executor_over(session.executor_id)
+        gone = event.WorkerGone(session.executor_id)
+        self._tell(session.executor.service, gone)
+
+    def barred(self, session: session_module.Session) -> None:
+        """Let an executor get no new work."""
+        lost = event.WorkerLost(session.executor_id)
+        self._tell(session.executor.service, lost)
+
+    def _lost(
+        self,
+        attempt: attempt_module.Attempt,
+        member: attempt_module.Member,
+        touched: Touched,
+    ) -> None:
+        how = model.LAPSED if attempt.told_started else model.REFUSED
+        self._orders.end(attempt, member, how)
+        touched[attempt.attempt_id] = attempt
+
+    def _settle(self, touched: Touched) -> None:
+        for attempt in list(touched.values()):
+            self._orders.settle(attempt)
--- a/src/knapweedwharf/fleet/session.py
+++ b/src/knapweedwharf/fleet/session.py
@@ -48,7 +48,7 @@
     """What a session tells its owner.
 
     :ivar reported: an executor's report, and when it was asked for.
-    :ivar silent: it does not answer.
+    :ivar barred: it is to get no new work.
     :ivar gone: nothing of it can run any more.
     :ivar fenced: it has seen a newer epoch.
     :ivar may_order: whether the owner's lease still holds.
@@ -56,7 +56,7 @@
     """
 
     reported: abc.Callable[[Session, model.Report, float], None]
-    silent: abc.Callable[[Session], None]
+    barred: abc.Callable[[Session], None]
     gone: abc.Callable[[Session], None]
     fenced: abc.Callable[[], None]
     may_order: abc.Callable[[], bool]
@@ -82,6 +82,9 @@
     :ivar noted_end: number up to which its ends are stored.
     :ivar seen_end: number up to which its ends were taken.
     :ivar listed: whether its entry is in the store.
+    :ivar is_silent: it does not answer now.
+    :ivar was_silent: the engine took it for lost and is to hear of its
+        return.
     """
 
     def __init__(
@@ -99,6 +102,7 @@
         self.listed = True
         self.sealed = False
         self.is_silent = False
+        self.was_silent = False
         self._client = client
         self._epoch = epoch
         self._bounds = bounds
@@ -230,8 +234,9 @@
         if self.is_silent or self._failures < SILENT_AFTER_FAILURES:
             return
         self.is_silent = True
+        self.was_silent = True
         self._log.warning("executor-silent", why=fault.code)
-        self._hooks.silent(self)
+        self._hooks.barred(self)
 
     def _has_lapsed(self) -> bool:
         lease_s = self._bounds.max_lease_s * (1 + SLOW_CLOCK_SHARE)
--- a/src/knapweedwharf/fleet/watcher.py
+++ b/src/knapweedwharf/fleet/watcher.py
@@ -18,6 +18,11 @@
 """An outage ends within half a second of being noticed."""
 
 
+WAITED_SHARE = 0.95
+"""Share of a wait without changes that has surely passed at the store;
+its clock may run a little faster than ours."""
+
+
 class Watcher:
     """Tells an owner what lies under a prefix and what changes there.
 
@@ -26,8 +31,8 @@
     :param on_listing: called with everything, at first and whenever the
         changes in between are lost.
     :param on_changes: called with each batch of changes.
-    :ivar confirmed_s: when the question was sent whose answer last
-        confirmed what is known.
+    :ivar confirmed_s: a moment at which what is known was surely the
+        newest: the question was sent then, or its wait was about over.
     """
 
     def __init__(
@@ -48,6 +53,7 @@
         self._task: asyncio.Task | None = None
         self._revision = 0
         self._lost = False
+        self._answered_s: float | None = None
         self.confirmed_s: float | None = None
 
     async def start(self) -> None:
@@ -75,7 +81,7 @@
             sent_s = clock.elapsed_s()
             fault = await self._step()
             if fault is None:
-                self.confirmed_s = sent_s
+                self.confirmed_s = max(sent_s, self._answered_s or 0.0)
                 waits = backoff.Backoff(
                     first_s=_FIRST_RETRY_S, longest_s=_LONGEST_RETRY_S
                 )
@@ -98,6 +104,7 @@
             self._revision = listed.unwrap().revision
             self._on_listing(listed.unwrap())
             return None
+        sent_s = clock.elapsed_s()
         changed = await self._store.watch(
             self._prefix, after=self._revision, wait_s=self._wait_s
         )
@@ -112,4 +119,6 @@
         self._revision = max(self._revision, changes.revision)
         if changes.items or changes.removed:
             self._on_changes(changes)
+        elif clock.elapsed_s() - sent_s >= self._wait_s:
+            self._answered_s = sent_s + WAITED_SHARE * self._wait_s
         return None
--- a/src/knapweedwharf/platform/program.py
+++ b/src/knapweedwharf/platform/program.py
@@ -1,4 +1,4 @@
-"""The process on the users' platform: its parts, start and close."""
+"""The process on the users' platform: its servers, signals and settings."""
 
 from __future__ import annotations
 
@@ -8,11 +8,9 @@
 
 from returns import result
 
-from knapweedwharf.fleet import desired as desired_module
 from knapweedwharf.fleet import door as door_module
-from knapweedwharf.fleet import election as election_module
 from knapweedwharf.fleet import model
-from knapweedwharf.fleet import tenure as tenure_module
+from knapweedwharf.fleet import node as node_module
 from knapweedwharf import log
 from knapweedwharf.platform import decode
 from knapweedwharf.platform import executors as executors_module
@@ -54,39 +52,36 @@
         self._log = log.get("program")
         self.draining = False
         self.in_flight = 0
-        self.store = store_module.Store(
+        self._store = store_module.Store(
             site.store_address, timeout_s=STORE_TIMEOUT_S
         )
-        self.executors = executors_module.Executors(timeout_s=ORDER_TIMEOUT_S)
-        self.desired = desired_module.DesiredState(
-            store=self.store, catalogue=CATALOGUE, bounds=site.bounds
-        )
-        self.door = door_module.Door(
-            store=self.store, desired=self.desired, catalogue=CATALOGUE
-        )
-        self.election = election_module.Election(
-            site=site,
-            store=self.store,
-            on_won=self._won,
-            on_lost=self._lost,
+        self._executors = executors_module.Executors(timeout_s=ORDER_TIMEOUT_S)
+        self.node = node_module.Node(
+            site,
+            store=self._store,
+            executors=self._executors,
+            catalogue=CATALOGUE,
         )
-        self.tenure: tenure_module.Tenure | None = None
         self._frontend = ingress_module.frontend(self)
         self._readiness = ingress_module.readiness(self)
         self._stopped = asyncio.Event()
-        self._tasks: set[asyncio.Task] = set()
+        self._tasks: list[asyncio.Task] = []
+
+    @property
+    def door(self) -> door_module.Door:
+        """What callers' calls are answered by."""
+        return self.node.door
 
     @property
     def is_ready(self) -> bool:
         """Whether new connections are welcome."""
-        return not self.draining and self.desired.is_fresh
+        return not self.draining and self.node.desired.is_fresh
 
     async def start(self) -> None:
         """Start every part."""
         _listen(self._frontend, self.site.frontend_address)
         _listen(self._readiness, self.site.readiness_address)
-        await self.desired.start()
-        await self.election.start()
+        await self.node.start()
         self._log.info(
             "started",
             data_centre=self.site.data_centre,
@@ -100,49 +95,22 @@
         loop.add_signal_handler(signal.SIGINT, self._terminate)
         loop.add_signal_handler(signal.SIGHUP, self._reload, "signal")
         await self.start()
-        self._spawn(self._follow_settings())
+        self._tasks.append(asyncio.create_task(self._follow_settings()))
         await self._stopped.wait()
         await self.close()
 
     async def close(self) -> None:
         """Close every part."""
-        await self.election.close()
-        if self.tenure is not None:
-            await self.tenure.close()
-        for task in list(self._tasks):
+        for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
-        await self.desired.close()
+        await self.node.close()
         self._frontend.stop()
         self._readiness.stop()
-        self.executors.close()
-        self.store.close()
+        self._executors.close()
+        self._store.close()
         self._log.info("stopped", in_flight=self.in_flight)
 
-    def _spawn(self, work) -> None:
-        task = asyncio.create_task(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
-    # Ownership
-
-    def _won(self, ownership: election_module.Ownership) -> None:
-        self.tenure = tenure_module.Tenure(
-            site=self.site,
-            store=self.store,
-            client=self.executors,
-            catalogue=CATALOGUE,
-            desired=self.desired,
-            election=self.election,
-            ownership=ownership,
-        )
-        self._spawn(self.tenure.start())
-
-    def _lost(self, _why: str) -> None:
-        tenure, self.tenure = self.tenure, None
-        if tenure is not None:
-            self._spawn(tenure.close())
-
     # Signals
 
     def _terminate(self) -> None:
@@ -150,14 +118,14 @@
             return
         self.draining = True
         self._log.info("draining", in_flight=self.in_flight)
-        self._spawn(self._drain())
+        self._tasks.append(asyncio.create_task(self._drain()))
 
     async def _drain(self) -> None:
         """Hand the ownership over; serve until shortly before the end.
 
         Callers use open connections until the process is gone.
         """
-        await self.election.resign()
+        await self.node.resign()
         await asyncio.sleep(self.site.bounds.grace_period_s - EXIT_MARGIN_S)
         self._stopped.set()
 
@@ -167,9 +135,9 @@
             for fault in read.failure():
                 self._log.error("settings-refused", why=str(fault))
             return
-        if read.unwrap() != self.site:
-            self._log.info("settings-changed", why=why)
-            self.site = read.unwrap()
+        changed = read.unwrap() != self.site
+        self._log.info("settings-read", why=why, changed=changed)
+        self.site = read.unwrap()
 
     async def _follow_settings(self) -> None:
         changed_at = self._changed_at()
--- /dev/null
+++ b/testing/fleet/fake_executors.py
@@ -0,0 +1,259 @@
+"""Executors in memory: fence, leases, gangs and faulty answers.
+
+A task's specification says how it behaves: ``{"run_s": 2, "gang": 3,
+"ends": "done"}``.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import json
+
+from returns import result
+
+from knapweedwharf import errors
+from knapweedwharf.fleet import model
+from knapweedwharf.platform import executors as platform_executors
+
+ANSWER_S = 0.002
+CALL_TIMEOUT_S = 0.7
+_UNKNOWN = errors.OutcomeUnknown(message="No answer.", remedy="Ask again.")
+_FENCED = errors.Fenced(message="Newer epoch.", remedy="Stop.")
+
+
+@dataclasses.dataclass
+class RunState:
+    """A run at work."""
+
+    order: model.Order
+    begun_s: float
+    behaviour: dict
+
+
+@dataclasses.dataclass(frozen=True)
+class Story:
+    """What happened to one run, for checks."""
+
+    task_id: str
+    run: int
+    executor_id: str
+    begun_s: float
+    ended_s: float
+    how: str
+
+
+class FakeExecutor:
+    """One executor.
+
+    :ivar silent: nothing is carried out or answered.
+    :ivar lose_starts: so many next starts are done and not answered.
+    :ivar late_s: unanswered starts are carried out so much later.
+    """
+
+    def __init__(self, spec: model.Executor, pool: Pool) -> None:
+        self.spec = spec
+        self.pool = pool
+        self.epoch = 0
+        self.lease_until_ms = 0
+        self.runs: dict[tuple[str, int], RunState] = {}
+        self.ends: list[model.End] = []
+        self.number = 0
+        self.stopped: dict[str, int] = {}
+        self.silent = False
+        self.lose_starts = 0
+        self.late_s = 0.0
+        self.changed = asyncio.Condition()
+
+    def clock_ms(self) -> int:
+        """Return the executor's clock; it began at 5 s."""
+        return int(asyncio.get_running_loop().time() * 1000) + 5000
+
+    async def advance(self) -> None:
+        """End what is done or has lapsed."""
+        now_s = asyncio.get_running_loop().time()
+        for key, state in list(self.runs.items()):
+            if self.clock_ms() >= self.lease_until_ms:
+                await self.finish(key, model.LAPSED)
+            elif self.pool.is_due(key, state, now_s):
+                await self.finish(key, state.behaviour.get("ends", "done"))
+
+    async def finish(self, key: tuple[str, int], how: str) -> None:
+        """End a run."""
+        state = self.runs.pop(key)
+        self.number += 1
+        self.stopped[key[0]] = max(self.stopped.get(key[0], 0), key[1])
+        self.ends.append(model.End(self.number, key[0], key[1], how, ""))
+        now_s = asyncio.get_running_loop().time()
+        self.pool.stories.append(
+            Story(
+                key[0],
+                key[1],
+                self.spec.executor_id,
+                state.begun_s,
+                now_s,
+                how,
+            )
+        )
+        async with self.changed:
+            self.changed.notify_all()
+
+    def start(self, order: model.Order) -> errors.Fault | None:
+        """Begin a run, or tell why not."""
+        if order.epoch < self.epoch:
+            return _FENCED
+        self.epoch = order.epoch
+        key = (order.task_id, order.run)
+        if key in self.runs:
+            return None
+        if order.not_after_ms < self.clock_ms():
+            return _refused("late")
+        if order.run <= self.stopped.get(order.task_id, 0):
+            return _refused("old")
+        behaviour = json.loads(order.specification)
+        if len(self.runs) >= behaviour.get("slots", 8):
+            return _refused("room")
+        self.lease_until_ms = max(self.lease_until_ms, order.not_after_ms)
+        now_s = asyncio.get_running_loop().time()
+        self.runs[key] = RunState(order, now_s, behaviour)
+        self.pool.starts.append((now_s, self.spec.executor_id, key))
+        return None
+
+
+def _refused(reason: str) -> errors.Fault:
+    return platform_executors.StartRefused("Refused.", "Elsewhere.", reason)
+
+
+class Pool:
+    """All executors, and the client with which the fleet calls them.
+
+    :ivar stories: runs that have ended, in order.
+    :ivar starts: (time, executor id, (task, run)) of each start.
+    """
+
+    def __init__(self) -> None:
+        self.executors: dict[str, FakeExecutor] = {}
+        self.stories: list[Story] = []
+        self.starts: list[tuple[float, str, tuple[str, int]]] = []
+        self._tasks: set[asyncio.Task] = set()
+
+    def add(self, spec: model.Executor) -> FakeExecutor:
+        """Add an executor."""
+        executor = FakeExecutor(spec, self)
+        self.executors[spec.executor_id] = executor
+        return executor
+
+    def is_due(self, key: tuple[str, int], state: RunState, now_s) -> bool:
+        """Tell whether a run ends by itself now."""
+        gang = state.behaviour.get("gang", 1)
+        begun_s = state.begun_s
+        if gang > 1:
+            part = key[0].rsplit(".", 1)[0]
+            members = [
+                other.begun_s
+                for executor in self.executors.values()
+                for (task_id, run), other in executor.runs.items()
+                if run == key[1] and task_id.rsplit(".", 1)[0] == part
+            ]
+            done = any(
+                s.how == "done"
+                and s.run == key[1]
+                and s.task_id.rsplit(".", 1)[0] == part
+                for s in self.stories
+            )
+            if done:
+                return True
+            if len(members) < gang:
+                return False
+            begun_s = max(members)
+        return now_s - begun_s >= state.behaviour.get("run_s", 1.0)
+
+    async def run_forever(self) -> None:
+        """Let time pass on every executor."""
+        while True:
+            await asyncio.sleep(0.01)
+            for executor in list(self.executors.values()):
+                await executor.advance()
+
+    # The client
+
+    async def renew(
+        self,
+        executor: model.Executor,
+        *,
+        epoch: int,
+        lease_until_ms: int,
+        noted_end: int,
+        wait_s: float,
+    ):
+        """Answer a renewal."""
+        found = self.executors.get(executor.executor_id)
+        await asyncio.sleep(ANSWER_S)
+        if found is None or found.silent:
+            await asyncio.sleep(wait_s + CALL_TIMEOUT_S)
+            return result.Failure(_UNKNOWN)
+        if epoch < found.epoch:
+            return result.Failure(_FENCED)
+        found.epoch = epoch
+        await found.advance()
+        found.lease_until_ms = max(found.lease_until_ms, lease_until_ms)
+        found.ends = [e for e in found.ends if e.number > noted_end]
+        if wait_s and not found.ends:
+            try:
+                async with asyncio.timeout(wait_s), found.changed:
+                    await found.changed.wait()
+            except TimeoutError:
+                await found.advance()
+        if found.silent:
+            await asyncio.sleep(CALL_TIMEOUT_S)
+            return result.Failure(_UNKNOWN)
+        rows = [model.Run(t, r, "", 50) for t, r in found.runs]
+        return result.Success(
+            model.Report(
+                found.clock_ms(),
+                found.spec.incarnation_ms,
+                tuple(rows),
+                tuple(found.ends),
+            )
+        )
+
+    async def start(self, executor: model.Executor, order: model.Order):
+        """Answer a start."""
+        found = self.executors.get(executor.executor_id)
+        await asyncio.sleep(ANSWER_S)
+        if found is None or found.silent:
+            await asyncio.sleep(CALL_TIMEOUT_S)
+            return result.Failure(_UNKNOWN)
+        if found.lose_starts:
+            found.lose_starts -= 1
+            task = asyncio.create_task(self._start_late(found, order))
+            self._tasks.add(task)
+            await asyncio.sleep(CALL_TIMEOUT_S)
+            return result.Failure(_UNKNOWN)
+        fault = found.start(order)
+        if fault is not None:
+            return result.Failure(fault)
+        return result.Success(found.clock_ms())
+
+    async def _start_late(self, found: FakeExecutor, order) -> None:
+        await asyncio.sleep(found.late_s)
+        found.start(order)
+
+    async def stop(
+        self, executor: model.Executor, *, task_id: str, run: int, epoch: int
+    ):
+        """Answer a stop."""
+        found = self.executors.get(executor.executor_id)
+        await asyncio.sleep(ANSWER_S)
+        if found is None or found.silent:
+            await asyncio.sleep(CALL_TIMEOUT_S)
+            return result.Failure(_UNKNOWN)
+        if epoch < found.epoch:
+            return result.Failure(_FENCED)
+        found.stopped[task_id] = max(found.stopped.get(task_id, 0), run)
+        if (task_id, run) in found.runs:
+            await found.finish((task_id, run), model.STOPPED)
+        return result.Success(found.clock_ms())
+
+    def close(self) -> None:
+        """Nothing is kept open."""
--- /dev/null
+++ b/testing/fleet/fake_store.py
@@ -0,0 +1,247 @@
+"""A store in memory, with a faulty path from each VM."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+
+from returns import result
+
+from knapweedwharf import errors
+from knapweedwharf.fleet import model
+from knapweedwharf.platform import store as platform_store
+
+ANSWER_S = 0.004
+_UNREACHABLE = errors.Unreachable(message="Nothing sent.", remedy="Wait.")
+_UNKNOWN = errors.OutcomeUnknown(message="No answer.", remedy="Ask again.")
+_GONE = errors.NotFound(message="Gone.", remedy="List again.")
+
+
+class StoreState:
+    """Entries, leases and history that all VMs share."""
+
+    def __init__(self) -> None:
+        self.items: dict[str, model.Item] = {}
+        self.revision = 1
+        self.history: list[tuple[int, model.Item | str]] = []
+        self.forgotten = 0
+        self.leases: dict[int, tuple[float, float]] = {}
+        self.leased: dict[str, int] = {}
+        self.changed = asyncio.Condition()
+        self.commits = 0
+
+    def put(self, key: str, value: bytes, lease_id: int = 0) -> None:
+        """Write a key at the present revision."""
+        item = model.Item(key, value, self.revision)
+        self.items[key] = item
+        self.history.append((self.revision, item))
+        if lease_id:
+            self.leased[key] = lease_id
+
+    def remove(self, key: str) -> None:
+        """Remove a key, if it is there."""
+        if self.items.pop(key, None) is not None:
+            self.leased.pop(key, None)
+            self.history.append((self.revision, key))
+
+    async def operator_writes(self, key: str, value: bytes) -> int:
+        """Write as somebody outside of the fleet does."""
+        self.revision += 1
+        self.put(key, value)
+        await self.notify()
+        return self.revision
+
+    async def outsider_removes(self, key: str) -> None:
+        """Remove as somebody outside of the fleet does."""
+        self.revision += 1
+        self.remove(key)
+        await self.notify()
+
+    async def notify(self) -> None:
+        """Wake the watches."""
+        async with self.changed:
+            self.changed.notify_all()
+
+    def forget_history(self) -> None:
+        """Drop the history; watches must list again."""
+        self.forgotten = self.revision
+        self.history.clear()
+
+    async def expire(self) -> None:
+        """End leases that were not renewed."""
+        now_s = asyncio.get_running_loop().time()
+        for lease_id, (ends_s, _ttl_s) in list(self.leases.items()):
+            if ends_s <= now_s:
+                await self.end_lease(lease_id)
+
+    async def end_lease(self, lease_id: int) -> None:
+        """End a lease and remove its keys."""
+        del self.leases[lease_id]
+        keys = [k for k, owner in self.leased.items() if owner == lease_id]
+        self.revision += 1
+        for key in keys:
+            self.remove(key)
+        await self.notify()
+
+    def commit(self, commit: model.Commit) -> int | model.Mismatch:
+        """Carry out a transaction."""
+        absent = {k: model.Item(k, b"", 0) for k in commit.expected}
+        current = {k: self.items.get(k, absent[k]) for k in commit.expected}
+        for key, revision in commit.expected.items():
+            if current[key].revision != revision:
+                return model.Mismatch(current)
+        self.revision += 1
+        self.commits += 1
+        for write in commit.writes:
+            self.put(write.key, write.value, write.lease_id)
+        for key in commit.removes:
+            self.remove(key)
+        return self.revision
+
+
+@dataclasses.dataclass
+class Path:
+    """Faults between one VM and the store.
+
+    :ivar refused: every call is turned away.
+    :ivar silent: no call is carried out or answered.
+    :ivar lose_answers: so many next commits are done and not answered.
+    :ivar late_s: unanswered commits are carried out so much later.
+    """
+
+    refused: bool = False
+    silent: bool = False
+    lose_answers: int = 0
+    late_s: float = 0.0
+
+
+class FakeStore:
+    """The store as one VM sees it."""
+
+    def __init__(self, state: StoreState, *, timeout_s: float = 1.0) -> None:
+        self.state = state
+        self.path = Path()
+        self._timeout_s = timeout_s
+        self._late: set[asyncio.Task] = set()
+
+    async def _reach(self, timeout_s: float) -> errors.Fault | None:
+        await asyncio.sleep(ANSWER_S)
+        await self.state.expire()
+        if self.path.refused:
+            return _UNREACHABLE
+        if self.path.silent:
+            await asyncio.sleep(timeout_s or self._timeout_s)
+            return _UNKNOWN
+        return None
+
+    async def read(self, key: str, *, timeout_s: float = 0.0):
+        """Read one key."""
+        fault = await self._reach(timeout_s)
+        if fault is not None:
+            return result.Failure(fault)
+        return result.Success(self.state.items.get(key))
+
+    async def list(self, prefix: str, *, timeout_s: float = 0.0):
+        """Read every entry under a prefix."""
+        fault = await self._reach(timeout_s)
+        if fault is not None:
+            return result.Failure(fault)
+        items = [
+            i for k, i in self.state.items.items() if k.startswith(prefix)
+        ]
+        listing = model.Listing(tuple(items), self.state.revision)
+        return result.Success(listing)
+
+    async def watch(self, prefix: str, *, after: int, wait_s: float):
+        """Wait for changes under a prefix."""
+        fault = await self._reach(wait_s)
+        if fault is not None:
+            return result.Failure(fault)
+        if after < self.state.forgotten:
+            return result.Failure(_GONE)
+        try:
+            async with asyncio.timeout(wait_s):
+                while not self._changes(prefix, after):
+                    async with self.state.changed:
+                        await self.state.changed.wait()
+        except TimeoutError:
+            await self.state.expire()
+        if self.path.refused or self.path.silent:
+            return result.Failure(_UNKNOWN)
+        if after < self.state.forgotten:
+            return result.Failure(_GONE)
+        found = self._changes(prefix, after)
+        return result.Success(
+            model.Changes(
+                tuple(c for c in found if isinstance(c, model.Item)),
+                tuple(c for c in found if isinstance(c, str)),
+                self.state.revision,
+            )
+        )
+
+    def _changes(self, prefix: str, after: int) -> list[model.Item | str]:
+        return [
+            change
+            for revision, change in self.state.history
+            if revision > after
+            and getattr(change, "key", change).startswith(prefix)
+        ]
+
+    async def commit(self, commit: model.Commit, *, timeout_s: float = 0.0):
+        """Carry out a transaction."""
+        if self.path.lose_answers:
+            self.path.lose_answers -= 1
+            task = asyncio.create_task(self._carry_out_late(commit))
+            self._late.add(task)
+            task.add_done_callback(self._late.discard)
+            await asyncio.sleep(timeout_s or self._timeout_s)
+            return result.Failure(_UNKNOWN)
+        fault = await self._reach(timeout_s)
+        if fault is not None:
+            return result.Failure(fault)
+        outcome = self.state.commit(commit)
+        if isinstance(outcome, model.Mismatch):
+            return result.Failure(
+                platform_store.ConditionFailed("Changed.", "Again.", outcome)
+            )
+        await self.state.notify()
+        return result.Success(outcome)
+
+    async def _carry_out_late(self, commit: model.Commit) -> None:
+        await asyncio.sleep(self.path.late_s)
+        self.state.commit(commit)
+        await self.state.notify()
+
+    async def grant(self, ttl_s: float):
+        """Grant a lease."""
+        fault = await self._reach(0.0)
+        if fault is not None:
+            return result.Failure(fault)
+        lease_id = len(self.state.leases) + 1000 + self.state.revision
+        now_s = asyncio.get_running_loop().time()
+        self.state.leases[lease_id] = (now_s + ttl_s, ttl_s)
+        return result.Success(lease_id)
+
+    async def renew(self, lease_id: int, *, timeout_s: float = 0.0):
+        """Renew a lease."""
+        fault = await self._reach(timeout_s)
+        if fault is not None:
+            return result.Failure(fault)
+        if lease_id not in self.state.leases:
+            return result.Failure(_GONE)
+        ttl_s = self.state.leases[lease_id][1]
+        now_s = asyncio.get_running_loop().time()
+        self.state.leases[lease_id] = (now_s + ttl_s, ttl_s)
+        return result.Success(None)
+
+    async def end(self, lease_id: int):
+        """End a lease."""
+        fault = await self._reach(0.0)
+        if fault is not None:
+            return result.Failure(fault)
+        if lease_id in self.state.leases:
+            await self.state.end_lease(lease_id)
+        return result.Success(None)
+
+    def close(self) -> None:
+        """Nothing is kept open."""
--- /dev/null
+++ b/testing/fleet/scene.py
@@ -0,0 +1,249 @@
+"""A fleet of VMs on virtual time, with a store and executors in memory."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import abc
+import dataclasses
+import json
+
+from knapweedwharf.core import workflow
+from knapweedwharf.fleet import clock
+from knapweedwharf.fleet import door as door_module
+from knapweedwharf.fleet import model
+from knapweedwharf.fleet import node as node_module
+from standins import virtual_time
+from testing.fleet import fake_executors
+from testing.fleet import fake_store
+
+CONFIG_KEY = "operator/config"
+EXECUTORS = "executors/"
+HOST = "queue.example"
+PREFIX = "/q/"
+URGENT_PREFIX = "/u/"
+UNIX_AT_START_S = 1_700_000_000.0
+BOUNDS = model.Bounds()
+
+
+def desired(
+    *, keys: abc.Iterable[str] = ("key",), guaranteed: int = 0, attempts=3
+) -> bytes:
+    """Return a desired state of one account with two queues."""
+    return json.dumps(
+        {"keys": list(keys), "guaranteed": guaranteed, "attempts": attempts}
+    ).encode()
+
+
+def _decode_desired(value: bytes, revision: int) -> model.Desired:
+    document = json.loads(value)
+    keys = frozenset(document["keys"])
+    account = model.Account("acme", keys, document["guaranteed"])
+    return model.Desired(
+        revision=revision,
+        version=revision,
+        routes=tuple(
+            model.Route(
+                name=prefix.strip("/"),
+                host=HOST,
+                prefix=prefix,
+                service="pool",
+                priority=priority,
+                max_attempts=document["attempts"],
+            )
+            for prefix, priority in ((PREFIX, 1), (URGENT_PREFIX, 0))
+        ),
+        services={"pool": model.Service("pool")},
+        accounts={"acme": account},
+        account_by_key=dict.fromkeys(keys, "acme"),
+    )
+
+
+def _decode_executor(_executor_id: str, value: bytes) -> model.Executor:
+    document = json.loads(value)
+    document["labels"] = tuple(document["labels"])
+    return model.Executor(**document)
+
+
+CATALOGUE = model.Catalogue(
+    config_key=CONFIG_KEY,
+    operator_prefix="operator/",
+    executor_prefix=EXECUTORS,
+    decode_desired=_decode_desired,
+    decode_executor=_decode_executor,
+)
+
+
+def step(**fields) -> workflow.Step:
+    """Return a step of small tasks."""
+    defaults = {
+        "tasks": 1,
+        "cores_milli": 1000,
+        "memory_mib": 1000,
+        "accelerators": 1,
+        "expected_run_s": 1.0,
+    }
+    return workflow.Step(**{**defaults, **fields})
+
+
+class Vm:
+    """One VM with a path of its own to the store."""
+
+    def __init__(self, name: str, scene: Scene) -> None:
+        self.store = fake_store.FakeStore(scene.store)
+        site = model.Site(name, "dc", "", "", "", "", bounds=BOUNDS)
+        self.node = node_module.Node(
+            site,
+            store=self.store,
+            executors=scene.pool,
+            catalogue=CATALOGUE,
+        )
+
+    @property
+    def is_owner(self) -> bool:
+        """Whether it schedules."""
+        return self.node.election.ownership is not None
+
+    async def kill(self) -> None:
+        """End it as a power cut does: nothing more is sent."""
+        self.store.path.refused = True
+        await self.node.close()
+
+
+class Scene:
+    """The store, the executors and some VMs."""
+
+    def __init__(self) -> None:
+        self.store = fake_store.StoreState()
+        self.pool = fake_executors.Pool()
+        self.vms: list[Vm] = []
+        self._next_id = 0
+
+    async def open(self, *, vms: int, executors: int, **fields) -> None:
+        """Start everything and wait for an owner."""
+        self._time = asyncio.create_task(self.pool.run_forever())
+        await self.store.operator_writes(CONFIG_KEY, desired(**fields))
+        for number in range(executors):
+            await self.add_executor(f"e{number}", rack=f"r{number // 2}")
+        for number in range(vms):
+            vm = Vm(f"vm-{number}", self)
+            self.vms.append(vm)
+            await vm.node.start()
+        await self.until(lambda: self.owner is not None)
+        await asyncio.sleep(0.3)
+
+    async def close(self) -> None:
+        """End everything."""
+        for vm in self.vms:
+            await vm.node.close()
+        self._time.cancel()
+
+    async def add_executor(self, executor_id: str, *, rack: str, **fields):
+        """Add an executor and its entry."""
+        spec = model.Executor(
+            executor_id=executor_id,
+            address="",
+            service="pool",
+            data_centre="dc",
+            state=model.READY,
+            cores_milli=32_000,
+            memory_mib=64_000,
+            accelerators=8,
+            labels=("a", rack),
+            incarnation_ms=1,
+        )
+        spec = dataclasses.replace(spec, **fields)
+        self.pool.add(spec)
+        await self.list_executor(spec)
+
+    async def list_executor(self, spec: model.Executor) -> None:
+        """Write an executor's entry."""
+        value = json.dumps(dataclasses.asdict(spec)).encode()
+        await self.store.operator_writes(EXECUTORS + spec.executor_id, value)
+
+    @property
+    def owner(self) -> Vm | None:
+        """The VM that schedules, if there is one."""
+        return next((vm for vm in self.vms if vm.is_owner), None)
+
+    def bystander(self) -> Vm:
+        """Return a VM that does not schedule."""
+        return next(vm for vm in self.vms if not vm.is_owner)
+
+    async def until(self, condition, *, within_s: float = 30.0) -> None:
+        """Wait until something holds; fails after ``within_s``."""
+        async with asyncio.timeout(within_s):
+            while not condition():
+                await asyncio.sleep(0.01)
+
+    # Calls
+
+    def call(
+        self, job_id: str, *, key: str = "key", prefix=PREFIX, wait_s=3.0
+    ) -> door_module.Call:
+        """Return a call that waits for ``wait_s``."""
+        until_s = clock.elapsed_s() + wait_s
+        return door_module.Call(HOST, prefix + job_id, key, until_s)
+
+    async def submit(
+        self, vm: Vm, *steps: workflow.Step, behaviour=None, prefix=PREFIX
+    ):
+        """Submit a job; returns its id and the outcome."""
+        self._next_id += 1
+        job_id = f"{self._next_id:016x}"
+        outcome = await vm.node.door.submit(
+            self.call(job_id, prefix=prefix),
+            specification=json.dumps(behaviour or {}),
+            steps=steps,
+        )
+        return job_id, outcome
+
+    async def state(self, job_id: str, vm: Vm | None = None) -> str:
+        """Return the state that callers are shown."""
+        vm = vm or self.vms[-1]
+        shown = await vm.node.door.state(self.call(job_id))
+        return shown.unwrap()
+
+    async def until_state(
+        self, job_id: str, state: str, *, vm=None, within_s: float = 30.0
+    ) -> None:
+        """Wait until callers are shown a state."""
+        async with asyncio.timeout(within_s):
+            while await self.state(job_id, vm) != state:
+                await asyncio.sleep(0.05)
+
+    # Checks
+
+    def runs_of(self, job_id: str) -> list[fake_executors.Story]:
+        """Return the ended runs of a job."""
+        return [s for s in self.pool.stories if s.task_id.startswith(job_id)]
+
+    def check_once(self) -> None:
+        """Fail if runs of a task overlap, or one begins after its end."""
+        by_task: dict[str, list[fake_executors.Story]] = {}
+        for story in self.pool.stories:
+            by_task.setdefault(story.task_id, []).append(story)
+        for task_id, stories in by_task.items():
+            stories.sort(key=lambda story: story.begun_s)
+            for first, second in zip(stories, stories[1:]):
+                assert first.ended_s <= second.begun_s, task_id
+                assert first.how != model.DONE, task_id
+
+
+def play(main, monkeypatch) -> None:
+    """Run a scene on virtual time; every clock follows it."""
+
+    def now_s() -> float:
+        return asyncio.get_running_loop().time()
+
+    monkeypatch.setattr(clock, "elapsed_s", now_s)
+    monkeypatch.setattr(clock, "unix_s", lambda: UNIX_AT_START_S + now_s())
+
+    async def whole() -> None:
+        scene = Scene()
+        try:
+            await main(scene)
+        finally:
+            await scene.close()
+        scene.check_once()
+
+    virtual_time.run(whole())
--- /dev/null
+++ b/testing/fleet/test_faults.py
@@ -0,0 +1,207 @@
+"""Lost answers, silent executors, lost owners: nothing runs twice."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+
+import pytest
+
+from knapweedwharf.core import workflow
+from knapweedwharf import errors
+from knapweedwharf.fleet import model
+from testing.fleet import scene as scene_module
+
+step = scene_module.step
+
+
+def test_a_new_owner_adopts_what_runs(monkeypatch):
+    async def main(scene):
+        await scene.open(vms=3, executors=2)
+        job_id, _outcome = await scene.submit(
+            scene.vms[0], step(tasks=3), behaviour={"run_s": 8}
+        )
+        await scene.until_state(job_id, workflow.ACTIVE)
+        killed = scene.owner
+        await killed.kill()
+        survivor = next(vm for vm in scene.vms if vm is not killed)
+        await scene.until_state(job_id, workflow.COMPLETED, vm=survivor)
+        assert [s.how for s in scene.runs_of(job_id)] == [model.DONE] * 3
+
+    scene_module.play(main, monkeypatch)
+
+
+def test_a_gangs_ends_are_noted_only_once_its_end_is_stored(monkeypatch):
+    """The owner loses the store just before a gang ends."""
+
+    async def main(scene):
+        await scene.open(vms=2, executors=4)
+        job_id, _outcome = await scene.submit(
+            scene.vms[0],
+            step(tasks=4, is_gang=True, accelerators=8),
+            behaviour={"gang": 4, "run_s": 2.0},
+        )
+        await scene.until_state(job_id, workflow.ACTIVE)
+        await asyncio.sleep(1.5)
+        owner, other = scene.owner, scene.bystander()
+        owner.store.path.silent = True
+        await scene.until_state(job_id, workflow.COMPLETED, vm=other)
+        assert len(scene.runs_of(job_id)) == 4
+
+    scene_module.play(main, monkeypatch)
+
+
+def test_a_silent_executors_task_restarts_after_its_lease(monkeypatch):
+    async def main(scene):
+        await scene.open(vms=1, executors=2)
+        job_id, _outcome = await scene.submit(
+            scene.vms[0], step(), behaviour={"run_s": 20}
+        )
+        await scene.until(lambda: len(scene.pool.starts) == 1)
+        began_s, executor_id, _key = scene.pool.starts[0]
+        scene.pool.executors[executor_id].silent = True
+        await scene.until(lambda: len(scene.pool.starts) == 2)
+        assert scene.pool.starts[1][1] != executor_id
+        await scene.until_state(job_id, workflow.COMPLETED, within_s=60)
+
+    scene_module.play(main, monkeypatch)
+
+
+def test_an_executor_that_was_cut_off_gets_work_again(monkeypatch):
+    async def main(scene):
+        await scene.open(vms=1, executors=1)
+        executor = scene.pool.executors["e0"]
+        executor.silent = True
+        await asyncio.sleep(20)
+        executor.silent = False
+        job_id, _outcome = await scene.submit(scene.vms[0], step())
+        await scene.until_state(job_id, workflow.COMPLETED)
+
+    scene_module.play(main, monkeypatch)
+
+
+@pytest.mark.parametrize("late_s", [0.0, 2.0, 3.0])
+def test_a_start_without_an_answer_runs_at_most_once(monkeypatch, late_s):
+    async def main(scene):
+        await scene.open(vms=1, executors=2)
+        for executor in scene.pool.executors.values():
+            executor.lose_starts = 2
+            executor.late_s = late_s
+        job_id, _outcome = await scene.submit(
+            scene.vms[0], step(), behaviour={"run_s": 4}
+        )
+        await scene.until_state(job_id, workflow.COMPLETED)
+
+    scene_module.play(main, monkeypatch)
+
+
+def test_a_gang_with_a_lost_start_is_whole_or_not_at_all(monkeypatch):
+    async def main(scene):
+        await scene.open(vms=1, executors=4)
+        scene.pool.executors["e2"].lose_starts = 2
+        scene.pool.executors["e2"].late_s = 30.0
+        job_id, _outcome = await scene.submit(
+            scene.vms[0],
+            step(tasks=4, is_gang=True, accelerators=8),
+            behaviour={"gang": 4},
+        )
+        await scene.until_state(job_id, workflow.COMPLETED, within_s=60)
+        done = [s for s in scene.runs_of(job_id) if s.how == model.DONE]
+        assert len({s.run for s in done}) == 1
+
+    scene_module.play(main, monkeypatch)
+
+
+def test_a_submission_whose_answer_is_lost_is_one_job(monkeypatch):
+    async def main(scene):
+        await scene.open(vms=2, executors=1)
+        scene.vms[0].store.path.lose_answers = 1
+        job_id, outcome = await scene.submit(scene.vms[0], step())
+        assert outcome.unwrap() == job_id
+        await scene.until_state(job_id, workflow.COMPLETED)
+
+    scene_module.play(main, monkeypatch)
+
+
+def test_a_submission_that_may_be_stored_is_not_called_refused(monkeypatch):
+    async def main(scene):
+        await scene.open(vms=2, executors=1)
+        vm = scene.bystander()
+        vm.store.path.lose_answers, vm.store.path.late_s = 99, 5.0
+        _job_id, outcome = await scene.submit(vm, step())
+        assert isinstance(outcome.failure(), errors.OutcomeUnknown)
+
+    scene_module.play(main, monkeypatch)
+
+
+def test_a_store_that_turns_a_vm_away_means_a_true_refusal(monkeypatch):
+    async def main(scene):
+        await scene.open(vms=2, executors=1)
+        vm = scene.bystander()
+        vm.store.path.refused = True
+        job_id, outcome = await scene.submit(vm, step())
+        assert isinstance(outcome.failure(), errors.DidNotRun)
+        await asyncio.sleep(5)
+        assert not scene.runs_of(job_id)
+
+    scene_module.play(main, monkeypatch)
+
+
+def test_a_draining_executor_gets_no_start(monkeypatch):
+    async def main(scene):
+        await scene.open(vms=1, executors=2)
+        spec = scene.pool.executors["e0"].spec
+        draining = dataclasses.replace(spec, state=model.DRAINING)
+        await scene.list_executor(draining)
+        await asyncio.sleep(0.1)
+        job_id, _outcome = await scene.submit(scene.vms[0], step(tasks=8))
+        await scene.until_state(job_id, workflow.COMPLETED)
+        assert {start[1] for start in scene.pool.starts} == {"e1"}
+
+    scene_module.play(main, monkeypatch)
+
+
+def test_a_history_that_is_forgotten_hides_no_job(monkeypatch):
+    async def main(scene):
+        await scene.open(vms=2, executors=1)
+        owner, other = scene.owner, scene.bystander()
+        owner.store.path.silent = True
+        job_id, _outcome = await scene.submit(other, step())
+        scene.store.forget_history()
+        owner.store.path.silent = False
+        await scene.until_state(job_id, workflow.COMPLETED, vm=other)
+
+    scene_module.play(main, monkeypatch)
+
+
+def test_an_owner_without_the_store_gives_way_in_time(monkeypatch):
+    async def main(scene):
+        await scene.open(vms=2, executors=1)
+        first = scene.owner
+        first.store.path.refused = True
+        await asyncio.sleep(scene_module.BOUNDS.owner_lease_s)
+        assert not first.node.election.is_owner
+        await scene.until(lambda: scene.owner not in (None, first))
+
+    scene_module.play(main, monkeypatch)
+
+
+def test_guaranteed_work_starts_in_time_on_a_full_pool(monkeypatch):
+    async def main(scene):
+        await scene.open(vms=1, executors=2, guaranteed=8)
+        await scene.submit(
+            scene.vms[0], step(tasks=16), behaviour={"run_s": 30}
+        )
+        await scene.until(lambda: len(scene.pool.starts) == 16)
+        await asyncio.sleep(4)
+        asked_s = asyncio.get_running_loop().time()
+        job_id, _outcome = await scene.submit(
+            scene.vms[0],
+            step(tasks=1, accelerators=8, is_gang=True),
+            prefix=scene_module.URGENT_PREFIX,
+        )
+        await scene.until(lambda: scene.pool.starts[-1][2][0][:16] == job_id)
+        waited_s = scene.pool.starts[-1][0] - asked_s
+        assert waited_s <= scene_module.BOUNDS.reclaim_timeout_s
+
+    scene_module.play(main, monkeypatch)
--- /dev/null
+++ b/testing/fleet/test_path.py
@@ -0,0 +1,133 @@
+"""The way of a job from its submission to its end."""
+
+from __future__ import annotations
+
+import asyncio
+
+from knapweedwharf.core import workflow
+from knapweedwharf import errors
+from knapweedwharf.fleet import model
+from testing.fleet import scene as scene_module
+
+step = scene_module.step
+
+
+def test_a_job_runs_once_and_is_shown_as_completed(monkeypatch):
+    async def main(scene):
+        await scene.open(vms=2, executors=2)
+        job_id, outcome = await scene.submit(scene.vms[0], step(tasks=3))
+        assert outcome.unwrap() == job_id
+        await scene.until_state(job_id, workflow.COMPLETED)
+        assert len(scene.runs_of(job_id)) == 3
+
+    scene_module.play(main, monkeypatch)
+
+
+def test_a_step_starts_once_the_steps_before_it_are_done(monkeypatch):
+    async def main(scene):
+        await scene.open(vms=1, executors=2)
+        steps = (step(tasks=2), step(tasks=2, after=(0,)))
+        job_id, _outcome = await scene.submit(scene.vms[0], *steps)
+        await scene.until_state(job_id, workflow.COMPLETED)
+        runs = scene.runs_of(job_id)
+        first = [s.ended_s for s in runs if ".0.0." in s.task_id]
+        second = [s.begun_s for s in runs if ".0.1." in s.task_id]
+        assert max(first) <= min(second)
+
+    scene_module.play(main, monkeypatch)
+
+
+def test_the_same_id_twice_is_one_job(monkeypatch):
+    async def main(scene):
+        await scene.open(vms=2, executors=1)
+        call = scene.call("00000000000000aa")
+        for vm in scene.vms:
+            outcome = await vm.node.door.submit(
+                call, specification="{}", steps=(step(),)
+            )
+            assert outcome.unwrap() == "00000000000000aa"
+        await scene.until_state("00000000000000aa", workflow.COMPLETED)
+        assert len(scene.runs_of("00000000000000aa")) == 1
+
+    scene_module.play(main, monkeypatch)
+
+
+def test_an_unknown_job_is_gone(monkeypatch):
+    async def main(scene):
+        await scene.open(vms=1, executors=1)
+        shown = await scene.vms[0].node.door.state(scene.call("0" * 16))
+        assert shown.failure().http_status == 410
+
+    scene_module.play(main, monkeypatch)
+
+
+def test_a_cancelled_job_stops_and_starts_nothing_more(monkeypatch):
+    async def main(scene):
+        await scene.open(vms=2, executors=1)
+        job_id, _outcome = await scene.submit(
+            scene.vms[0], step(tasks=12), behaviour={"run_s": 20}
+        )
+        await scene.until_state(job_id, workflow.ACTIVE)
+        cancelled = await scene.vms[1].node.door.cancel(scene.call(job_id))
+        assert cancelled.unwrap() == job_id
+        assert await scene.state(job_id) == workflow.CANCELLED
+        starts = len(scene.pool.starts)
+        await asyncio.sleep(10)
+        assert len(scene.pool.starts) == starts
+        assert {s.how for s in scene.runs_of(job_id)} == {model.STOPPED}
+
+    scene_module.play(main, monkeypatch)
+
+
+def test_a_job_fails_after_its_last_attempt(monkeypatch):
+    async def main(scene):
+        await scene.open(vms=1, executors=3, attempts=2)
+        job_id, _outcome = await scene.submit(
+            scene.vms[0], step(), behaviour={"ends": "failed"}
+        )
+        await scene.until_state(job_id, workflow.FAILED)
+        assert len(scene.runs_of(job_id)) == 2
+
+    scene_module.play(main, monkeypatch)
+
+
+def test_waiting_jobs_are_counted(monkeypatch):
+    async def main(scene):
+        await scene.open(vms=2, executors=1)
+        for _number in range(3):
+            await scene.submit(
+                scene.vms[0],
+                step(tasks=8, is_gang=True),
+                behaviour={"gang": 8, "run_s": 30},
+            )
+        await asyncio.sleep(2)
+        call = scene.call("")
+        counted = await scene.vms[1].node.door.pending(call)
+        assert counted.unwrap() == 2
+
+    scene_module.play(main, monkeypatch)
+
+
+def test_a_removed_key_is_refused_at_once(monkeypatch):
+    async def main(scene):
+        await scene.open(vms=1, executors=1)
+        await scene.store.operator_writes(
+            scene_module.CONFIG_KEY, scene_module.desired(keys=["other"])
+        )
+        _job_id, outcome = await scene.submit(scene.vms[0], step())
+        assert isinstance(outcome.failure(), errors.Unauthenticated)
+
+    scene_module.play(main, monkeypatch)
+
+
+def test_keys_are_not_accepted_by_a_state_that_nobody_confirms(monkeypatch):
+    async def main(scene):
+        await scene.open(vms=1, executors=1)
+        vm = scene.vms[0]
+        vm.store.path.silent = True
+        await asyncio.sleep(scene_module.BOUNDS.revocation_s)
+        permitted = vm.node.door.allow(scene.call("0" * 16))
+        assert isinstance(permitted.failure(), errors.DidNotRun)
+        assert permitted.failure().retry_after_s > 0
+
+    scene_module.play(main, monkeypatch)
