--- /dev/null
+++ b/src/knapweedwharf/cli/explain.py
@@ -0,0 +1,27 @@
+"""``knapweedwharf explain``: one request's story from log lines."""
+
+from __future__ import annotations
+
+import typing
+
+import click
+
+from knapweedwharf import story
+
+
+@click.command()
+@click.argument("request_id")
+@click.argument("files", nargs=-1, type=click.File("r", errors="replace"))
+def explain(request_id: str, files: tuple[typing.TextIO, ...]) -> None:
+    """Print what became of a request, from log files or standard input.
+
+    The lines of all VMs are put in the order of their time stamps; the
+    clocks of VMs may differ a little.
+    """
+    sources = files or (click.get_text_stream("stdin"),)
+    lines = story.read(
+        (text for source in sources for text in source), request_id
+    )
+    for line in lines:
+        click.echo(str(line))
+    click.echo(f"cause: {story.cause(lines)}")
--- a/src/knapweedwharf/cli/main.py
+++ b/src/knapweedwharf/cli/main.py
@@ -6,6 +6,7 @@
 
 from knapweedwharf.cli import audit
 from knapweedwharf.cli import config
+from knapweedwharf.cli import explain
 from knapweedwharf.cli import job
 from knapweedwharf.cli import platform
 from knapweedwharf.cli import serve
@@ -28,6 +29,7 @@
 cli.add_command(job.job)
 cli.add_command(status.status)
 cli.add_command(audit.audit)
+cli.add_command(explain.explain)
 
 
 def run() -> None:
--- a/src/knapweedwharf/cli/platform.py
+++ b/src/knapweedwharf/cli/platform.py
@@ -3,16 +3,21 @@
 from __future__ import annotations
 
 import asyncio
+import sys
 
 import click
 from returns import result
 
+from knapweedwharf.fleet import model
 from knapweedwharf import log
 from knapweedwharf.platform import program
 from knapweedwharf.platform import settings
 
 EXIT_SETTINGS = 2
 
+LOG_LINES_PER_S = 200
+"""An owner of 24 executors writes some 30 a second on a full day."""
+
 
 @click.command("platform")
 @click.option(
@@ -23,8 +28,29 @@
     show_default=True,
     help="The platform's settings file.",
 )
-@click.option("--log-level", default="info", show_default=True)
-def platform(path: str, log_level: str) -> None:
+@click.option(
+    "--log-level",
+    default="info",
+    show_default=True,
+    type=click.Choice(["debug", "info", "warning", "error"]),
+    help="Least level that is logged.",
+)
+@click.option(
+    "--log-lines-per-s",
+    default=LOG_LINES_PER_S,
+    show_default=True,
+    type=click.IntRange(min=0),
+    help="Most log lines a second, also at once; 0 sets no limit.",
+)
+@click.option(
+    "--metrics-port",
+    default=0,
+    type=click.IntRange(0, 65_535),
+    help="Port of the VM's address that serves /metrics; 0 serves none.",
+)
+def platform(
+    path: str, log_level: str, log_lines_per_s: int, metrics_port: int
+) -> None:
     """Serve callers and take part in scheduling on the platform."""
     read = settings.read(path)
     if isinstance(read, result.Failure):
@@ -32,9 +58,17 @@
             click.echo(str(fault), err=True)
         raise SystemExit(EXIT_SETTINGS)
     site = read.unwrap()
-    log.configure(level=log_level, node_id=site.node_id)
-    asyncio.run(_serve(site, path))
+    log.configure(
+        level=log_level,
+        node_id=site.node_id,
+        stream=log.NonBlockingWriter(sys.stdout.fileno()),
+        lines_per_s=log_lines_per_s,
+    )
+    asyncio.run(_serve(site, path, metrics_port))
 
 
-async def _serve(site, path: str) -> None:
-    await program.Program(site, settings_path=path).run()
+async def _serve(site: model.Site, path: str, metrics_port: int) -> None:
+    served = program.Program(
+        site, settings_path=path, metrics_port=metrics_port
+    )
+    await served.run()
--- a/src/knapweedwharf/core/constraint.py
+++ b/src/knapweedwharf/core/constraint.py
@@ -13,14 +13,22 @@
 Records = abc.Callable[[str], record_module.JobRecord | None]
 """from an attempt's id to its job's record"""
 
-Constraint = tuple[str, str, bool, str]
-"""(label, data rack, prefers one rack, group with a limit)"""
+Constraint = tuple[str, str, bool, str, str]
+"""(label, data rack, prefers one rack, group with a limit, neighbours)"""
+
+_DISTURBS = {model.FILLS: model.SERVES, model.SERVES: model.FILLS}
 
 
 def of_job(job: model.JobSpec) -> Constraint:
     """Return what sets a job apart from others of its size."""
     group = job.spread_group if job.max_per_worker else ""
-    return (job.label, job.data_rack, job.prefers_rack, group)
+    return (
+        job.label,
+        job.data_rack,
+        job.prefers_rack,
+        group,
+        job.neighbours,
+    )
 
 
 def unsuitable(
@@ -28,7 +36,11 @@
     job: model.JobSpec,
     record_of: Records,
 ) -> set[str]:
-    """Return the workers without the label or at the group's limit."""
+    """Return the workers that a job must not go to.
+
+    They lack its label, are at the limit of its group, or have
+    neighbours that one would disturb.
+    """
     found: set[str] = set()
     if job.label:
         found.update(
@@ -42,9 +54,22 @@
             for worker_id, room in topology.workers.items()
             if _of_group(room, job, record_of) >= job.max_per_worker
         )
+    if job.neighbours:
+        found.update(
+            worker_id
+            for worker_id, room in topology.workers.items()
+            if _has(room, _DISTURBS[job.neighbours], record_of)
+        )
     return found
 
 
+def _has(
+    room: topology_module.WorkerRoom, neighbours: str, record_of: Records
+) -> bool:
+    found = (record_of(attempt_id) for attempt_id in room.occupants)
+    return any(r and r.job.neighbours == neighbours for r in found)
+
+
 def _of_group(
     room: topology_module.WorkerRoom,
     job: model.JobSpec,
--- a/src/knapweedwharf/core/model.py
+++ b/src/knapweedwharf/core/model.py
@@ -18,6 +18,10 @@
 BATCH = "batch"
 URGENCIES = (URGENT, NORMAL, BATCH)
 
+FILLS = "fills"
+SERVES = "serves"
+"""Work that takes what others leave disturbs work that serves users."""
+
 ROLE_CALLER = "caller"
 ROLE_OPERATOR = "operator"
 
@@ -165,6 +169,7 @@
         whatever it must; 0 for none.
     :ivar precedence: it may stop work of a lower precedence.
     :ivar saves_progress: a stop loses little of what was done.
+    :ivar neighbours: ``FILLS`` and ``SERVES`` do not share a worker.
     """
 
     job_id: str
@@ -190,6 +195,7 @@
     start_within_s: float = 0.0
     precedence: int = 0
     saves_progress: bool = True
+    neighbours: str = ""
 
     @property
     def accelerators(self) -> int:
--- a/src/knapweedwharf/core/workflow.py
+++ b/src/knapweedwharf/core/workflow.py
@@ -22,6 +22,9 @@
 FINAL_STATES = frozenset({COMPLETED, FAILED, CANCELLED})
 
 MILLI = 1000
+UNLIMITED = 1_000_000_000
+"""Attempts of tasks that last; more than a platform ever sees."""
+
 RUNS_PER_EPOCH = 1000
 """Run numbers that one owner may use for a part before the next's."""
 
@@ -265,6 +268,12 @@
     return task_id
 
 
+def _neighbours(step: Step) -> str:
+    if step.fills_spare:
+        return model.FILLS
+    return model.SERVES if step.tail_target_ms else ""
+
+
 def spec_of(
     workflow: Workflow, part: Part, *, standing: Standing
 ) -> model.JobSpec:
@@ -290,7 +299,7 @@
         urgency=standing.urgency,
         declared_run_s=max(step.expected_run_s, 0.1),
         submitted_s=submitted_s,
-        max_attempts=job.max_attempts,
+        max_attempts=UNLIMITED if step.is_lasting else job.max_attempts,
         handicap_s=standing.handicap_s,
         label=step.label,
         data_rack=step.data_rack,
@@ -300,4 +309,5 @@
         start_within_s=standing.start_within_s,
         precedence=standing.precedence,
         saves_progress=step.saves_progress,
+        neighbours=_neighbours(step),
     )
--- a/src/knapweedwharf/fleet/decider.py
+++ b/src/knapweedwharf/fleet/decider.py
@@ -17,9 +17,11 @@
 from knapweedwharf.fleet import board as board_module
 from knapweedwharf.fleet import clock
 from knapweedwharf.fleet import ledger as ledger_module
+from knapweedwharf.fleet import measures
 from knapweedwharf.fleet import model
 from knapweedwharf.fleet import policy
 from knapweedwharf import log
+from knapweedwharf import metrics
 
 Carry = abc.Callable[[attempt_module.Attempt], None]
 
@@ -40,6 +42,7 @@
         desired,
         bounds: model.Bounds,
         ordinal: int,
+        sender: metrics.Metrics,
         start: Carry,
         settle: Carry,
     ) -> None:
@@ -48,6 +51,7 @@
         self._desired = desired
         self._bounds = bounds
         self._ordinal = ordinal
+        self._sender = sender
         self._start = start
         self._settle = settle
         self._log = log.get("decider").bind(epoch=ordinal)
@@ -140,6 +144,7 @@
         account = desired.accounts.get(job.account) if desired else None
         standing = policy.standing(
             job,
+            job.steps[part.step],
             guaranteed=account.guaranteed_accelerators if account else 0,
             claimed=self._board.claimed_accelerators(job.account),
             bounds=self._bounds,
@@ -192,10 +197,12 @@
         self._ledger.mark(found.job.job_id)
         if found.completed:
             self._board.ended(found.job.job_id)
+            after_s = clock.unix_s() - found.job.submitted_s
+            self._sender.timing(measures.JOB, after_s * 1000)
             self._log.info(
                 "job-completed",
                 job_id=found.job.job_id,
-                after_s=round(clock.unix_s() - found.job.submitted_s, 3),
+                after_s=round(after_s, 3),
             )
         # Not from inside the engine's own event.
         asyncio.get_running_loop().call_soon(self.open, found)
@@ -224,6 +231,9 @@
         attempt = self._board.add(
             taken.attempt_id, found, part, phase=attempt_module.INTENDED
         )
+        waited_s = clock.unix_s() - taken.job.submitted_s
+        self._sender.count(measures.PLACED)
+        self._sender.timing(measures.WAIT, waited_s * 1000)
         self._log.info(
             "part-placed",
             job_id=found.job.job_id,
@@ -231,7 +241,8 @@
             run=part.run,
             executors=sorted({p.worker_id for p in taken.assignments}),
             reason=taken.reason.code,
-            waited_s=round(clock.unix_s() - taken.job.submitted_s, 3),
+            urgency=taken.job.urgency,
+            waited_s=round(waited_s, 3),
         )
         self._ledger.mark(
             found.job.job_id, functools.partial(self._start, attempt)
--- a/src/knapweedwharf/fleet/door.py
+++ b/src/knapweedwharf/fleet/door.py
@@ -18,9 +18,11 @@
 from knapweedwharf import errors
 from knapweedwharf.fleet import clock
 from knapweedwharf.fleet import desired as desired_module
+from knapweedwharf.fleet import measures
 from knapweedwharf.fleet import model
 from knapweedwharf.fleet import records
 from knapweedwharf import log
+from knapweedwharf import metrics
 
 TRY_TIMEOUT_S = 0.8
 """Eighty times the store's usual answer; leaves time for two tries."""
@@ -82,9 +84,11 @@
         store,
         desired: desired_module.DesiredState,
         catalogue: model.Catalogue,
+        sender: metrics.Metrics,
     ) -> None:
         self._store = store
         self._desired = desired
+        self._sender = sender
         self._config_key = catalogue.config_key
         self._log = log.get("door")
         self._final: collections.OrderedDict[str, tuple[str, str]] = (
@@ -120,6 +124,7 @@
         return result.Success(Allowed(desired, route, account, job_id))
 
     def _not_now(self, why: str) -> result.Failure:
+        self._sender.count(measures.REFUSED)
         return result.Failure(
             errors.DidNotRun(
                 message=f"Nothing was done: {why}.",
@@ -188,8 +193,10 @@
             )
             if isinstance(stored, result.Success):
                 self._desired.confirmed(sent_s)
+                self._sender.count(measures.STORED)
                 self._log.info(
-                    f"{event}-stored",
+                    "call-stored",
+                    call=event,
                     job_id=allowed.job_id,
                     route=allowed.route.name,
                     account=allowed.account,
@@ -220,6 +227,7 @@
     ) -> result.Failure:
         if not maybe_stored:
             return result.Failure(fault)
+        self._sender.count(measures.UNKNOWN)
         return result.Failure(
             errors.OutcomeUnknown(
                 message="Whether the call was stored is not known.",
--- a/src/knapweedwharf/fleet/ledger.py
+++ b/src/knapweedwharf/fleet/ledger.py
@@ -13,9 +13,12 @@
 
 from knapweedwharf import backoff
 from knapweedwharf import errors
+from knapweedwharf.fleet import clock
+from knapweedwharf.fleet import measures
 from knapweedwharf.fleet import model
 from knapweedwharf.fleet import records
 from knapweedwharf import log
+from knapweedwharf import metrics
 
 RECORDS_AT_ONCE = 15
 """Conditions and writes of as many records fit into a transaction."""
@@ -42,11 +45,13 @@
         epoch_revision: int,
         dump: abc.Callable[[str], bytes | None],
         on_fenced: abc.Callable[[], None],
+        sender: metrics.Metrics,
     ) -> None:
         self._store = store
         self._epoch_revision = epoch_revision
         self._dump = dump
         self._on_fenced = on_fenced
+        self._sender = sender
         self._log = log.get("ledger")
         self._revisions: dict[str, int] = {}
         self._dirty: dict[str, list[Then]] = {}
@@ -126,9 +131,12 @@
                 continue
             expected[key] = self._revisions.get(job_id, 0)
             writes.append(model.Write(key, value))
+        sent_s = clock.elapsed_s()
         committed = await self._store.commit(
             model.Commit(expected, tuple(writes), tuple(removes[:15]))
         )
+        took_ms = (clock.elapsed_s() - sent_s) * 1000
+        self._sender.timing(measures.STORE_CALL, took_ms)
         if isinstance(committed, result.Success):
             for job_id, value in values.items():
                 self._revisions[job_id] = committed.unwrap()
@@ -146,6 +154,7 @@
         Only this owner writes progress, so an unexpected revision is an
         own write whose answer was lost; what is known now goes over it.
         """
+        self._sender.count(measures.STORE_FAULT)
         self._log.warning(
             "progress-not-written", why=fault.code, records=len(values)
         )
--- /dev/null
+++ b/src/knapweedwharf/fleet/measures.py
@@ -0,0 +1,90 @@
+"""Metrics of the fleet's parts."""
+
+from __future__ import annotations
+
+from knapweedwharf import metrics
+
+STORED = metrics.define(
+    "fleet.calls_stored",
+    kind=metrics.COUNTER,
+    unit="calls",
+    text="Submissions and cancellations stored.",
+)
+REFUSED = metrics.define(
+    "fleet.calls_refused",
+    kind=metrics.COUNTER,
+    unit="calls",
+    text="Calls answered with a refusal; nothing of them ran.",
+)
+UNKNOWN = metrics.define(
+    "fleet.calls_unknown",
+    kind=metrics.COUNTER,
+    unit="calls",
+    text="Calls of which it is not known whether they were stored.",
+)
+PLACED = metrics.define(
+    "fleet.parts_placed",
+    kind=metrics.COUNTER,
+    unit="parts",
+    text="Starts decided by this VM as the owner.",
+)
+WAIT = metrics.define(
+    "fleet.part_wait_ms",
+    kind=metrics.TIMING,
+    unit="milliseconds",
+    text="From a part's submission to its placement.",
+)
+START = metrics.define(
+    "fleet.start_ms",
+    kind=metrics.TIMING,
+    unit="milliseconds",
+    text="From a start's sending to its confirmation.",
+)
+JOB = metrics.define(
+    "fleet.job_ms",
+    kind=metrics.TIMING,
+    unit="milliseconds",
+    text="From a job's submission to its completion.",
+)
+STORE_CALL = metrics.define(
+    "fleet.store_write_ms",
+    kind=metrics.TIMING,
+    unit="milliseconds",
+    text="Answer time of the store to writes of progress.",
+)
+STORE_FAULT = metrics.define(
+    "fleet.store_write_faults",
+    kind=metrics.COUNTER,
+    unit="calls",
+    text="Writes of progress that failed; they are repeated.",
+)
+SILENT = metrics.define(
+    "fleet.executors_silent",
+    kind=metrics.COUNTER,
+    unit="executors",
+    text="Executors that stopped answering.",
+)
+TAKE_OVERS = metrics.define(
+    "fleet.ownerships_won",
+    kind=metrics.COUNTER,
+    unit="ownerships",
+    text="Times that this VM became the owner.",
+)
+WASTED = metrics.define(
+    "fleet.accelerator_ms_lost",
+    kind=metrics.COUNTER,
+    unit="accelerator-milliseconds",
+    text="Work of runs that were stopped, lapsed or broken.",
+)
+PENDING = metrics.define(
+    "fleet.jobs_pending",
+    kind=metrics.GAUGE,
+    unit="jobs",
+    text="Jobs of which no task has started, as seen by the owner.",
+)
+DESIRED_AGE = metrics.define(
+    "fleet.desired_state_age_ms",
+    kind=metrics.GAUGE,
+    unit="milliseconds",
+    text="Time since the store confirmed the desired state.",
+)
--- a/src/knapweedwharf/fleet/node.py
+++ b/src/knapweedwharf/fleet/node.py
@@ -7,8 +7,10 @@
 from knapweedwharf.fleet import desired as desired_module
 from knapweedwharf.fleet import door as door_module
 from knapweedwharf.fleet import election as election_module
+from knapweedwharf.fleet import measures
 from knapweedwharf.fleet import model
 from knapweedwharf.fleet import tenure as tenure_module
+from knapweedwharf import metrics
 
 
 class Node:
@@ -16,23 +18,34 @@
 
     :param store: client of the store.
     :param executors: client of the executors.
+    :param sender: takes the values of metrics.
     :ivar tenure: the ownership in hand, or None.
     """
 
     def __init__(
-        self, site: model.Site, *, store, executors, catalogue: model.Catalogue
+        self,
+        site: model.Site,
+        *,
+        store,
+        executors,
+        catalogue: model.Catalogue,
+        sender: metrics.Metrics,
     ) -> None:
         self._site = site
         self._store = store
         self._executors = executors
         self._catalogue = catalogue
+        self._sender = sender
         self._tasks: set[asyncio.Task] = set()
         self.tenure: tenure_module.Tenure | None = None
         self.desired = desired_module.DesiredState(
             store=store, catalogue=catalogue, bounds=site.bounds
         )
         self.door = door_module.Door(
-            store=store, desired=self.desired, catalogue=catalogue
+            store=store,
+            desired=self.desired,
+            catalogue=catalogue,
+            sender=sender,
         )
         self.election = election_module.Election(
             site=site, store=store, on_won=self._won, on_lost=self._lost
@@ -59,6 +72,7 @@
         task.add_done_callback(self._tasks.discard)
 
     def _won(self, ownership: election_module.Ownership) -> None:
+        self._sender.count(measures.TAKE_OVERS)
         self.tenure = tenure_module.Tenure(
             site=self._site,
             store=self._store,
@@ -67,6 +81,7 @@
             desired=self.desired,
             election=self.election,
             ownership=ownership,
+            sender=self._sender,
         )
         self._spawn(self.tenure.start())
 
--- a/src/knapweedwharf/fleet/orders.py
+++ b/src/knapweedwharf/fleet/orders.py
@@ -14,9 +14,11 @@
 from knapweedwharf.fleet import clock
 from knapweedwharf.fleet import election as election_module
 from knapweedwharf.fleet import ledger as ledger_module
+from knapweedwharf.fleet import measures
 from knapweedwharf.fleet import model
 from knapweedwharf.fleet import session as session_module
 from knapweedwharf import log
+from knapweedwharf import metrics
 
 START_TRIES = 2
 """A second try goes out on a fresh connection."""
@@ -45,6 +47,7 @@
         sessions: dict[str, session_module.Session],
         election: election_module.Election,
         epoch: int,
+        sender: metrics.Metrics,
         tell: Tell,
     ) -> None:
         self._board = board
@@ -52,6 +55,7 @@
         self._sessions = sessions
         self._election = election
         self._epoch = epoch
+        self._sender = sender
         self._tell = tell
         self._log = log.get("orders").bind(epoch=epoch)
         self._tasks: set[asyncio.Task] = set()
@@ -105,8 +109,11 @@
         for _try in range(START_TRIES):
             if not self._election.is_owner:
                 return
+            sent_s = clock.elapsed_s()
             answer = await session.start_run(order)
             if isinstance(answer, result.Success):
+                took_ms = (clock.elapsed_s() - sent_s) * 1000
+                self._sender.timing(measures.START, took_ms)
                 self.started(attempt, member)
                 return
             fault = answer.failure()
@@ -206,6 +213,11 @@
         member.how = how
         if checkpoint:
             attempt.part.checkpoint = checkpoint
+        if member.since_s and how not in (model.DONE, model.FAILED):
+            step = attempt.job.steps[attempt.part.step]
+            ran_s = clock.elapsed_s() - member.since_s
+            lost_ms = int(ran_s * step.accelerators * 1000)
+            self._sender.count(measures.WASTED, lost_ms)
         self._log.info(
             "run-ended",
             job_id=attempt.job.job_id,
@@ -274,14 +286,16 @@
         succeeded: bool,
     ) -> None:
         member.told = True
+        lasts = attempt.job.steps[attempt.part.step].is_lasting
         self._tell(
             attempt.job.service,
             event.TaskEnded(
                 attempt_id=attempt.attempt_id,
                 task_index=member.index,
                 worker_id=member.executor_id,
-                succeeded=succeeded,
+                # Whatever ends of a task that lasts is started again.
+                succeeded=succeeded and not lasts,
                 detail=member.how,
-                lapsed=member.how != model.FAILED,
+                lapsed=lasts or member.how != model.FAILED,
             ),
         )
--- a/src/knapweedwharf/fleet/policy.py
+++ b/src/knapweedwharf/fleet/policy.py
@@ -64,6 +64,7 @@
 
 def standing(
     job: workflow.Job,
+    step: workflow.Step,
     *,
     guaranteed: int,
     claimed: int,
@@ -75,6 +76,9 @@
     :param claimed: accelerators of all its unended jobs of priority 0,
         this one included.
     """
+    if step.is_lasting:
+        # Its users are served by all of its tasks; none is a victim.
+        return workflow.Standing(precedence=GUARANTEED_PRECEDENCE)
     if job.priority > 0:
         return workflow.Standing(
             handicap_s=job.priority * HANDICAP_PER_LEVEL_S
--- a/src/knapweedwharf/fleet/session.py
+++ b/src/knapweedwharf/fleet/session.py
@@ -48,6 +48,7 @@
     """What a session tells its owner.
 
     :ivar reported: an executor's report, and when it was asked for.
+    :ivar silent: an executor stopped answering.
     :ivar barred: it is to get no new work.
     :ivar gone: nothing of it can run any more.
     :ivar fenced: it has seen a newer epoch.
@@ -56,6 +57,7 @@
     """
 
     reported: abc.Callable[[Session, model.Report, float], None]
+    silent: abc.Callable[[], None]
     barred: abc.Callable[[Session], None]
     gone: abc.Callable[[Session], None]
     fenced: abc.Callable[[], None]
@@ -236,6 +238,7 @@
         self.is_silent = True
         self.was_silent = True
         self._log.warning("executor-silent", why=fault.code)
+        self._hooks.silent()
         self._hooks.barred(self)
 
     def _has_lapsed(self) -> bool:
--- a/src/knapweedwharf/fleet/tenure.py
+++ b/src/knapweedwharf/fleet/tenure.py
@@ -18,6 +18,7 @@
 from knapweedwharf.fleet import election as election_module
 from knapweedwharf.fleet import intake as intake_module
 from knapweedwharf.fleet import ledger as ledger_module
+from knapweedwharf.fleet import measures
 from knapweedwharf.fleet import model
 from knapweedwharf.fleet import orders as orders_module
 from knapweedwharf.fleet import records
@@ -25,6 +26,7 @@
 from knapweedwharf.fleet import reports as reports_module
 from knapweedwharf.fleet import session as session_module
 from knapweedwharf import log
+from knapweedwharf import metrics
 
 TICK_S = 0.2
 """Period of what time alone changes; a tenth of the shortest bound."""
@@ -54,11 +56,13 @@
         desired,
         election: election_module.Election,
         ownership: election_module.Ownership,
+        sender: metrics.Metrics,
     ) -> None:
         self._site = site
         self._store = store
         self._election = election
         self._ownership = ownership
+        self._sender = sender
         self._log = log.get("tenure").bind(epoch=ownership.ordinal)
         self._tasks: list[asyncio.Task] = []
         self._published: dict[str, int] | None = None
@@ -69,6 +73,7 @@
             epoch_revision=ownership.revision,
             dump=self.board.dump,
             on_fenced=lambda: election.lose("fenced-by-store"),
+            sender=sender,
         )
         self.registry = registry_module.Registry(
             site=site,
@@ -90,6 +95,7 @@
             desired=desired,
             bounds=site.bounds,
             ordinal=ownership.ordinal,
+            sender=self._sender,
             start=lambda attempt: self._orders.start(attempt),
             settle=lambda attempt: self._orders.settle(attempt),
         )
@@ -99,6 +105,7 @@
             sessions=self.registry.sessions,
             election=election,
             epoch=ownership.ordinal,
+            sender=self._sender,
             tell=self._decider.tell,
         )
         self._reports = reports_module.Reports(
@@ -117,6 +124,7 @@
     def _hooks(self) -> session_module.Hooks:
         return session_module.Hooks(
             reported=self._reported,
+            silent=lambda: self._sender.count(measures.SILENT),
             barred=lambda session: self._reports.barred(session),
             gone=lambda session: self._reports.gone(session),
             fenced=lambda: self._election.lose("fenced-by-executor"),
@@ -180,6 +188,7 @@
         while self._election.is_owner:
             await asyncio.sleep(PENDING_INTERVAL_S)
             pending = self.board.pending()
+            self._sender.gauge(measures.PENDING, sum(pending.values()))
             if pending != self._published:
                 await self._publish(pending)
 
--- a/src/knapweedwharf/metrics.py
+++ b/src/knapweedwharf/metrics.py
@@ -1,4 +1,4 @@
-"""Metrics sent by statsd over UDP.
+"""Metrics sent by statsd over UDP, or kept for a reader.
 
 Every metric is defined once, with its unit and meaning; the reference
 page is made from these definitions.
@@ -9,6 +9,7 @@
 import dataclasses
 import typing
 
+import prometheus_client
 import statsd
 
 from knapweedwharf import settings as settings_module
@@ -33,6 +34,12 @@
     text: str
 
 
+LATENCY_BUCKETS_MS = (
+    *(1, 2, 5, 10, 20, 50, 100, 200, 500),
+    *(1_000, 2_000, 5_000, 10_000, 20_000, 50_000),
+)
+"""Equal steps on a log scale, from a store's answer to a job's end."""
+
 DEFINED: dict[str, Metric] = {}
 
 
@@ -52,6 +59,57 @@
     def timing(self, stat: str, delta: float) -> None: ...
 
 
+class Scraped:
+    """Keeps values for a reader that asks for them, as text."""
+
+    def __init__(self) -> None:
+        self._registry = prometheus_client.CollectorRegistry()
+        self._counters = {
+            name: prometheus_client.Counter(
+                _flat(name), metric.text, registry=self._registry
+            )
+            for name, metric in DEFINED.items()
+            if metric.kind == COUNTER
+        }
+        self._gauges = {
+            name: prometheus_client.Gauge(
+                _flat(name), metric.text, registry=self._registry
+            )
+            for name, metric in DEFINED.items()
+            if metric.kind == GAUGE
+        }
+        self._histograms = {
+            name: prometheus_client.Histogram(
+                _flat(name),
+                metric.text,
+                buckets=LATENCY_BUCKETS_MS,
+                registry=self._registry,
+            )
+            for name, metric in DEFINED.items()
+            if metric.kind == TIMING
+        }
+
+    def incr(self, stat: str, count: int = 1) -> None:
+        """Add to a counter."""
+        self._counters[stat].inc(count)
+
+    def gauge(self, stat: str, value: float) -> None:
+        """Set a gauge."""
+        self._gauges[stat].set(value)
+
+    def timing(self, stat: str, delta: float) -> None:
+        """Enter a duration in milliseconds into a histogram."""
+        self._histograms[stat].observe(delta)
+
+    def text(self) -> bytes:
+        """Return every value in the Prometheus text format."""
+        return prometheus_client.generate_latest(self._registry)
+
+
+def _flat(name: str) -> str:
+    return f"{PREFIX}_{name.replace('.', '_')}"
+
+
 class Metrics:
     """Sends values of defined metrics; drops them without an address."""
 
--- a/src/knapweedwharf/platform/ingress.py
+++ b/src/knapweedwharf/platform/ingress.py
@@ -42,6 +42,9 @@
     def is_ready(self) -> bool:
         """Whether new connections are welcome."""
 
+    def metrics_text(self) -> bytes:
+        """Return the values of all metrics."""
+
 
 class ReadinessHandler(web.RequestHandler):
     """Tells the balancer whether to send new connections here."""
@@ -55,6 +58,19 @@
         self.set_status(200 if self._ingress.is_ready else 503)
 
 
+class MetricsHandler(web.RequestHandler):
+    """Serves the metrics as text."""
+
+    def initialize(self, ingress: Ingress) -> None:
+        """Take the program from the route."""
+        self._ingress = ingress
+
+    def get(self) -> None:
+        """Answer with every value."""
+        self.set_header("Content-Type", "text/plain; version=0.0.4")
+        self.finish(self._ingress.metrics_text())
+
+
 class CallHandler(web.RequestHandler):
     """Submit, look, cancel and count, by method and path."""
 
@@ -197,3 +213,12 @@
         log_function=lambda handler: None,
     )
     return httpserver.HTTPServer(application)
+
+
+def metrics(ingress: Ingress) -> httpserver.HTTPServer:
+    """Return the server of the metrics."""
+    application = web.Application(
+        [(r"/metrics", MetricsHandler, {"ingress": ingress})],
+        log_function=lambda handler: None,
+    )
+    return httpserver.HTTPServer(application)
--- a/src/knapweedwharf/platform/program.py
+++ b/src/knapweedwharf/platform/program.py
@@ -9,9 +9,11 @@
 from returns import result
 
 from knapweedwharf.fleet import door as door_module
+from knapweedwharf.fleet import measures
 from knapweedwharf.fleet import model
 from knapweedwharf.fleet import node as node_module
 from knapweedwharf import log
+from knapweedwharf import metrics
 from knapweedwharf.platform import decode
 from knapweedwharf.platform import executors as executors_module
 from knapweedwharf.platform import ingress as ingress_module
@@ -30,6 +32,9 @@
 SETTINGS_CHECK_S = 2.0
 """The file may change without a signal; nothing in it is urgent."""
 
+MAX_AGE_S = 86_400.0
+"""Shown as the age of a desired state that was never read."""
+
 CATALOGUE = model.Catalogue(
     config_key="op/config",
     operator_prefix="op/",
@@ -46,8 +51,17 @@
     :ivar in_flight: calls that were read and not yet answered.
     """
 
-    def __init__(self, site: model.Site, *, settings_path: str = "") -> None:
+    def __init__(
+        self,
+        site: model.Site,
+        *,
+        settings_path: str = "",
+        metrics_port: int = 0,
+    ) -> None:
         self.site = site
+        self._metrics_port = metrics_port
+        self._scraped = metrics.Scraped()
+        sender = metrics.Metrics(self._scraped)
         self._settings_path = settings_path
         self._log = log.get("program")
         self.draining = False
@@ -61,9 +75,12 @@
             store=self._store,
             executors=self._executors,
             catalogue=CATALOGUE,
+            sender=sender,
         )
+        self._sender = sender
         self._frontend = ingress_module.frontend(self)
         self._readiness = ingress_module.readiness(self)
+        self._metrics = ingress_module.metrics(self)
         self._stopped = asyncio.Event()
         self._tasks: list[asyncio.Task] = []
 
@@ -77,10 +94,18 @@
         """Whether new connections are welcome."""
         return not self.draining and self.node.desired.is_fresh
 
+    def metrics_text(self) -> bytes:
+        """Return the values of all metrics."""
+        age_s = min(self.node.desired.age_s, MAX_AGE_S)
+        self._sender.gauge(measures.DESIRED_AGE, age_s * 1000)
+        return self._scraped.text()
+
     async def start(self) -> None:
         """Start every part."""
         _listen(self._frontend, self.site.frontend_address)
         _listen(self._readiness, self.site.readiness_address)
+        if self._metrics_port:
+            self._metrics.listen(self._metrics_port, self.site.ip_address)
         await self.node.start()
         self._log.info(
             "started",
@@ -107,6 +132,7 @@
         await self.node.close()
         self._frontend.stop()
         self._readiness.stop()
+        self._metrics.stop()
         self._executors.close()
         self._store.close()
         self._log.info("stopped", in_flight=self.in_flight)
--- /dev/null
+++ b/src/knapweedwharf/story.py
@@ -0,0 +1,125 @@
+"""One request's story, put together from the log lines of several VMs."""
+
+from __future__ import annotations
+
+from collections import abc
+import dataclasses
+import json
+
+HIDDEN_FIELDS = frozenset(
+    {"event", "timestamp", "node_id", "level", "component", "job_id"}
+)
+
+CAUSES = {
+    "call-refused": "The call was refused: {why} ({detail})",
+    "start-not-confirmed": "A start was not confirmed: {why}",
+    "run-ended": "A run ended: {how}",
+    "part-stopping": "Its run was stopped: {why}",
+    "job-cancelled": "The caller cancelled it",
+    "job-failed": "A part failed {failures} of {max_attempts} times",
+    "job-completed": "It completed after {after_s} s",
+}
+"""What an event says of an outcome; the later ones go first."""
+
+DECISIVE = ("job-completed", "job-failed", "job-cancelled", "call-refused")
+
+
+@dataclasses.dataclass(frozen=True, order=True)
+class Line:
+    """One line about a request.
+
+    :ivar timestamp: by the clock of the VM that wrote it.
+    """
+
+    timestamp: str
+    node_id: str
+    event: str
+    fields: tuple[tuple[str, str], ...]
+
+    def __str__(self) -> str:
+        pairs = " ".join(f"{name}={value}" for name, value in self.fields)
+        return f"{self.timestamp} {self.node_id} {self.event} {pairs}"
+
+
+def read(texts: abc.Iterable[str], request_id: str) -> list[Line]:
+    """Return the lines that touch a request, in the order of their time.
+
+    Text before a line's JSON object is let pass; half lines are left
+    out.
+    """
+    found = set()
+    for text in texts:
+        if request_id not in text:
+            continue
+        document = _parse(text)
+        if document is not None and _touches(document, request_id):
+            found.add(_line(document))
+    return sorted(found)
+
+
+def _parse(text: str) -> dict | None:
+    start = text.find("{")
+    if start < 0:
+        return None
+    try:
+        document = json.loads(text[start:])
+    except ValueError:
+        return None
+    return document if isinstance(document, dict) else None
+
+
+def _touches(document: dict, request_id: str) -> bool:
+    values = (
+        str(document.get(name, "")) for name in ("job_id", "task", "path")
+    )
+    return any(request_id in value for value in values)
+
+
+def _line(document: dict) -> Line:
+    fields = tuple(
+        (name, str(value))
+        for name, value in sorted(document.items())
+        if name not in HIDDEN_FIELDS
+    )
+    return Line(
+        timestamp=str(document.get("timestamp", "")),
+        node_id=str(document.get("node_id", "")),
+        event=str(document.get("event", "")),
+        fields=fields,
+    )
+
+
+def cause(lines: list[Line]) -> str:
+    """Return what decided the request's outcome, in one sentence."""
+    for event in DECISIVE:
+        for line in reversed(lines):
+            if line.event == event:
+                return _sentence(line, lines)
+    if not lines:
+        return "No line touches it: it reached none of these VMs."
+    return f"Still open; the last line is {lines[-1].event}."
+
+
+def _sentence(line: Line, lines: list[Line]) -> str:
+    text = CAUSES[line.event].format_map(_Fields(line.fields))
+    setbacks = [
+        CAUSES[other.event].format_map(_Fields(other.fields))
+        for other in lines
+        if other.event in ("part-stopping", "start-not-confirmed")
+        or other.event == "run-ended"
+        and dict(other.fields).get("how") != "done"
+    ]
+    takers = {other.node_id for other in lines if other.event == "job-taken"}
+    if len(takers) > 1:
+        setbacks.append(f"{len(takers)} owners scheduled it in turn")
+    if not setbacks:
+        return f"{text}."
+    counted = dict.fromkeys(setbacks)
+    return f"{text}. On the way: {'; '.join(counted)}."
+
+
+class _Fields(dict):
+    """Fields of a line; a missing one is shown as a question mark."""
+
+    def __missing__(self, name: str) -> str:
+        return "?"
--- a/testing/fleet/scene.py
+++ b/testing/fleet/scene.py
@@ -12,6 +12,7 @@
 from knapweedwharf.fleet import door as door_module
 from knapweedwharf.fleet import model
 from knapweedwharf.fleet import node as node_module
+from knapweedwharf import metrics
 from standins import virtual_time
 from testing.fleet import fake_executors
 from testing.fleet import fake_store
@@ -96,6 +97,7 @@
             store=self.store,
             executors=scene.pool,
             catalogue=CATALOGUE,
+            sender=metrics.Metrics(None),
         )
 
     @property
--- a/testing/fleet/test_path.py
+++ b/testing/fleet/test_path.py
@@ -131,3 +131,57 @@
         assert permitted.failure().retry_after_s > 0
 
     scene_module.play(main, monkeypatch)
+
+
+def test_a_task_that_lasts_is_started_again_however_it_ends(monkeypatch):
+    async def main(scene):
+        await scene.open(vms=1, executors=2)
+        job_id, _outcome = await scene.submit(
+            scene.vms[0], step(is_lasting=True), behaviour={"run_s": 2}
+        )
+        await scene.until(lambda: len(scene.pool.starts) >= 3)
+        assert await scene.state(job_id) == workflow.ACTIVE
+        await scene.vms[0].node.door.cancel(scene.call(job_id))
+        await asyncio.sleep(1)
+        started = len(scene.pool.starts)
+        await asyncio.sleep(5)
+        assert len(scene.pool.starts) == started
+        scene.pool.stories.clear()  # Its runs end well and come again.
+
+    scene_module.play(main, monkeypatch)
+
+
+def test_filling_work_keeps_away_from_work_that_serves(monkeypatch):
+    async def main(scene):
+        await scene.open(vms=1, executors=2)
+        serves = step(tail_target_ms=50)
+        await scene.submit(scene.vms[0], serves, behaviour={"run_s": 30})
+        await scene.until(lambda: len(scene.pool.starts) == 1)
+        fills = step(tasks=3, accelerators=0, fills_spare=True)
+        await scene.submit(scene.vms[0], fills, behaviour={"run_s": 30})
+        await scene.until(lambda: len(scene.pool.starts) == 4)
+        serving, *filling = [start[1] for start in scene.pool.starts]
+        assert serving not in filling
+
+    scene_module.play(main, monkeypatch)
+
+
+def test_each_time_of_a_repeated_job_starts_when_it_is_due(monkeypatch):
+    async def main(scene):
+        await scene.open(vms=1, executors=1)
+        due_s = asyncio.get_running_loop().time() + 2
+        job_id = "00000000000000bb"
+        await scene.vms[0].node.door.submit(
+            scene.call(job_id),
+            specification="{}",
+            steps=(step(),),
+            repetitions=3,
+            first_run_s=scene_module.UNIX_AT_START_S + due_s,
+            interval_s=2.0,
+        )
+        await scene.until_state(job_id, workflow.COMPLETED)
+        for number, (began_s, _executor, _key) in enumerate(scene.pool.starts):
+            early_s = due_s + 2 * number - began_s
+            assert -0.5 <= early_s <= 0.0
+
+    scene_module.play(main, monkeypatch)
--- /dev/null
+++ b/testing/test_story.py
@@ -0,0 +1,61 @@
+"""A request's story from the lines of several VMs."""
+
+from __future__ import annotations
+
+import json
+
+from knapweedwharf import story
+
+JOB = "00000000000000aa"
+
+
+def _text(event: str, at: str, node: str = "vm-1", **fields) -> str:
+    return json.dumps(
+        {"event": event, "timestamp": at, "node_id": node, **fields}
+    )
+
+
+def test_lines_of_several_vms_are_put_in_order():
+    texts = [
+        _text("job-completed", "03", job_id=JOB, after_s=2),
+        _text("call-stored", "01", "vm-2", job_id=JOB),
+        _text("job-taken", "02", job_id=JOB),
+        _text("job-taken", "02", job_id="00000000000000bb"),
+    ]
+    lines = story.read(texts, JOB)
+    assert [line.event for line in lines] == [
+        "call-stored",
+        "job-taken",
+        "job-completed",
+    ]
+    assert story.cause(lines) == "It completed after 2 s."
+
+
+def test_half_lines_and_text_before_a_line_are_no_trouble():
+    whole = _text("job-cancelled", "01", job_id=JOB)
+    lines = story.read([f" 12.1 vm-1 {whole}\n", whole[:-9], JOB], JOB)
+    assert len(lines) == 1
+
+
+def test_a_late_request_names_its_setbacks():
+    texts = [
+        _text("job-taken", "01", "vm-1", job_id=JOB),
+        _text("run-ended", "02", job_id=JOB, how="lapsed"),
+        _text("job-taken", "03", "vm-2", job_id=JOB),
+        _text("job-completed", "04", "vm-2", job_id=JOB, after_s=31),
+    ]
+    told = story.cause(story.read(texts, JOB))
+    assert "A run ended: lapsed" in told
+    assert "2 owners scheduled it in turn" in told
+
+
+def test_a_refused_call_is_found_by_its_path():
+    text = _text(
+        "call-refused", "01", path=f"/q/{JOB}", why="did-not-run", detail="x"
+    )
+    told = story.cause(story.read([text], JOB))
+    assert told == "The call was refused: did-not-run (x)."
+
+
+def test_no_line_is_said_so():
+    assert "reached none" in story.cause(story.read([], JOB))
--- a/tools/log_events.py
+++ b/tools/log_events.py
@@ -7,6 +7,7 @@
 import dataclasses
 import pathlib
 
+LOGGERS = frozenset({"_log", "_logger", "log"})
 LEVELS = frozenset({"debug", "info", "warning", "error", "exception"})
 
 
@@ -53,7 +54,7 @@
     return (
         isinstance(function, ast.Attribute)
         and function.attr in LEVELS
-        and ast.unparse(function.value).rsplit(".", 1)[-1] in ("_log", "log")
+        and ast.unparse(function.value).rsplit(".", 1)[-1] in LOGGERS
         and bool(node.args)
         and isinstance(node.args[0], ast.Constant)
     )
