Keep the failures of a waiting part over a change of owner

Change: a submission carries the failures of earlier epochs.

Test: a new owner counts earlier failures; it failed first (3 runs in place of 2).

--- a/src/knapweedwharf/core/engine.py
+++ b/src/knapweedwharf/core/engine.py
@@ -116,7 +116,7 @@
 
     @_apply.register
     def _(self, happened: event.JobSubmitted) -> None:
-        self._lifecycle.submitted(happened.job)
+        self._lifecycle.submitted(happened.job, happened.failures)
 
     @_apply.register
     def _(self, happened: event.JobCancelled) -> None:
--- a/src/knapweedwharf/core/event.py
+++ b/src/knapweedwharf/core/event.py
@@ -45,9 +45,13 @@
 
 @dataclasses.dataclass(frozen=True)
 class JobSubmitted:
-    """A job was accepted and is durable."""
+    """A job was accepted and is durable.
+
+    :ivar failures: attempts that failed under an earlier epoch.
+    """
 
     job: model.JobSpec
+    failures: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/knapweedwharf/core/lifecycle.py
+++ b/src/knapweedwharf/core/lifecycle.py
@@ -72,12 +72,14 @@
 
     # Submission and cancellation
 
-    def submitted(self, job: model.JobSpec) -> None:
+    def submitted(self, job: model.JobSpec, failures: int = 0) -> None:
         """Let a new job wait, or reject it."""
         state = self._state
         if job.job_id in state.records:
             return
-        record = record_module.JobRecord(job=job, state=state.chart.initial)
+        record = record_module.JobRecord(
+            job=job, state=state.chart.initial, failures=failures
+        )
         state.records[job.job_id] = record
         never = self.feasibility.never(job)
         if never:
--- a/src/knapweedwharf/fleet/decider.py
+++ b/src/knapweedwharf/fleet/decider.py
@@ -115,7 +115,9 @@
         held = self._board.held_parts(found.job.job_id)
         for part in found.open_parts(clock.unix_s()):
             if part.part_id not in held:
-                submitted = event.JobSubmitted(self._spec(found, part))
+                submitted = event.JobSubmitted(
+                    self._spec(found, part), part.failures
+                )
                 self.tell(found.job.service, submitted)
 
     def cancel(self, found: workflow.Workflow) -> None:
--- a/testing/fleet/test_faults.py
+++ b/testing/fleet/test_faults.py
@@ -186,6 +186,33 @@
     scene_module.play(main, monkeypatch)
 
 
+def test_a_new_owner_counts_earlier_failures(monkeypatch):
+    """The first owner is lost while the job waits for its next try."""
+
+    async def main(scene):
+        await scene.open(vms=2, executors=1, attempts=2)
+        owner, other = scene.owner, scene.bystander()
+        job_id, _outcome = await scene.submit(
+            other, step(accelerators=8), behaviour={"ends": "failed"}
+        )
+        await scene.until(lambda: len(scene.pool.starts) == 1)
+        blocker = step(accelerators=8, is_gang=True)
+        first_id, _outcome = await scene.submit(
+            other,
+            blocker,
+            behaviour={"run_s": 9},
+            prefix=scene_module.URGENT_PREFIX,
+        )
+        await scene.until(lambda: len(scene.pool.starts) == 2)
+        assert scene.pool.starts[1][2][0].startswith(first_id)
+        await asyncio.sleep(1)
+        await owner.kill()
+        await scene.until_state(job_id, workflow.FAILED, vm=other)
+        assert len(scene.runs_of(job_id)) == 2
+
+    scene_module.play(main, monkeypatch)
+
+
 def test_guaranteed_work_starts_in_time_on_a_full_pool(monkeypatch):
     async def main(scene):
         await scene.open(vms=1, executors=2, guaranteed=8)
