Play the platform over HTTP; test the adapter and the whole process

Change: standins/users_platform.py serves the store's and executors' calls on loopback, around the same store and executors in memory that the fleet's tests use; 21 tests of the client, the settings and the process, with malformed entries and submissions.

--- /dev/null
+++ b/standins/users_platform.py
@@ -0,0 +1,253 @@
+"""Stand-in of the users' platform over HTTP: store and executors.
+
+The store answers as its pages say: conditions, leases, watches, lost
+history. The executors are those of ``testing.fleet.fake_executors``
+behind the platform's calls.
+"""
+
+from __future__ import annotations
+
+import base64
+import json
+
+from returns import result
+from tornado import httpserver
+from tornado import web
+
+from knapweedwharf import errors
+from knapweedwharf.fleet import model
+from standins import fleet_executors
+from standins import fleet_store
+from standins import loopback
+
+_STATUS = {
+    errors.Unreachable: 503,
+    errors.NotFound: 410,
+    errors.OutcomeUnknown: 500,
+}
+
+
+def _document(item: model.Item) -> dict:
+    return {
+        "key": item.key,
+        "value": base64.b64encode(item.value).decode(),
+        "revision": item.revision,
+        "created": item.revision,
+        "lease": 0,
+    }
+
+
+class _Handler(web.RequestHandler):
+    def initialize(self, served: UsersPlatform) -> None:
+        self.served = served
+
+    def reply(self, status: int, document: dict) -> None:
+        self.set_status(status)
+        self.set_header("Content-Type", "application/json")
+        self.finish(json.dumps(document))
+
+    def fail(self, fault: errors.Fault) -> None:
+        self.reply(_STATUS.get(type(fault), 500), {})
+
+
+class _Key(_Handler):
+    async def get(self) -> None:
+        read = await self.served.store.read(self.get_argument("key"))
+        if isinstance(read, result.Failure):
+            self.fail(read.failure())
+        elif read.unwrap() is None:
+            self.reply(404, {})
+        else:
+            revision = self.served.store.state.revision
+            self.reply(200, {**_document(read.unwrap()), "at": revision})
+
+
+class _Range(_Handler):
+    async def get(self) -> None:
+        listed = await self.served.store.list(self.get_argument("prefix"))
+        if isinstance(listed, result.Failure):
+            self.fail(listed.failure())
+            return
+        after = self.get_argument("after", "")
+        listing = listed.unwrap()
+        items = sorted(
+            (item for item in listing.items if item.key > after),
+            key=lambda item: item.key,
+        )
+        page = items[: self.served.page_items]
+        self.reply(
+            200,
+            {
+                "items": [_document(item) for item in page],
+                "has_more": len(items) > len(page),
+                "at": listing.revision,
+            },
+        )
+
+
+class _Watch(_Handler):
+    async def get(self) -> None:
+        seen = await self.served.store.watch(
+            self.get_argument("prefix"),
+            after=int(self.get_argument("after")),
+            wait_s=int(self.get_argument("wait_ms")) / 1000,
+        )
+        if isinstance(seen, result.Failure):
+            self.fail(seen.failure())
+            return
+        changes = seen.unwrap()
+        events = [_document(item) for item in changes.items]
+        events += [
+            {"key": key, "revision": changes.revision, "deleted": True}
+            for key in changes.removed
+        ]
+        self.reply(200, {"events": events, "at": changes.revision})
+
+
+class _Transaction(_Handler):
+    async def post(self) -> None:
+        document = json.loads(self.request.body)
+        commit = model.Commit(
+            {row["key"]: row["revision"] for row in document["expect"]},
+            tuple(
+                model.Write(
+                    row["key"],
+                    base64.b64decode(row["value"]),
+                    row.get("lease", 0),
+                )
+                for row in document["write"]
+            ),
+            tuple(document["remove"]),
+        )
+        done = await self.served.store.commit(commit)
+        if isinstance(done, result.Success):
+            self.reply(200, {"revision": done.unwrap()})
+            return
+        fault = done.failure()
+        if not isinstance(fault, errors.Conflict):
+            self.fail(fault)
+            return
+        current = fault.mismatch.current.values()
+        self.reply(412, {"items": [_document(item) for item in current]})
+
+
+class _Lease(_Handler):
+    async def post(self, lease_id: str = "") -> None:
+        if lease_id:
+            done = await self.served.store.renew(int(lease_id))
+            status = 200 if isinstance(done, result.Success) else 404
+            self.reply(status, {"ttl_ms": 1000})
+            return
+        ttl_ms = json.loads(self.request.body)["ttl_ms"]
+        granted = await self.served.store.grant(ttl_ms / 1000)
+        self.reply(200, {"lease": granted.unwrap(), "ttl_ms": ttl_ms})
+
+    async def delete(self, lease_id: str) -> None:
+        await self.served.store.end(int(lease_id))
+        self.reply(200, {})
+
+
+class _Executor(_Handler):
+    async def post(self, call: str) -> None:
+        executor_id = self.request.headers.get("X-Expected-Instance", "")
+        found = self.served.pool.executors.get(executor_id)
+        if found is None:
+            self.reply(421, {})
+            return
+        document = json.loads(self.request.body)
+        answer = await getattr(self, f"_{call}")(found.spec, document)
+        if isinstance(answer, result.Success):
+            self.reply(200, answer.unwrap())
+            return
+        fault = answer.failure()
+        fenced = isinstance(fault, errors.Fenced)
+        reason = "fence" if fenced else getattr(fault, "reason", "")
+        clock_ms = found.clock_ms()
+        self.reply(409, {"clock_ms": clock_ms, "reason": reason})
+
+    async def _hold(self, spec: model.Executor, document: dict):
+        answer = await self.served.pool.renew(
+            spec,
+            epoch=document["fencing_token"],
+            lease_until_ms=document.get("deadline_ms", 0),
+            noted_end=document["ack_cursor"],
+            wait_s=document.get("wait_ms", 0) / 1000,
+        )
+        return answer.map(
+            lambda report: {
+                "clock_ms": report.clock_ms,
+                "born": report.incarnation_ms,
+                "running": [
+                    [run.task_id, run.run, run.checkpoint, run.percent]
+                    for run in report.runs
+                ],
+                "finished": [
+                    [e.number, e.task_id, e.run, e.how, e.checkpoint]
+                    for e in report.ends
+                ],
+            }
+        )
+
+    async def _start(self, spec: model.Executor, document: dict):
+        order = model.Order(
+            task_id=document["task"],
+            run=document["run"],
+            specification=document["specification"],
+            not_after_ms=document["deadline_ms"],
+            epoch=document["fencing_token"],
+        )
+        answer = await self.served.pool.start(spec, order)
+        return answer.map(lambda clock_ms: {"clock_ms": clock_ms})
+
+    async def _stop(self, spec: model.Executor, document: dict):
+        answer = await self.served.pool.stop(
+            spec,
+            task_id=document["task"],
+            run=document["run"],
+            epoch=document["fencing_token"],
+        )
+        return answer.map(lambda clock_ms: {"clock_ms": clock_ms})
+
+
+class UsersPlatform:
+    """The platform on a loopback port.
+
+    :ivar page_items: items that a page of a listing holds.
+    """
+
+    def __init__(self) -> None:
+        self.store = fleet_store.FakeStore(fleet_store.StoreState())
+        self.pool = fleet_executors.Pool()
+        self.page_items = 500
+        self.port = loopback.free_port()
+        fields = {"served": self}
+        self._server = httpserver.HTTPServer(
+            web.Application(
+                [
+                    (r"/kv-key", _Key, fields),
+                    (r"/kv-range", _Range, fields),
+                    (r"/kv-watch", _Watch, fields),
+                    (r"/kv-txn", _Transaction, fields),
+                    (r"/kv-lease", _Lease, fields),
+                    (r"/kv-keep/(\d+)", _Lease, fields),
+                    (r"/kv-lease-end/(\d+)", _Lease, fields),
+                    (r"/run-(start|stop)", _Executor, fields),
+                    (r"/(hold)", _Executor, fields),
+                ],
+                log_function=lambda handler: None,
+            )
+        )
+
+    @property
+    def address(self) -> str:
+        """IP:port of all its calls."""
+        return f"{loopback.HOST}:{self.port}"
+
+    async def start(self) -> None:
+        """Begin to serve."""
+        self._server.listen(self.port, loopback.HOST)
+
+    async def close(self) -> None:
+        """Stop serving."""
+        self._server.stop()
+        await self._server.close_all_connections()
--- a/testing/fleet/scene.py
+++ b/testing/fleet/scene.py
@@ -13,9 +13,9 @@
 from knapweedwharf.fleet import model
 from knapweedwharf.fleet import node as node_module
 from knapweedwharf import metrics
+from standins import fleet_executors
+from standins import fleet_store
 from standins import virtual_time
-from testing.fleet import fake_executors
-from testing.fleet import fake_store
 
 CONFIG_KEY = "operator/config"
 EXECUTORS = "executors/"
@@ -90,7 +90,7 @@
     """One VM with a path of its own to the store."""
 
     def __init__(self, name: str, scene: Scene) -> None:
-        self.store = fake_store.FakeStore(scene.store)
+        self.store = fleet_store.FakeStore(scene.store)
         site = model.Site(name, "dc", "", "", "", "", bounds=BOUNDS)
         self.node = node_module.Node(
             site,
@@ -115,8 +115,8 @@
     """The store, the executors and some VMs."""
 
     def __init__(self) -> None:
-        self.store = fake_store.StoreState()
-        self.pool = fake_executors.Pool()
+        self.store = fleet_store.StoreState()
+        self.pool = fleet_executors.Pool()
         self.vms: list[Vm] = []
         self._next_id = 0
 
@@ -215,13 +215,13 @@
 
     # Checks
 
-    def runs_of(self, job_id: str) -> list[fake_executors.Story]:
+    def runs_of(self, job_id: str) -> list[fleet_executors.Story]:
         """Return the ended runs of a job."""
         return [s for s in self.pool.stories if s.task_id.startswith(job_id)]
 
     def check_once(self) -> None:
         """Fail if runs of a task overlap, or one begins after its end."""
-        by_task: dict[str, list[fake_executors.Story]] = {}
+        by_task: dict[str, list[fleet_executors.Story]] = {}
         for story in self.pool.stories:
             by_task.setdefault(story.task_id, []).append(story)
         for task_id, stories in by_task.items():
--- /dev/null
+++ b/testing/platform/test_adapter.py
@@ -0,0 +1,323 @@
+"""The adapter against the stand-in of the platform, over HTTP."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import abc
+import json
+
+import pytest
+from returns import result
+from tornado import httpclient
+
+from knapweedwharf import errors
+from knapweedwharf.fleet import model
+from knapweedwharf.platform import executors
+from knapweedwharf.platform import program
+from knapweedwharf.platform import store as store_module
+from standins import loopback
+from standins import users_platform
+
+Work = abc.Callable[[users_platform.UsersPlatform], abc.Awaitable[None]]
+CONFIG = {
+    "version": 7,
+    "routes": [
+        {
+            "name": "r-1",
+            "host": "queue.example",
+            "prefix": "/q/",
+            "service": "pool",
+            "priority": 1,
+            "max_attempts": 2,
+            "unknown_field": [],
+        }
+    ],
+    "services": [{"name": "pool", "enforces_capacity": True}],
+    "tenants": [{"name": "acme", "api_keys": ["key"], "guaranteed": {}}],
+}
+
+
+def _play(work: Work) -> None:
+    async def whole() -> None:
+        served = users_platform.UsersPlatform()
+        await served.start()
+        passing = asyncio.create_task(served.pool.run_forever())
+        try:
+            await work(served)
+        finally:
+            passing.cancel()
+            await served.close()
+
+    asyncio.run(whole())
+
+
+def _with_store(work: abc.Callable) -> None:
+    async def main(served: users_platform.UsersPlatform) -> None:
+        store = store_module.Store(served.address, timeout_s=2.0)
+        try:
+            await work(served, store)
+        finally:
+            store.close()
+
+    _play(main)
+
+
+def test_a_condition_that_fails_brings_the_present_entries():
+    async def work(_served, store):
+        first = model.Commit({"a": 0}, (model.Write("a", b"one"),))
+        revision = (await store.commit(first)).unwrap()
+        failed = (await store.commit(first)).failure()
+        assert isinstance(failed, errors.Conflict)
+        assert failed.mismatch.current["a"] == model.Item(
+            "a", b"one", revision
+        )
+
+    _with_store(work)
+
+
+def test_a_listing_of_several_pages_is_whole():
+    async def work(served, store):
+        served.page_items = 2
+        for name in "abcde":
+            write = model.Write(f"p/{name}", name.encode())
+            await store.commit(model.Commit({}, (write,)))
+        listing = (await store.list("p/")).unwrap()
+        assert [item.value for item in listing.items] == [
+            b"a",
+            b"b",
+            b"c",
+            b"d",
+            b"e",
+        ]
+
+    _with_store(work)
+
+
+def test_a_watch_tells_of_writes_and_removals():
+    async def work(served, store):
+        at = served.store.state.revision
+        await store.commit(model.Commit({}, (model.Write("w/a", b"1"),)))
+        changes = (await store.watch("w/", after=at, wait_s=1.0)).unwrap()
+        assert [item.key for item in changes.items] == ["w/a"]
+        await store.commit(model.Commit({}, (), ("w/a",)))
+        later = await store.watch("w/", after=changes.revision, wait_s=1.0)
+        assert later.unwrap().removed == ("w/a",)
+
+    _with_store(work)
+
+
+def test_a_lost_history_is_said_so():
+    async def work(served, store):
+        await store.commit(model.Commit({}, (model.Write("w/a", b"1"),)))
+        served.store.state.forget_history()
+        seen = await store.watch("w/", after=1, wait_s=0.1)
+        assert isinstance(seen.failure(), errors.NotFound)
+
+    _with_store(work)
+
+
+def test_a_refusal_says_that_nothing_was_done():
+    async def work(served, store):
+        served.store.path.refused = True
+        write = model.Commit({}, (model.Write("a", b"1"),))
+        refused = (await store.commit(write)).failure()
+        assert isinstance(refused, errors.Unreachable)
+
+    _with_store(work)
+
+
+def test_a_lease_ends_with_its_keys():
+    async def work(served, store):
+        lease_id = (await store.grant(30.0)).unwrap()
+        write = model.Write("a", b"1", lease_id)
+        await store.commit(model.Commit({}, (write,)))
+        assert isinstance(await store.renew(lease_id), result.Success)
+        await store.end(lease_id)
+        assert (await store.read("a")).unwrap() is None
+        ended = await store.renew(lease_id)
+        assert isinstance(ended.failure(), errors.NotFound)
+
+    _with_store(work)
+
+
+def _executor(served: users_platform.UsersPlatform) -> model.Executor:
+    spec = model.Executor(
+        executor_id="i-1",
+        address=served.address,
+        service="pool",
+        data_centre="dc",
+        state=model.READY,
+        cores_milli=8000,
+        memory_mib=8000,
+        accelerators=8,
+        incarnation_ms=1,
+    )
+    served.pool.add(spec)
+    return spec
+
+
+def _order(*, epoch: int = 3) -> model.Order:
+    return model.Order("j.0.0.0", 1, '{"run_s": 60}', 10**9, epoch)
+
+
+def test_orders_of_an_older_epoch_are_fenced():
+    async def main(served):
+        client = executors.Executors(timeout_s=2.0)
+        spec = _executor(served)
+        started = await client.start(spec, _order(epoch=3))
+        assert isinstance(started, result.Success)
+        late = await client.start(spec, _order(epoch=2))
+        assert isinstance(late.failure(), errors.Fenced)
+        client.close()
+
+    _play(main)
+
+
+def test_a_renewal_brings_runs_and_ends():
+    async def main(served):
+        client = executors.Executors(timeout_s=2.0)
+        spec = _executor(served)
+        await client.start(spec, _order())
+        fields = {"epoch": 3, "lease_until_ms": 10**9, "noted_end": 0}
+        seen = (await client.renew(spec, wait_s=0.0, **fields)).unwrap()
+        assert [run.task_id for run in seen.runs] == ["j.0.0.0"]
+        await client.stop(spec, task_id="j.0.0.0", run=1, epoch=3)
+        seen = (await client.renew(spec, wait_s=0.0, **fields)).unwrap()
+        assert [(e.task_id, e.how) for e in seen.ends] == [
+            ("j.0.0.0", model.STOPPED)
+        ]
+        client.close()
+
+    _play(main)
+
+
+def test_another_incarnation_is_told_apart():
+    async def main(served):
+        client = executors.Executors(timeout_s=2.0)
+        spec = _executor(served)
+        served.pool.executors.clear()
+        answer = await client.start(spec, _order())
+        assert isinstance(answer.failure(), executors.Reborn)
+        client.close()
+
+    _play(main)
+
+
+# The whole process
+
+
+async def _call(
+    address: str, path: str, *, method: str = "GET", body=None, key="key"
+):
+    request = httpclient.HTTPRequest(
+        f"http://{address}{path}",
+        method=method,
+        headers={"Host": "queue.example", "X-Key": key},
+        body=None if body is None else json.dumps(body),
+        allow_nonstandard_methods=True,
+    )
+    client = httpclient.AsyncHTTPClient()
+    return await client.fetch(request, raise_error=False)
+
+
+def _with_program(work: abc.Callable) -> None:
+    async def main(served: users_platform.UsersPlatform) -> None:
+        await served.store.state.operator_writes(
+            "op/config", json.dumps(CONFIG).encode()
+        )
+        spec = _executor(served)
+        entry = {
+            "service": "pool",
+            "address": spec.address,
+            "zone": "dc",
+            "state": "ready",
+            "capacity": {"cpu": 8000, "mem_mb": 8000, "gpu": 8},
+            "labels": ["a", "r1"],
+            "born": 1,
+            "sequence": 4,
+        }
+        await served.store.state.operator_writes(
+            "servers/i-1", json.dumps(entry).encode()
+        )
+        await served.store.state.operator_writes("servers/i-2", b"\xff{")
+        host = loopback.HOST
+        site = model.Site(
+            node_id="vm-1",
+            data_centre="dc",
+            ip_address=host,
+            frontend_address=f"{host}:{loopback.free_port()}",
+            readiness_address=f"{host}:{loopback.free_port()}",
+            store_address=served.address,
+        )
+        running = program.Program(site)
+        await running.start()
+        try:
+            async with asyncio.timeout(20):
+                while not running.is_ready or running.node.tenure is None:
+                    await asyncio.sleep(0.02)
+            await work(running)
+        finally:
+            await running.close()
+
+    _play(main)
+
+
+JOB = "/q/5c0e7a21d94b36f8"
+SUBMISSION = {
+    "specification": '{"run_s": 0.2}',
+    "phases": [{"count": 2, "cpu": 500, "mem_mb": 256, "gpu": 1}],
+}
+
+
+def test_a_job_goes_the_whole_way_over_http():
+    async def work(running):
+        address = running.site.frontend_address
+        posted = await _call(address, JOB, method="POST", body=SUBMISSION)
+        assert posted.code == 200
+        async with asyncio.timeout(20):
+            while True:
+                shown = await _call(address, JOB)
+                if json.loads(shown.body) == {"state": "completed"}:
+                    break
+                await asyncio.sleep(0.05)
+        assert b"fleet_calls_stored_total 1.0" in running.metrics_text()
+
+    _with_program(work)
+
+
+@pytest.mark.parametrize(
+    ("path", "key", "body", "status"),
+    [
+        ("/none/5c0e7a21d94b36f8", "key", SUBMISSION, 404),
+        (JOB, "other", SUBMISSION, 401),
+        ("/q/short", "key", SUBMISSION, 400),
+        (JOB, "key", {"phases": []}, 400),
+        (JOB, "key", {"phases": [{"count": -1}]}, 400),
+        (JOB, "key", {"phases": [{"after": [3]}]}, 400),
+        (JOB, "key", {**SUBMISSION, "specification": "x" * 4001}, 400),
+    ],
+)
+def test_bad_calls_get_a_clear_answer(path, key, body, status):
+    async def work(running):
+        answer = await _call(
+            running.site.frontend_address,
+            path,
+            method="POST",
+            body=body,
+            key=key,
+        )
+        assert answer.code == status
+        assert json.loads(answer.body)["remedy"]
+
+    _with_program(work)
+
+
+def test_an_unknown_job_is_answered_410_and_a_queue_is_counted():
+    async def work(running):
+        address = running.site.frontend_address
+        assert (await _call(address, JOB)).code == 410
+        assert (await _call(address, JOB, method="DELETE")).code == 410
+        counted = await _call(address, "/q/")
+        assert json.loads(counted.body) == {"pending": 0}
+
+    _with_program(work)
--- /dev/null
+++ b/testing/platform/test_settings.py
@@ -0,0 +1,44 @@
+"""The platform's settings file."""
+
+from __future__ import annotations
+
+from returns import result
+
+from knapweedwharf.platform import settings
+
+TEXT = """
+node_name=frontend-antigua-1
+zone=antigua
+ip_address=10.1.0.19
+listen_addresses.frontend=10.1.0.19:8521
+listen_addresses.ready=10.1.0.19:8523
+platform.address=10.200.1.7:8524
+platform.min_ttl_ms=1000
+bounds.max_hold_ms=6000
+bounds.status_s=120
+bounds.grace_period_s=6
+some.new.field=whatever
+"""
+
+
+def test_known_fields_are_taken_and_others_let_pass():
+    site = settings.parse(TEXT, source="test").unwrap()
+    assert site.node_id == "frontend-antigua-1"
+    assert site.store_address == "10.200.1.7:8524"
+    assert site.bounds.max_lease_s == 6.0
+    assert site.bounds.status_retention_s == 120.0
+
+
+def test_every_fault_is_named_at_once():
+    broken = TEXT.replace("10.200.1.7:8524", "nowhere").replace(
+        "bounds.max_hold_ms=6000", "bounds.max_hold_ms=-1"
+    )
+    faults = settings.parse(broken, source="test").failure()
+    named = {fault.field for fault in faults}
+    assert named == {"platform.address", "max_hold_ms"}
+
+
+def test_a_missing_file_names_the_variable():
+    read = settings.read("no/such/file")
+    assert isinstance(read, result.Failure)
+    assert settings.PATH_VARIABLE in read.failure()[0].remedy
