Store the end of a gang though one of its starts has no answer

While one member's start had no answer the engine was told nothing of the attempt, yet ends of the other members were noted once the unchanged record was written. The next owner found neither run nor end and started the gang again.

Change: a gang of which one run is done is done, whatever is known of its other starts; an end is noted only after the engine was told of it and the record was written.

Ruled out: a lapse assumed too early (5 s between end and start, lease 6 s), a late write of the former owner (epoch condition).

Test: a gang that is done is stored though one start has no answer; it failed first, with 8 runs in place of 4.

--- a/src/knapweedwharf/fleet/attempt.py
+++ b/src/knapweedwharf/fleet/attempt.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections import abc
 import dataclasses
 
 from knapweedwharf.core import workflow
@@ -66,6 +67,7 @@
     :ivar stopping: the engine has asked for a stop.
     :ivar blamed: executor that refused a start, or empty.
     :ivar over: the engine knows that it has ended.
+    :ivar once_told: what waits for the engine to know of all ends.
     """
 
     attempt_id: str
@@ -77,6 +79,9 @@
     stopping: bool = False
     blamed: str = ""
     over: bool = False
+    once_told: list[abc.Callable[[], None]] = dataclasses.field(
+        default_factory=list
+    )
 
     def pending(self) -> list[Member]:
         """Return the members whose start is not settled."""
@@ -84,6 +89,10 @@
             m for m in self.members.values() if m.phase in (INTENDED, ORDERED)
         ]
 
+    def unended(self) -> list[Member]:
+        """Return the members that run or may run."""
+        return [m for m in self.members.values() if m.phase != ENDED]
+
     def running(self) -> list[Member]:
         """Return the members that run."""
         return [m for m in self.members.values() if m.phase == RUNNING]
--- a/src/knapweedwharf/fleet/orders.py
+++ b/src/knapweedwharf/fleet/orders.py
@@ -229,8 +229,14 @@
 
     def settle(self, attempt: attempt_module.Attempt) -> None:
         """Tell the engine what is now certain of an attempt."""
-        if attempt.over:
-            return
+        if not attempt.over:
+            self._settle(attempt)
+        if attempt.over or not attempt.untold_ends():
+            waiting, attempt.once_told = attempt.once_told, []
+            for call in waiting:
+                call()
+
+    def _settle(self, attempt: attempt_module.Attempt) -> None:
         if attempt.must_stop and not attempt.is_done:
             for member in attempt.running():
                 self._spawn(self._stop(attempt, member))
@@ -239,7 +245,7 @@
                 self._give_up(attempt)
             return
         if not attempt.told_started:
-            if attempt.pending():
+            if attempt.pending() and not attempt.is_done:
                 return
             attempt.told_started = True
             started = event.GangStarted(attempt.attempt_id)
@@ -272,8 +278,9 @@
     def _tell_ends(self, attempt: attempt_module.Attempt) -> None:
         done = attempt.is_done
         if done:
-            # The members of a gang end together; one end tells of all.
-            for member in attempt.running():
+            # The members of a gang end together; one end tells of all,
+            # also of one whose start was never confirmed.
+            for member in attempt.unended():
                 self.end(attempt, member, model.DONE)
         for member in attempt.untold_ends():
             self._tell_end(attempt, member, succeeded=done)
--- a/src/knapweedwharf/fleet/reports.py
+++ b/src/knapweedwharf/fleet/reports.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+from collections import abc
+import functools
+
 from knapweedwharf.core import event
 from knapweedwharf.core import workflow
 from knapweedwharf.fleet import attempt as attempt_module
@@ -78,7 +81,33 @@
         for attempt in touched.values():
             self._ledger.mark(attempt.job.job_id)
         if session.seen_end > session.noted_end:
-            session.note(list(jobs), self._ledger.when_stored)
+            untold = {
+                attempt.job.job_id: attempt
+                for attempt in touched.values()
+                if attempt.untold_ends() and not attempt.over
+            }
+            session.note(
+                list(jobs), functools.partial(self._when_stored, untold)
+            )
+
+    def _when_stored(
+        self,
+        untold: Touched,
+        job_id: str,
+        then: abc.Callable[[], None],
+    ) -> None:
+        """Call ``then`` once what the ends mean for a job is stored.
+
+        :param untold: attempts of whose ends the engine does not know
+            yet, by job; their record says nothing of them.
+        """
+        attempt = untold.get(job_id)
+        if attempt is None:
+            self._ledger.when_stored(job_id, then)
+            return
+        attempt.once_told.append(
+            functools.partial(self._ledger.mark, job_id, then)
+        )
 
     def _take_run(
         self,
--- a/testing/fleet/test_faults.py
+++ b/testing/fleet/test_faults.py
@@ -292,3 +292,56 @@
         assert waited_s <= scene_module.BOUNDS.reclaim_timeout_s
 
     scene_module.play(main, monkeypatch)
+
+
+def test_a_gang_that_is_done_is_stored_though_one_start_has_no_answer(
+    monkeypatch,
+):
+    """Found by a hunt on huerto-central, day hunt-7919-3."""
+
+    async def main(scene):
+        await scene.open(vms=2, executors=4)
+        silent = scene.pool.executors["e2"]
+        silent.lose_starts = 2
+        job_id, _outcome = await scene.submit(
+            scene.vms[0],
+            step(tasks=4, is_gang=True, accelerators=8),
+            behaviour={"gang": 4, "run_s": 3},
+        )
+        await scene.until(lambda: len(scene.pool.starts) == 4)
+        silent.silent = True
+        await scene.until(lambda: len(scene.runs_of(job_id)) == 4)
+        await asyncio.sleep(0.5)
+        other = scene.bystander()
+        await scene.owner.kill()
+        await asyncio.sleep(2)
+        silent.silent = False
+        await scene.until_state(job_id, workflow.COMPLETED, vm=other)
+        assert len(scene.runs_of(job_id)) == 4
+
+    scene_module.play(main, monkeypatch)
+
+
+def test_a_failure_is_noted_only_once_it_counts(monkeypatch):
+    """A member fails while another's start is still without an answer."""
+
+    async def main(scene):
+        await scene.open(vms=2, executors=2, attempts=1)
+        silent = scene.pool.executors["e1"]
+        silent.lose_starts = 2
+        job_id, _outcome = await scene.submit(
+            scene.vms[0],
+            step(tasks=2, is_gang=True, accelerators=8),
+            behaviour={"run_s": 1, "ends": "failed"},
+        )
+        await scene.until(lambda: len(scene.pool.starts) == 2)
+        silent.silent = True
+        await asyncio.sleep(2.5)
+        other = scene.bystander()
+        await scene.owner.kill()
+        await asyncio.sleep(2)
+        silent.silent = False
+        await scene.until_state(job_id, workflow.FAILED, vm=other)
+        assert len(scene.runs_of(job_id)) == 2
+
+    scene_module.play(main, monkeypatch)
