--- a/src/knapweedwharf/platform/program.py
+++ b/src/knapweedwharf/platform/program.py
@@ -49,6 +49,7 @@
 
     :ivar draining: a SIGTERM was received.
     :ivar in_flight: calls that were read and not yet answered.
+    :ivar stopped: the process has served long enough after SIGTERM.
     """
 
     def __init__(
@@ -81,7 +82,7 @@
         self._frontend = ingress_module.frontend(self)
         self._readiness = ingress_module.readiness(self)
         self._metrics = ingress_module.metrics(self)
-        self._stopped = asyncio.Event()
+        self.stopped = asyncio.Event()
         self._tasks: list[asyncio.Task] = []
 
     @property
@@ -116,12 +117,12 @@
     async def run(self) -> None:
         """Serve until a signal has drained the process."""
         loop = asyncio.get_running_loop()
-        loop.add_signal_handler(signal.SIGTERM, self._terminate)
-        loop.add_signal_handler(signal.SIGINT, self._terminate)
+        loop.add_signal_handler(signal.SIGTERM, self.terminate)
+        loop.add_signal_handler(signal.SIGINT, self.terminate)
         loop.add_signal_handler(signal.SIGHUP, self._reload, "signal")
         await self.start()
         self._tasks.append(asyncio.create_task(self._follow_settings()))
-        await self._stopped.wait()
+        await self.stopped.wait()
         await self.close()
 
     async def close(self) -> None:
@@ -139,7 +140,8 @@
 
     # Signals
 
-    def _terminate(self) -> None:
+    def terminate(self) -> None:
+        """Begin to drain; ``stopped`` is set in time before SIGKILL."""
         if self.draining:
             return
         self.draining = True
@@ -151,9 +153,9 @@
 
         Callers use open connections until the process is gone.
         """
-        await self.node.resign()
+        self._tasks.append(asyncio.create_task(self.node.resign()))
         await asyncio.sleep(self.site.bounds.grace_period_s - EXIT_MARGIN_S)
-        self._stopped.set()
+        self.stopped.set()
 
     def _reload(self, why: str) -> None:
         read = settings_module.read(self._settings_path)
--- a/testing/platform/test_adapter.py
+++ b/testing/platform/test_adapter.py
@@ -262,6 +262,19 @@
     _play(main)
 
 
+def test_a_store_that_is_away_does_not_delay_the_end(monkeypatch):
+    async def work(running):
+        away = asyncio.Event()
+        monkeypatch.setattr(running.node, "resign", away.wait)
+        monkeypatch.setattr(program, "EXIT_MARGIN_S", 5.9)
+        running.terminate()
+        assert not running.is_ready
+        async with asyncio.timeout(20):
+            await running.stopped.wait()
+
+    _with_program(work)
+
+
 JOB = "/q/5c0e7a21d94b36f8"
 SUBMISSION = {
     "specification": '{"run_s": 0.2}',
