--- a/src/knapweedwharf/core/workflow.py
+++ b/src/knapweedwharf/core/workflow.py
@@ -208,16 +208,6 @@
             for part in cut(self.job, occurrence, number)
         )
 
-    def next_due_s(self, now_s: float) -> float | None:
-        """Return when the next occurrence is due, if one is to come."""
-        if self.is_final or not self.job.is_timed:
-            return None
-        for occurrence in range(self.job.occurrences):
-            due_s = self.job.due_s(occurrence)
-            if due_s > now_s:
-                return due_s
-        return None
-
     def part_done(self, part: Part) -> None:
         """Note that a part has ended well; the last one completes."""
         part.done = True
--- a/src/knapweedwharf/fleet/desired.py
+++ b/src/knapweedwharf/fleet/desired.py
@@ -28,7 +28,6 @@
         self._catalogue = catalogue
         self._max_age_s = bounds.revocation_s - AGE_MARGIN_S
         self._log = log.get("desired")
-        self._listeners: list[abc.Callable[[model.Desired], None]] = []
         self._confirmed_s: float | None = None
         self.current: model.Desired | None = None
         self.watcher = watcher_module.Watcher(
@@ -39,10 +38,6 @@
             on_changes=lambda changes: self._take(changes.items),
         )
 
-    def listen(self, listener: abc.Callable[[model.Desired], None]) -> None:
-        """Call ``listener`` with each newer desired state."""
-        self._listeners.append(listener)
-
     async def start(self) -> None:
         """Begin to follow."""
         await self.watcher.start()
@@ -99,5 +94,3 @@
             routes=len(desired.routes),
             accounts=len(desired.accounts),
         )
-        for listener in self._listeners:
-            listener(desired)
--- a/src/knapweedwharf/fleet/model.py
+++ b/src/knapweedwharf/fleet/model.py
@@ -27,7 +27,6 @@
 
     :ivar max_lease_s: longest lease an executor grants to its runs.
     :ivar stop_timeout_s: longest time an executor takes for a stop.
-    :ivar gang_timeout_s: how long a gang member waits for the others.
     :ivar revocation_s: a key must be dead this long after its removal.
     :ivar grace_period_s: time between SIGTERM and SIGKILL.
     :ivar owner_lease_s: longest time without an owner after one is lost.
@@ -36,7 +35,6 @@
 
     max_lease_s: float = 6.0
     stop_timeout_s: float = 0.9
-    gang_timeout_s: float = 3.0
     revocation_s: float = 5.0
     grace_period_s: float = 6.0
     owner_lease_s: float = 3.0
@@ -61,8 +59,6 @@
     readiness_address: str
     store_address: str
     min_lease_s: float = 1.0
-    advisor_address: str = ""
-    machines_address: str = ""
     bounds: Bounds = Bounds()
 
 
@@ -80,9 +76,6 @@
     """A queue of jobs, found by host and path prefix.
 
     :ivar priority: 0 comes first and may reclaim guaranteed room.
-    :ivar slowdown_factor: objective as a multiple of the chain of work.
-    :ivar latency_target_s: added to the objective.
-    :ivar has_advisor: starts need a ticket of the advisor.
     """
 
     name: str
@@ -91,10 +84,7 @@
     service: str
     priority: int = 1
     max_attempts: int = 1
-    slowdown_factor: float = 1.0
-    latency_target_s: float = 1.0
     is_public: bool = False
-    has_advisor: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -135,13 +125,6 @@
                 best = route
         return best
 
-    def route_named(self, name: str) -> Route | None:
-        """Return a route by its name."""
-        for route in self.routes:
-            if route.name == name:
-                return route
-        return None
-
 
 @dataclasses.dataclass(frozen=True)
 class Executor:
@@ -161,7 +144,6 @@
     memory_mib: int
     accelerators: int
     labels: tuple[str, ...] = ()
-    machine: str = ""
     incarnation_ms: int = 0
 
     @property
@@ -176,14 +158,12 @@
 
     :ivar checkpoint: newest saved progress, or empty.
     :ivar percent: how far it is.
-    :ivar load: tail latency in ms of a serving task, else cores in use.
     """
 
     task_id: str
     run: int
     checkpoint: str
     percent: int
-    load: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/knapweedwharf/fleet/registry.py
+++ b/src/knapweedwharf/fleet/registry.py
@@ -17,9 +17,6 @@
 WATCH_WAIT_S = 1.0
 """Half of the time within which a draining executor gets no start."""
 
-RETURN_S = 2.0
-"""How long after its removal an entry may come back."""
-
 Tell = abc.Callable[[str, event.Event], None]
 """(service, event) to the service's engine"""
 
@@ -50,9 +47,8 @@
         self._log = log.get("registry")
         self._announced: dict[str, model.Executor] = {}
         self._expected: dict[str, float] = {}
-        self._removed_s: dict[str, float] = {}
+        self._removed: dict[str, None] = {}
         self._closing: set[asyncio.Task] = set()
-        self._began_s = clock.elapsed_s()
         self.sessions: dict[str, session_module.Session] = {}
         self._watcher = watcher_module.Watcher(
             store,
@@ -64,7 +60,6 @@
 
     async def start(self) -> None:
         """Begin to follow the entries."""
-        self._began_s = clock.elapsed_s()
         await self._watcher.start()
 
     async def close(self) -> None:
@@ -115,7 +110,7 @@
     def _take_executor(self, executor: model.Executor, revision: int) -> None:
         executor_id = executor.executor_id
         self._expected.pop(executor_id, None)
-        self._removed_s.pop(executor_id, None)
+        self._removed.pop(executor_id, None)
         session = self.sessions.get(executor_id)
         if session is not None and _is_reborn(session.executor, executor):
             self._log.warning("executor-reborn", executor=executor_id)
@@ -159,7 +154,7 @@
         if session is None or not session.listed:
             return
         session.listed = False
-        self._removed_s[executor_id] = clock.elapsed_s()
+        self._removed[executor_id] = None
         self._log.info("executor-unlisted", executor=executor_id)
         self._bar(session)
 
@@ -210,16 +205,20 @@
         )
 
     def tick(self) -> None:
-        """Give up executors that left, and those that never came."""
-        now_s = clock.elapsed_s()
-        for executor_id, removed_s in list(self._removed_s.items()):
+        """Give up drained executors that have left.
+
+        Of others that vanish nothing is known until their lease ends:
+        their entry may have lapsed while the store was away.
+        """
+        for executor_id in list(self._removed):
             session = self.sessions.get(executor_id)
-            left = session and session.executor.state == model.DRAINING
-            late = now_s - removed_s > RETURN_S
-            if session is None or (session.is_silent and (left or late)):
-                del self._removed_s[executor_id]
-                if session is not None and left:
-                    self._drop(session)
+            if session is None:
+                del self._removed[executor_id]
+            elif session.is_silent and (
+                session.executor.state == model.DRAINING
+            ):
+                del self._removed[executor_id]
+                self._drop(session)
 
     def take_lapsed(self) -> list[str]:
         """Return awaited executors whose runs have surely ended."""
--- a/src/knapweedwharf/platform/decode.py
+++ b/src/knapweedwharf/platform/decode.py
@@ -94,7 +94,6 @@
 
 
 def _route(document: Document) -> model.Route:
-    target_ms = _field(document, "target_latency_ms", float, 1000.0)
     return model.Route(
         name=_field(document, "name", str),
         host=_field(document, "host", str, ""),
@@ -102,10 +101,7 @@
         service=_field(document, "service", str, ""),
         priority=_whole(document, "priority", 1),
         max_attempts=max(1, _whole(document, "max_attempts", 1)),
-        slowdown_factor=_field(document, "slowdown_factor", float, 1.0),
-        latency_target_s=target_ms / _MILLI,
         is_public=bool(document.get("public", False)),
-        has_advisor=bool(document.get("advisor")),
     )
 
 
@@ -132,7 +128,6 @@
         memory_mib=_whole(capacity, "mem_mb"),
         accelerators=_whole(capacity, "gpu"),
         labels=tuple(labels),
-        machine=_field(document, "machine", str, ""),
         incarnation_ms=_whole(document, "born"),
     )
 
@@ -211,8 +206,7 @@
 
 
 def _run(row: list) -> model.Run:
-    load = float(row[4]) if len(row) > 4 and row[4] is not None else 0.0
-    return model.Run(str(row[0]), int(row[1]), row[2] or "", int(row[3]), load)
+    return model.Run(str(row[0]), int(row[1]), row[2] or "", int(row[3]))
 
 
 def _end(row: list) -> model.End:
--- a/src/knapweedwharf/platform/settings.py
+++ b/src/knapweedwharf/platform/settings.py
@@ -51,11 +51,8 @@
     min_ttl_ms = fields.Float(
         load_default=1000.0, data_key="platform.min_ttl_ms"
     )
-    advisor = fields.Str(load_default="")
-    cloud_api = fields.Str(load_default="", data_key="cloud_api.address")
     max_hold_ms = _positive()
     stop_timeout_ms = _positive()
-    gang_timeout_ms = _positive()
     revocation_ms = _positive()
     lease_duration_ms = _positive()
     reclaim_timeout_ms = _positive()
@@ -66,7 +63,6 @@
 _BOUNDS = {
     "max_hold_ms": "max_lease_s",
     "stop_timeout_ms": "stop_timeout_s",
-    "gang_timeout_ms": "gang_timeout_s",
     "revocation_ms": "revocation_s",
     "lease_duration_ms": "owner_lease_s",
     "reclaim_timeout_ms": "reclaim_timeout_s",
@@ -140,7 +136,5 @@
         readiness_address=loaded["ready"],
         store_address=loaded["platform"],
         min_lease_s=loaded["min_ttl_ms"] / _MILLI,
-        advisor_address=loaded["advisor"],
-        machines_address=loaded["cloud_api"],
         bounds=model.Bounds(**bounds),
     )
