Say once when a lease has lapsed; index runs by executor

Cause: found on reading the whole change.

Behaviour stays as it was.

Ruled out as copies: the connection of intake and registry to their watchers (same shape, other prefixes), the types of fleet and core that share a shape only.

--- a/src/knapweedwharf/core/constraint.py
+++ b/src/knapweedwharf/core/constraint.py
@@ -94,12 +94,12 @@
     }
 
 
-def near_variants(
+def near_variant(
     topology: topology_module.Topology, job: model.JobSpec
-) -> list[model.JobSpec]:
+) -> model.JobSpec | None:
     """Return the job confined to the places where it is fast.
 
-    Empty where no place is better than another, or where the present
+    None where no place is better than another, or where the present
     workers could not hold it so.
     """
     confined = job
@@ -107,9 +107,9 @@
     if job.data_rack:
         specs = [spec for spec in specs if spec.rack == job.data_rack]
     elif not (job.prefers_rack and job.tasks > 1):
-        return []
+        return None
     if job.tasks > 1:
         confined = dataclasses.replace(job, within=model.WITHIN_RACK)
     if not placement.could_ever_fit(specs, confined):
-        return []
-    return [confined]
+        return None
+    return confined
--- a/src/knapweedwharf/core/reserve.py
+++ b/src/knapweedwharf/core/reserve.py
@@ -135,8 +135,8 @@
     def _reserve(self, job: model.JobSpec, *, made_s: float) -> None:
         state = self._state
         best: claim.Reservation | None = None
-        near = constraint.near_variants(state.topology, job)
-        fast = near[0] if near and not state.is_impatient(job) else job
+        near = constraint.near_variant(state.topology, job)
+        fast = job if near is None or state.is_impatient(job) else near
         groups = borrowers.groups(state.topology, fast.within)
         avoid = state.avoided(job, near=fast is not job)
         for group in itertools.islice(groups, GROUPS_TRIED):
--- a/src/knapweedwharf/core/scheduler.py
+++ b/src/knapweedwharf/core/scheduler.py
@@ -129,9 +129,12 @@
         waited_s = state.now_s - job.submitted_s
         if waited_s < state.configuration.policy.urgent_patience_s:
             return False
+        near = constraint.near_variant(state.topology, job)
         choice = None
-        for variant in (*constraint.near_variants(state.topology, job), job):
-            choice = choice or reserve.cheapest(
+        for variant in (near, job):
+            if variant is None or choice is not None:
+                continue
+            choice = reserve.cheapest(
                 state,
                 variant,
                 allowed=functools.partial(_of_lower_rank, job.rank),
--- a/src/knapweedwharf/core/state.py
+++ b/src/knapweedwharf/core/state.py
@@ -141,13 +141,11 @@
 
         A job takes a distant place once it has waited for a near one.
         """
-        near = constraint.near_variants(self.topology, job)
-        for confined in near:
-            share = self._search(confined, self.avoided(confined, near=True))
-            if share is not None:
+        near = constraint.near_variant(self.topology, job)
+        if near is not None:
+            share = self._search(near, self.avoided(near, near=True))
+            if share is not None or not self.is_impatient(job):
                 return share
-        if near and not self.is_impatient(job):
-            return None
         return self._search(job, self.avoided(job))
 
     def is_impatient(self, job: model.JobSpec) -> bool:
--- a/src/knapweedwharf/fleet/board.py
+++ b/src/knapweedwharf/fleet/board.py
@@ -9,8 +9,8 @@
 from knapweedwharf.fleet import clock
 from knapweedwharf.fleet import records
 
-RunKey = tuple[str, str, int]
-"""(executor id, task id, run number)"""
+Runs = dict[tuple[str, int], tuple[attempt_module.Attempt, int]]
+"""from (task id, run number) to an attempt and a member's place in it"""
 
 
 class Board:
@@ -25,7 +25,7 @@
         self.workflows: dict[str, workflow.Workflow] = {}
         self.attempts: dict[str, attempt_module.Attempt] = {}
         self.ended_s: dict[str, float] = {}
-        self._runs: dict[RunKey, tuple[attempt_module.Attempt, int]] = {}
+        self._runs: dict[str, Runs] = {}
 
     def dump(self, job_id: str) -> bytes | None:
         """Return a job's record; None once it was dropped."""
@@ -71,22 +71,24 @@
         )
         self.attempts[attempt_id] = attempt
         for member in attempt.members.values():
-            key = (member.executor_id, member.task_id, attempt.run)
-            self._runs[key] = (attempt, member.index)
+            runs = self._runs.setdefault(member.executor_id, {})
+            runs[member.task_id, attempt.run] = (attempt, member.index)
         return attempt
 
     def forget(self, attempt: attempt_module.Attempt) -> None:
         """Track an attempt no longer."""
         self.attempts.pop(attempt.attempt_id, None)
         for member in attempt.members.values():
-            key = (member.executor_id, member.task_id, attempt.run)
-            self._runs.pop(key, None)
+            runs = self._runs.get(member.executor_id, {})
+            runs.pop((member.task_id, attempt.run), None)
+            if not runs:
+                self._runs.pop(member.executor_id, None)
 
     def member(
         self, executor_id: str, task_id: str, run: int
     ) -> tuple[attempt_module.Attempt, attempt_module.Member] | None:
         """Return the member that a run belongs to."""
-        held = self._runs.get((executor_id, task_id, run))
+        held = self._runs.get(executor_id, {}).get((task_id, run))
         if held is None:
             return None
         attempt, index = held
@@ -96,13 +98,13 @@
         self, executor_id: str
     ) -> abc.Iterator[tuple[attempt_module.Attempt, attempt_module.Member]]:
         """Yield the members placed on an executor."""
-        for key, (attempt, index) in list(self._runs.items()):
-            if key[0] == executor_id:
-                yield attempt, attempt.members[index]
+        runs = self._runs.get(executor_id, {})
+        for attempt, index in list(runs.values()):
+            yield attempt, attempt.members[index]
 
     def is_busy(self, executor_id: str) -> bool:
         """Tell whether something may run on an executor."""
-        return any(key[0] == executor_id for key in self._runs)
+        return executor_id in self._runs
 
     def held_parts(self, job_id: str) -> set[str]:
         """Return a job's parts that have an attempt."""
--- a/src/knapweedwharf/fleet/registry.py
+++ b/src/knapweedwharf/fleet/registry.py
@@ -222,10 +222,8 @@
 
     def take_lapsed(self) -> list[str]:
         """Return awaited executors whose runs have surely ended."""
-        lease_s = self._site.bounds.max_lease_s * (
-            1 + session_module.SLOW_CLOCK_SHARE
-        )
-        oldest_s = clock.elapsed_s() - lease_s - session_module.LAPSE_MARGIN_S
+        lapse_s = session_module.lapse_after_s(self._site.bounds)
+        oldest_s = clock.elapsed_s() - lapse_s
         gone = [
             e for e, since_s in self._expected.items() if since_s < oldest_s
         ]
--- a/src/knapweedwharf/fleet/session.py
+++ b/src/knapweedwharf/fleet/session.py
@@ -66,6 +66,11 @@
     is_busy: abc.Callable[[str], bool]
 
 
+def lapse_after_s(bounds: model.Bounds) -> float:
+    """Return after which time a lease has surely ended."""
+    return bounds.max_lease_s * (1 + SLOW_CLOCK_SHARE) + LAPSE_MARGIN_S
+
+
 @dataclasses.dataclass(slots=True)
 class _Note:
     """Ends up to a number, and the records still to be written first."""
@@ -269,6 +274,5 @@
         self._hooks.barred(self)
 
     def _has_lapsed(self) -> bool:
-        lease_s = self._bounds.max_lease_s * (1 + SLOW_CLOCK_SHARE)
         passed_s = clock.elapsed_s() - self._lease_sent_s
-        return passed_s > lease_s + LAPSE_MARGIN_S
+        return passed_s > lapse_after_s(self._bounds)
--- a/testing/core/test_constraint.py
+++ b/testing/core/test_constraint.py
@@ -50,6 +50,21 @@
     return [p.worker_id for p in engine.records[job_id].assignments]
 
 
+def _full_engine() -> engine_module.Engine:
+    """Return an engine whose workers all run work of low precedence."""
+    engine = _engine()
+    for number in range(4):
+        _places(
+            engine,
+            f"low{number}",
+            accelerators_per_task=8,
+            saves_progress=False,
+        )
+        attempt_id = engine.records[f"low{number}"].attempt_id
+        engine.handle(event.GangStarted(attempt_id), now_s=0.0)
+    return engine
+
+
 def test_a_label_is_required():
     engine = _engine()
     assert _places(engine, "a", label="big") == ["w3"]
@@ -84,16 +99,7 @@
 
 
 def test_first_work_stops_other_work_only_where_little_is_lost():
-    engine = _engine()
-    for number in range(4):
-        _places(
-            engine,
-            f"low{number}",
-            accelerators_per_task=8,
-            saves_progress=False,
-        )
-        attempt_id = engine.records[f"low{number}"].attempt_id
-        engine.handle(event.GangStarted(attempt_id), now_s=0.0)
+    engine = _full_engine()
     fields = {"accelerators_per_task": 8, "precedence": 1}
     _places(engine, "first", now_s=4.0, **fields)
     engine.handle(event.Tick(), now_s=5.0)
@@ -102,16 +108,7 @@
 
 
 def test_guaranteed_work_stops_what_it_must_when_it_is_due():
-    engine = _engine()
-    for number in range(4):
-        _places(
-            engine,
-            f"low{number}",
-            accelerators_per_task=8,
-            saves_progress=False,
-        )
-        attempt_id = engine.records[f"low{number}"].attempt_id
-        engine.handle(event.GangStarted(attempt_id), now_s=0.0)
+    engine = _full_engine()
     _places(
         engine,
         "owed",
