Date running work by its progress; move what hangs or has to leave

Cause: ends of running work were guessed from declared run times, which are off by up to a factor; reservations kept the wrong rack, and a new owner took every adopted run for one that had just begun. Work on a hung executor stayed there and more was placed beside it. Work on a draining executor ran until it was taken away.

Change: core/progress.py reckons the end from the pace that executors report. A run without progress for 2 s bars its executor for a while and is restarted once it has stood still for as long as a stop would lose. Work that does not end in the time a draining executor has left moves at once. Reserved room is chosen anew each second. The record of a part has the time of its placement. Executors are taken for settled after 0.5 s of an ownership instead of 3 s.

Ruled out: restarting hung work at once (a hang shorter than the work done would lose more than it saves); blaming every executor of a gang that stands still.

The stand-in executors reported a constant 50 percent; they now report what is done, so that the check of hung work sees true reports.

Platform calls to services other than the store share one module.

--- a/src/knapweedwharf/core/claim.py
+++ b/src/knapweedwharf/core/claim.py
@@ -87,12 +87,14 @@
 
     :ivar expected_s: when that is expected, by estimates.
     :ivar made_s: what started since then gives way.
+    :ivar chosen_s: when the room was chosen.
     """
 
     job: model.JobSpec
     tasks: dict[str, int]
     expected_s: float
     made_s: float
+    chosen_s: float = 0.0
 
 
 class Reservations:
--- a/src/knapweedwharf/core/constraint.py
+++ b/src/knapweedwharf/core/constraint.py
@@ -13,8 +13,9 @@
 Records = abc.Callable[[str], record_module.JobRecord | None]
 """from an attempt's id to its job's record"""
 
-Constraint = tuple[str, str, bool, str, str]
-"""(label, data rack, prefers one rack, group with a limit, neighbours)"""
+Constraint = tuple[str, str, bool, str, str, str]
+"""(label, data rack, prefers one rack, group with a limit, neighbours,
+approval)"""
 
 _DISTURBS = {model.FILLS: model.SERVES, model.SERVES: model.FILLS}
 
@@ -28,6 +29,7 @@
         job.prefers_rack,
         group,
         job.neighbours,
+        job.approval,
     )
 
 
--- a/src/knapweedwharf/core/engine.py
+++ b/src/knapweedwharf/core/engine.py
@@ -71,6 +71,11 @@
         """Take over a record that an earlier epoch wrote."""
         self._lifecycle.restore(record)
 
+    def drop(self, job: model.JobSpec) -> None:
+        """Forget a job that ended long ago."""
+        self.state.records.pop(job.job_id, None)
+        self._lifecycle.approval_over(job.approval)
+
     def handle(
         self, happened: event.Event, *, now_s: float
     ) -> list[decision.Decision]:
@@ -108,7 +113,7 @@
 
     @_apply.register
     def _(self, happened: event.WorkerLeaving) -> None:
-        self._hardware.leaving(happened.worker_id)
+        self._hardware.leaving(happened.worker_id, happened.remaining_s)
 
     @_apply.register
     def _(self, happened: event.WorkerGone) -> None:
@@ -149,6 +154,14 @@
     def _(self, happened: event.UsageReported) -> None:
         self._lifecycle.usage_reported(happened)
 
+    @_apply.register
+    def _(self, happened: event.WorkersApproved) -> None:
+        self._lifecycle.workers_approved(happened)
+
+    @_apply.register
+    def _(self, happened: event.ProgressSeen) -> None:
+        self._hardware.progressed(happened)
+
     @_apply.register
     def _(self, _happened: event.Tick) -> None:
         self._hardware.tick()
--- a/src/knapweedwharf/core/event.py
+++ b/src/knapweedwharf/core/event.py
@@ -31,9 +31,13 @@
 
 @dataclasses.dataclass(frozen=True)
 class WorkerLeaving:
-    """The platform is about to take a worker away."""
+    """The platform is about to take a worker away.
+
+    :ivar remaining_s: work that ends within this time may stay.
+    """
 
     worker_id: str
+    remaining_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -128,6 +132,31 @@
     memory_mib: int
 
 
+@dataclasses.dataclass(frozen=True)
+class WorkersApproved:
+    """An outside authority has said which workers may run some jobs.
+
+    :ivar approval: name that the jobs' specifications bear.
+    :ivar approved: workers that may run them from now on.
+    :ivar denied: workers that may not.
+    """
+
+    approval: str
+    approved: tuple[str, ...]
+    denied: tuple[str, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True)
+class ProgressSeen:
+    """A worker's report of how far the attempts on it are.
+
+    :ivar shares: (attempt, share that is done, from 0 to 1).
+    """
+
+    worker_id: str
+    shares: tuple[tuple[str, float], ...]
+
+
 @dataclasses.dataclass(frozen=True)
 class Tick:
     """Time passed; ageing, reservations and probes are looked at."""
@@ -147,5 +176,7 @@
     GangStopped,
     TaskEnded,
     UsageReported,
+    WorkersApproved,
+    ProgressSeen,
     Tick,
 ]
--- a/src/knapweedwharf/core/hardware.py
+++ b/src/knapweedwharf/core/hardware.py
@@ -22,6 +22,7 @@
         self._jobs = jobs
         self._was_complete = False
         self._suspended: dict[ledger.UnitKey, None] = {}
+        self._still_since_s: dict[str, float] = {}
 
     def check_complete(self) -> None:
         """Look at waiting jobs anew once every worker is known."""
@@ -70,11 +71,88 @@
         self._state.topology.bar(worker_id, why)
         self._follow(worker_id)
 
-    def leaving(self, worker_id: str) -> None:
-        """Move work away from a worker that is about to go."""
+    def leaving(self, worker_id: str, remaining_s: float) -> None:
+        """Move work away from a worker that is about to go.
+
+        :param remaining_s: work that ends within it may stay.
+        """
+        state = self._state
         self.barred(worker_id, topology_module.LEAVING)
         text = f"Worker {worker_id} is about to leave."
-        self._requeue_on(worker_id, "worker-leaving", text)
+        until_s = state.now_s + remaining_s
+        for attempt_id in state.topology.attempts_on(worker_id):
+            record = state.job_of_attempt(attempt_id)
+            if record is None or record.state == record_module.STOPPING:
+                continue
+            if remaining_s and state.expected_end_s(record) <= until_s:
+                continue
+            reason = state.reason("worker-leaving", text)
+            state.stop(record, "requeue", reason)
+
+    def progressed(self, happened: event.ProgressSeen) -> None:
+        """Take in how far attempts are; act on those that stand still."""
+        state = self._state
+        for attempt_id, share in happened.shares:
+            state.progress.seen(attempt_id, share, state.now_s)
+        still = [a for a, _share in happened.shares if self._is_still(a)]
+        worker_id = happened.worker_id
+        if any(self._is_alone_on(a, worker_id) for a in still):
+            self._stands_still(worker_id)
+        elif not still:
+            self._moves_again(worker_id, "What runs on it moves again.")
+        for attempt_id in still:
+            self._restart_if_cheap(attempt_id)
+
+    def _is_still(self, attempt_id: str) -> bool:
+        state = self._state
+        record = state.job_of_attempt(attempt_id)
+        if record is None or record.state != record_module.RUNNING:
+            return False
+        limit_s = state.configuration.policy.still_s
+        if not limit_s or record.job.is_lasting:
+            return False
+        return state.progress.still_s(attempt_id) >= limit_s
+
+    def _is_alone_on(self, attempt_id: str, worker_id: str) -> bool:
+        """Tell whether all of an attempt is on one worker.
+
+        A gang stands still on every worker when one of them does.
+        """
+        places = self._state.topology.places_of(attempt_id)
+        return all(place.worker_id == worker_id for place in places)
+
+    def _stands_still(self, worker_id: str) -> None:
+        state = self._state
+        room = state.topology.workers.get(worker_id)
+        if room is None or topology_module.STILL in room.barred:
+            return
+        state.topology.bar(worker_id, topology_module.STILL)
+        self._still_since_s[worker_id] = state.now_s
+        text = "What runs on it makes no progress."
+        self._tell(worker_id, "still", text)
+
+    def _moves_again(self, worker_id: str, text: str) -> None:
+        if self._still_since_s.pop(worker_id, None) is None:
+            return
+        self._state.topology.allow(worker_id, topology_module.STILL)
+        self._tell(worker_id, "trusted", text)
+
+    def _restart_if_cheap(self, attempt_id: str) -> None:
+        """Restart work elsewhere once it has stood still for as long as
+        a stop would lose; whoever waits less or more may lose twice that.
+        """
+        state = self._state
+        record = state.job_of_attempt(attempt_id)
+        still_s = state.progress.still_s(attempt_id)
+        lost_s = state.estimates.lost_s(
+            record.job,
+            max(0.0, state.now_s - record.started_s - still_s),
+            restart_s=state.configuration.policy.restart_s,
+        )
+        if lost_s > still_s:
+            return
+        text = f"It made no progress for {still_s:.1f} s."
+        state.stop(record, "requeue", state.reason("no-progress", text))
 
     def gone(self, worker_id: str) -> None:
         """Forget a worker; its gangs start again elsewhere."""
@@ -82,6 +160,7 @@
         self._requeue_on(worker_id, "worker-lost", text)
         self._withdraw(worker_id)
         self._state.topology.remove(worker_id)
+        self._still_since_s.pop(worker_id, None)
         self._state.quarantine.forget_worker(worker_id)
         self._jobs.recheck()
 
@@ -124,6 +203,10 @@
             state.waiting.wake_all()
         for worker_id in state.quarantine.rested(state.now_s):
             state.topology.allow(worker_id, topology_module.REFUSED)
+        oldest_s = state.now_s - state.configuration.policy.quarantine_s
+        for worker_id, since_s in list(self._still_since_s.items()):
+            if since_s < oldest_s:
+                self._moves_again(worker_id, "It has rested.")
 
     def tell_changes(self) -> None:
         """Decide on what was suspended or restored."""
@@ -201,7 +284,7 @@
         """
         state = self._state
         room = state.topology.workers.get(worker_id)
-        if room is not None and room.barred <= {topology_module.REFUSED}:
+        if room is not None and room.barred <= topology_module.RESTS:
             state.ledger.worker_usable(room.spec)
             state.ledger.repair(repack=state.settled)
         else:
--- a/src/knapweedwharf/core/lifecycle.py
+++ b/src/knapweedwharf/core/lifecycle.py
@@ -137,6 +137,18 @@
         else:
             state.stop(record, "cancel", reason)
 
+    def workers_approved(self, happened: event.WorkersApproved) -> None:
+        """Let jobs of an approval use workers, or no longer use them."""
+        state = self._state
+        known = state.approved.setdefault(happened.approval, set())
+        known.update(happened.approved)
+        known.difference_update(happened.denied)
+        state.waiting.wake_all()
+
+    def approval_over(self, approval: str) -> None:
+        """Forget an approval; no job needs it any more."""
+        self._state.approved.pop(approval, None)
+
     # Gangs
 
     def gang_started(self, attempt_id: str) -> None:
--- a/src/knapweedwharf/core/model.py
+++ b/src/knapweedwharf/core/model.py
@@ -117,6 +117,12 @@
     :ivar most_lost_runs: work that may be stopped for urgent work, as a
         multiple of its own; 0 sets no limit.
     :ivar urgent_patience_s: wait after which urgent work stops others.
+    :ivar settle_s: time for workers to be sealed by a new owner, before
+        which nothing is stopped for others.
+    :ivar still_s: a run without progress for this long stands still; 0
+        where workers report none.
+    :ivar renew_reserved_s: how often reserved room is chosen anew; 0
+        for once it is late.
     """
 
     fragmentation_weight: float = 0.5
@@ -132,6 +138,9 @@
     restart_s: float = 20.0
     disturbance_s: float = 60.0
     most_lost_runs: float = 0.0
+    settle_s: float = 3.0
+    still_s: float = 0.0
+    renew_reserved_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -170,6 +179,9 @@
     :ivar precedence: it may stop work of a lower precedence.
     :ivar saves_progress: a stop loses little of what was done.
     :ivar neighbours: ``FILLS`` and ``SERVES`` do not share a worker.
+    :ivar is_lasting: it never ends by itself.
+    :ivar approval: only workers approved under this name run it; empty
+        where any may.
     """
 
     job_id: str
@@ -196,6 +208,8 @@
     precedence: int = 0
     saves_progress: bool = True
     neighbours: str = ""
+    is_lasting: bool = False
+    approval: str = ""
 
     @property
     def accelerators(self) -> int:
--- a/src/knapweedwharf/core/reserve.py
+++ b/src/knapweedwharf/core/reserve.py
@@ -47,7 +47,7 @@
         """Renew late reservations, add one, and move borrowers."""
         state = self._state
         for job_id, kept in list(state.reservations.by_job.items()):
-            if kept.expected_s < state.now_s:
+            if kept.expected_s < state.now_s or self._is_stale(kept):
                 state.reservations.drop(job_id)
                 self._reserve(kept.job, made_s=kept.made_s)
         self._later = {
@@ -68,6 +68,14 @@
             if not self._not_due(job):
                 self._reserve(job, made_s=state.now_s)
 
+    def _is_stale(self, kept: claim.Reservation) -> bool:
+        """Tell whether progress may have shown an earlier room by now.
+
+        What has become free for it already counts for the room it has.
+        """
+        renew_s = self._state.configuration.policy.renew_reserved_s
+        return bool(renew_s) and self._state.now_s - kept.chosen_s >= renew_s
+
     def start_ready(self, freed: abc.Iterable[str]) -> None:
         """Claim reserved room once only later starters are in the way."""
         state = self._state
@@ -158,7 +166,9 @@
         """Return when a group is expected to hold the gang, and how."""
         state = self._state
         need = amount.of_task(job)
-        kept = claim.Reservation(job, {}, state.now_s, made_s)
+        kept = claim.Reservation(
+            job, {}, state.now_s, made_s, chosen_s=state.now_s
+        )
         open_on = {
             room.spec.worker_id: room.open - room.reserved for room in rooms
         }
@@ -193,7 +203,7 @@
             return state.now_s
         if not record.guarantee and self._gives_way(record, kept):
             return state.now_s
-        return self._expected_end_s(record)
+        return state.expected_end_s(record)
 
     def _most_delayed(self) -> list[str]:
         """Return the waiting jobs that are delayed the most."""
@@ -233,7 +243,7 @@
         ) -> bool:
             if other.job.urgency == model.URGENT:
                 return False
-            end_s = self._expected_end_s(other)
+            end_s = state.expected_end_s(other)
             after = state.estimates.delay(other.job, end_s=end_s, more_s=run_s)
             return victim.cost <= allowance_s and after < delay
 
@@ -288,15 +298,6 @@
         borrowers.claim_room(state, record, choice, why=why)
         return True
 
-    def _expected_end_s(self, record: record_module.JobRecord) -> float:
-        state = self._state
-        started_s = record.started_s
-        if record.state == record_module.STARTING:
-            started_s = state.now_s
-        return state.estimates.end_s(
-            record.job, started_s=started_s, now_s=state.now_s
-        )
-
 
 def cheapest(
     state: state_module.State,
--- a/src/knapweedwharf/core/state.py
+++ b/src/knapweedwharf/core/state.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 from knapweedwharf.charts import chart
 from knapweedwharf.core import amount
 from knapweedwharf.core import claim
@@ -11,12 +13,12 @@
 from knapweedwharf.core import ledger
 from knapweedwharf.core import model
 from knapweedwharf.core import placement
+from knapweedwharf.core import progress
 from knapweedwharf.core import quarantine
 from knapweedwharf.core import record as record_module
 from knapweedwharf.core import topology
 from knapweedwharf.core import waiting
 
-SETTLE_S = 3.0
 MAX_LENGTH_AGEINGS = 4
 
 
@@ -24,6 +26,7 @@
     """Scheduling state of one data centre.
 
     :ivar used: accelerators each account's attempts hold.
+    :ivar approved: workers that may run jobs, by the approval's name.
     :ivar now_s: time of the event in hand.
     """
 
@@ -42,6 +45,8 @@
         self.claims = claim.Claims(self.topology)
         self.reservations = claim.Reservations(self.topology)
         self.estimates = estimate.Estimates()
+        self.progress = progress.Progress()
+        self.approved: dict[str, set[str]] = {}
         self.quarantine = quarantine.Quarantine()
         self.used: dict[str, int] = {}
         self.holding: dict[str, dict[str, None]] = {}
@@ -56,7 +61,8 @@
         """Whether enough workers are known to stop work for others."""
         if self.topology.complete or self.first_s is None:
             return self.topology.complete
-        return self.now_s - self.first_s >= SETTLE_S
+        settle_s = self.configuration.policy.settle_s
+        return self.now_s - self.first_s >= settle_s
 
     def job_of_attempt(
         self, attempt_id: str
@@ -159,6 +165,11 @@
     def avoided(self, job: model.JobSpec, *, near: bool = False) -> set[str]:
         """Return the workers that a job may not be placed on."""
         found = constraint.unsuitable(self.topology, job, self.job_of_attempt)
+        if job.approval:
+            found.update(
+                self.topology.workers.keys()
+                - self.approved.get(job.approval, set())
+            )
         if near and job.data_rack:
             found |= constraint.distant(self.topology, job)
         if self.policy.holds:
@@ -260,6 +271,7 @@
             del self.holding[job.account]
             del self.used[job.account]
         self.claims.victim_gone(record.attempt_id)
+        self.progress.forget(record.attempt_id)
         record.attempt_id = ""
         record.assignments = ()
         record.guarantee = ""
@@ -292,6 +304,20 @@
         if self.claims.drop(job_id):
             self.ledger.leave(job_id)
 
+    def expected_end_s(self, record: record_module.JobRecord) -> float:
+        """Return when an attempt is expected to end, by its progress."""
+        if record.job.is_lasting:
+            return math.inf
+        left_s = self.progress.left_s(record.attempt_id, self.now_s)
+        if left_s is not None:
+            return self.now_s + left_s
+        started_s = record.started_s
+        if record.state == record_module.STARTING:
+            started_s = self.now_s
+        return self.estimates.end_s(
+            record.job, started_s=started_s, now_s=self.now_s
+        )
+
     # Limits
 
     def over_quota(self, job: model.JobSpec) -> bool:
--- a/src/knapweedwharf/core/topology.py
+++ b/src/knapweedwharf/core/topology.py
@@ -18,6 +18,10 @@
 LEAVING = "leaving"
 QUARANTINE = "quarantine"
 REFUSED = "refused"
+STILL = "still"
+
+RESTS = frozenset({REFUSED, STILL})
+"""Bars that end by themselves within seconds."""
 
 BucketKey = tuple[bool, int, int, int]
 """(set aside, accelerators, level of cores, level of memory)"""
--- a/src/knapweedwharf/core/workflow.py
+++ b/src/knapweedwharf/core/workflow.py
@@ -69,6 +69,7 @@
     :ivar submitted_s: Unix time of the acceptance, by its VM's clock.
     :ivar repetitions: 0 for a job that runs once.
     :ivar first_run_s: Unix time at which repetition 0 is due.
+    :ivar is_advised: an advisor says which executors may run its steps.
     """
 
     job_id: str
@@ -83,6 +84,7 @@
     repetitions: int = 0
     first_run_s: float = 0.0
     interval_s: float = 0.0
+    is_advised: bool = False
 
     @property
     def occurrences(self) -> int:
@@ -126,6 +128,7 @@
     :ivar failures: runs that ended ``failed``.
     :ivar checkpoint: newest saved progress.
     :ivar places: where the attempt in hand runs or may run.
+    :ivar placed_s: Unix time of that attempt's placement.
     """
 
     part_id: str
@@ -138,6 +141,11 @@
     run: int = 0
     checkpoint: str = ""
     places: tuple[model.Assignment, ...] = ()
+    placed_s: float = 0.0
+
+    def step_id(self, job_id: str) -> str:
+        """Return the name of the step, in one occurrence, it belongs to."""
+        return f"{job_id}.{self.occurrence}.{self.step}"
 
     def task_id(self, job_id: str, index: int) -> str:
         """Return the name of a task by its place in the part."""
@@ -294,10 +302,12 @@
         label=step.label,
         data_rack=step.data_rack,
         prefers_rack=step.wants_one_rack,
-        spread_group=f"{job.job_id}.{part.occurrence}.{part.step}",
+        spread_group=part.step_id(job.job_id),
         max_per_worker=step.max_per_executor,
         start_within_s=standing.start_within_s,
         precedence=standing.precedence,
         saves_progress=step.saves_progress,
         neighbours=_neighbours(step),
+        is_lasting=step.is_lasting,
+        approval=part.step_id(job.job_id) if job.is_advised else "",
     )
--- a/src/knapweedwharf/errors.py
+++ b/src/knapweedwharf/errors.py
@@ -130,6 +130,19 @@
     http_status = 503
 
 
+@dataclasses.dataclass(frozen=True)
+class OrderRefused(Fault):
+    """The other side rejected an order; nothing was done.
+
+    :ivar reason: one word, such as ``room``, ``ticket`` or ``busy``.
+    """
+
+    reason: str
+
+    code = "order-refused"
+    http_status = 409
+
+
 @dataclasses.dataclass(frozen=True)
 class Fenced(Fault):
     """A newer epoch has taken over; this holder's order was refused."""
--- a/src/knapweedwharf/fleet/decider.py
+++ b/src/knapweedwharf/fleet/decider.py
@@ -106,7 +106,7 @@
                     attempt_id=attempt.attempt_id,
                     assignments=part.places,
                     failures=part.failures,
-                    started_s=clock.unix_s(),
+                    started_s=part.placed_s,
                 )
             )
 
@@ -230,6 +230,7 @@
         found, part = self._board.of_part(taken.job.job_id)
         found.next_run(part, self._ordinal)
         part.places = taken.assignments
+        part.placed_s = clock.unix_s()
         attempt = self._board.add(
             taken.attempt_id, found, part, phase=attempt_module.INTENDED
         )
--- a/src/knapweedwharf/fleet/door.py
+++ b/src/knapweedwharf/fleet/door.py
@@ -161,6 +161,7 @@
                 repetitions=repetitions,
                 first_run_s=first_run_s,
                 interval_s=interval_s,
+                is_advised=allowed.route.advice is not None,
             )
             key = records.key(job.job_id, records.SPEC)
             return model.Commit(
--- a/src/knapweedwharf/fleet/measures.py
+++ b/src/knapweedwharf/fleet/measures.py
@@ -46,6 +46,12 @@
     unit="milliseconds",
     text="From a job's submission to its completion.",
 )
+ADVICE = metrics.define(
+    "fleet.advice_ms",
+    kind=metrics.TIMING,
+    unit="milliseconds",
+    text="Answer time of the advisor.",
+)
 STORE_CALL = metrics.define(
     "fleet.store_write_ms",
     kind=metrics.TIMING,
--- a/src/knapweedwharf/fleet/model.py
+++ b/src/knapweedwharf/fleet/model.py
@@ -31,6 +31,8 @@
     :ivar grace_period_s: time between SIGTERM and SIGKILL.
     :ivar owner_lease_s: longest time without an owner after one is lost.
     :ivar status_retention_s: how long an ended job stays readable.
+    :ivar maintenance_s: how long a machine is down for maintenance.
+    :ivar migration_s: how long a machine is down for a move.
     """
 
     max_lease_s: float = 6.0
@@ -40,6 +42,8 @@
     owner_lease_s: float = 3.0
     status_retention_s: float = 120.0
     reclaim_timeout_s: float = 3.4
+    maintenance_s: float = 2.0
+    migration_s: float = 1.5
 
 
 @dataclasses.dataclass(frozen=True)
@@ -50,6 +54,8 @@
     :ivar readiness_address: IP:port that the balancer probes.
     :ivar store_address: IP:port of the platform's store.
     :ivar min_lease_s: shortest lease that the store grants.
+    :ivar advisor_address: IP:port of the advisor, or empty.
+    :ivar machines_address: IP:port of the machines' service, or empty.
     """
 
     node_id: str
@@ -59,6 +65,8 @@
     readiness_address: str
     store_address: str
     min_lease_s: float = 1.0
+    advisor_address: str = ""
+    machines_address: str = ""
     bounds: Bounds = Bounds()
 
 
@@ -71,11 +79,38 @@
     guaranteed_accelerators: int = 0
 
 
+@dataclasses.dataclass(frozen=True)
+class AdviceTerms:
+    """What the advisor takes for a queue's steps.
+
+    :ivar decision_s: time of each call.
+    :ivar per_executor_s: time more for each executor named in it.
+    :ivar validity_s: how long a ticket may be used.
+    """
+
+    decision_s: float = 0.0
+    per_executor_s: float = 0.0
+    validity_s: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Approval:
+    """The advisor's answer.
+
+    :ivar tickets: by the id of each executor that may run the step.
+    :ivar validity_s: how long they may be used; 0 where not said.
+    """
+
+    tickets: dict[str, str]
+    validity_s: float = 0.0
+
+
 @dataclasses.dataclass(frozen=True)
 class Route:
     """A queue of jobs, found by host and path prefix.
 
     :ivar priority: 0 comes first and may reclaim guaranteed room.
+    :ivar advice: what its advisor takes; None where any executor will do.
     """
 
     name: str
@@ -85,6 +120,7 @@
     priority: int = 1
     max_attempts: int = 1
     is_public: bool = False
+    advice: AdviceTerms | None = None
 
 
 @dataclasses.dataclass(frozen=True)
@@ -133,6 +169,8 @@
     :ivar incarnation_ms: Unix time of its start; a new value means that
         it holds nothing of before.
     :ivar labels: its kind and its rack, in this order.
+    :ivar remaining_s: while it drains, the least time until it leaves.
+    :ivar machine_id: the machine of which it is one life, or empty.
     """
 
     executor_id: str
@@ -145,6 +183,8 @@
     accelerators: int
     labels: tuple[str, ...] = ()
     incarnation_ms: int = 0
+    remaining_s: float = 0.0
+    machine_id: str = ""
 
     @property
     def rack(self) -> str:
@@ -152,18 +192,65 @@
         return self.labels[1] if len(self.labels) > 1 else self.executor_id
 
 
+MACHINE_UP = "up"
+MACHINE_MOVING = "moving"
+MACHINE_MAINTAINED = "maintained"
+MACHINE_DOWN = "down"
+
+
+@dataclasses.dataclass(frozen=True)
+class Machine:
+    """A machine, whose lives are executors.
+
+    :ivar pool: the service it belongs to now.
+    :ivar labels: its kind and its rack, in this order.
+    :ivar executor_id: its present life, or empty.
+    """
+
+    machine_id: str
+    pool: str
+    state: str
+    cores_milli: int
+    memory_mib: int
+    accelerators: int
+    labels: tuple[str, ...] = ()
+    executor_id: str = ""
+
+    @property
+    def kind(self) -> str:
+        """The kind of machine; pools hold machines of one kind."""
+        return self.labels[0] if self.labels else ""
+
+
+@dataclasses.dataclass(frozen=True)
+class Wave:
+    """Machines that the operator wants maintained.
+
+    :ivar within_s: time for all of them.
+    :ivar most_at_once: how many may be down for it at the same time.
+    """
+
+    number: int
+    machine_ids: tuple[str, ...]
+    within_s: float
+    most_at_once: int
+
+
 @dataclasses.dataclass(frozen=True)
 class Run:
     """A run that an executor has at work.
 
     :ivar checkpoint: newest saved progress, or empty.
-    :ivar percent: how far it is.
+    :ivar percent: how far it is; 100 for a task that lasts and serves.
+    :ivar load: of a task that serves users, the tail of its response
+        times in ms; of others the thousandths of cores in use.
     """
 
     task_id: str
     run: int
     checkpoint: str
     percent: int
+    load: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -265,7 +352,13 @@
 
     :ivar decode_desired: from an entry's value and revision.
     :ivar decode_executor: from an executor's id and its entry's value.
-        Both raise ``ValueError`` on an entry that holds no such thing.
+    :ivar wave_prefix: of the operator's waves of maintenance.
+    :ivar decode_wave: from an entry's value.
+    :ivar wave_status: (key, value) that tell the operator how a wave
+        is, from its number and whether it is complete.
+
+    The decoders raise ``ValueError`` on an entry that holds no such
+    thing.
     """
 
     config_key: str
@@ -273,6 +366,9 @@
     executor_prefix: str
     decode_desired: abc.Callable[[bytes, int], Desired]
     decode_executor: abc.Callable[[str, bytes], Executor]
+    wave_prefix: str
+    decode_wave: abc.Callable[[bytes], Wave]
+    wave_status: abc.Callable[[int, bool], tuple[str, bytes]]
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/knapweedwharf/fleet/policy.py
+++ b/src/knapweedwharf/fleet/policy.py
@@ -43,6 +43,15 @@
 QUARANTINE_S = 6.0
 """About as long as the executors' faults of the platform's sheet."""
 
+SETTLE_S = 0.5
+"""Executors are sealed side by side, in some tens of milliseconds."""
+
+STILL_S = 2.0
+"""Two reports; a sound run moves by a percent in a tenth of that."""
+
+RENEW_RESERVED_S = 1.0
+"""Executors report how far their runs are once a second."""
+
 
 def configuration() -> model.Configuration:
     """Return the core's configuration for a service's pool."""
@@ -58,6 +67,9 @@
             restart_s=RESTART_S,
             disturbance_s=DISTURBANCE_S,
             most_lost_runs=MOST_LOST_RUNS,
+            settle_s=SETTLE_S,
+            still_s=STILL_S,
+            renew_reserved_s=RENEW_RESERVED_S,
         ),
     )
 
--- a/src/knapweedwharf/fleet/records.py
+++ b/src/knapweedwharf/fleet/records.py
@@ -74,8 +74,8 @@
 def dump_progress(progress: workflow.Workflow) -> bytes:
     """Encode what became of a job.
 
-    A part is [done, failures, run, checkpoint, places]; a place is
-    [task, worker, accelerators].
+    A part is [done, failures, run, checkpoint, places, time of the
+    placement]; a place is [task, worker, accelerators].
     """
     return _dump(
         {
@@ -95,7 +95,14 @@
         [place.task_index, place.worker_id, list(place.accelerators)]
         for place in part.places
     ]
-    return [int(part.done), part.failures, part.run, part.checkpoint, places]
+    return [
+        int(part.done),
+        part.failures,
+        part.run,
+        part.checkpoint,
+        places,
+        round(part.placed_s, 3),
+    ]
 
 
 def load_state(value: bytes) -> str:
@@ -121,7 +128,7 @@
     fields = part_id.split(".")
     occurrence, number = int(fields[1]), int(fields[2])
     step = job.steps[number]
-    done, failures, run, checkpoint, places = row
+    done, failures, run, checkpoint, places, placed_s = row
     probe = workflow.Part(
         part_id,
         occurrence,
@@ -132,6 +139,7 @@
         failures=failures,
         run=run,
         checkpoint=checkpoint,
+        placed_s=placed_s,
     )
     spec = workflow.spec_of(
         workflow.Workflow(job), probe, standing=workflow.Standing()
--- a/src/knapweedwharf/fleet/registry.py
+++ b/src/knapweedwharf/fleet/registry.py
@@ -123,8 +123,14 @@
         session.executor = executor
         session.listed = True
         if was_ready and executor.state == model.DRAINING:
-            self._log.info("executor-draining", executor=executor_id)
+            self._log.info(
+                "executor-draining",
+                executor=executor_id,
+                revision=revision,
+                remaining_s=executor.remaining_s,
+            )
             self._bar(session)
+            self._leave(session)
 
     def _open(self, executor: model.Executor, revision: int) -> None:
         session = session_module.Session(
@@ -162,6 +168,12 @@
         self._announced.pop(session.executor_id, None)
         self._hooks.barred(session)
 
+    def _leave(self, session: session_module.Session) -> None:
+        """Let work move off an executor that drains, once it is sealed."""
+        if session.sealed and not session.told_leaving:
+            session.told_leaving = True
+            self._hooks.leaving(session)
+
     def _drop(self, session: session_module.Session) -> None:
         self._announced.pop(session.executor_id, None)
         self.sessions.pop(session.executor_id, None)
@@ -183,6 +195,8 @@
     def announce(self, session: session_module.Session, tell: Tell) -> None:
         """Let the engine use an executor that answers and is ready."""
         executor = session.executor
+        if executor.state == model.DRAINING:
+            self._leave(session)
         usable = session.listed and executor.state == model.READY
         known = self._announced.get(executor.executor_id)
         if not usable or (known == executor and not session.was_silent):
--- a/src/knapweedwharf/fleet/reports.py
+++ b/src/knapweedwharf/fleet/reports.py
@@ -55,6 +55,30 @@
             if not listed and member.is_absent(asked_s):
                 self._lost(attempt, member, touched)
         self._settle(touched)
+        self._tell_progress(session, report)
+
+    def _tell_progress(
+        self, session: session_module.Session, report: model.Report
+    ) -> None:
+        shares: dict[str, float] = {}
+        for run in report.runs:
+            held = self._board.member(
+                session.executor_id, run.task_id, run.run
+            )
+            if held is not None and held[0].told_started:
+                shares[held[0].attempt_id] = run.percent / 100
+        if shares:
+            self._tell(
+                session.executor.service,
+                event.ProgressSeen(session.executor_id, tuple(shares.items())),
+            )
+
+    def leaving(self, session: session_module.Session) -> None:
+        """Let work that an executor will not end go elsewhere."""
+        leaving = event.WorkerLeaving(
+            session.executor_id, session.executor.remaining_s
+        )
+        self._tell(session.executor.service, leaving)
 
     def _take_ends(
         self,
--- a/src/knapweedwharf/fleet/session.py
+++ b/src/knapweedwharf/fleet/session.py
@@ -51,6 +51,7 @@
     :ivar reported: an executor's report, and when it was asked for.
     :ivar silent: an executor stopped answering.
     :ivar barred: it is to get no new work.
+    :ivar leaving: it is about to be taken away with what it runs.
     :ivar gone: nothing of it can run any more.
     :ivar fenced: it has seen a newer epoch.
     :ivar may_order: whether the owner's lease still holds.
@@ -60,6 +61,7 @@
     reported: abc.Callable[[Session, model.Report, float], None]
     silent: abc.Callable[[], None]
     barred: abc.Callable[[Session], None]
+    leaving: abc.Callable[[Session], None]
     gone: abc.Callable[[Session], None]
     fenced: abc.Callable[[], None]
     may_order: abc.Callable[[], bool]
@@ -93,6 +95,7 @@
     :ivar is_silent: it does not answer now.
     :ivar was_silent: the engine took it for lost and is to hear of its
         return.
+    :ivar told_leaving: its work was told to leave.
     """
 
     def __init__(
@@ -111,6 +114,7 @@
         self.sealed = False
         self.is_silent = False
         self.was_silent = False
+        self.told_leaving = False
         self._client = client
         self._epoch = epoch
         self._bounds = bounds
--- a/src/knapweedwharf/fleet/tenure.py
+++ b/src/knapweedwharf/fleet/tenure.py
@@ -126,6 +126,7 @@
             reported=self._reported,
             silent=lambda: self._sender.count(measures.SILENT),
             barred=lambda session: self._reports.barred(session),
+            leaving=lambda session: self._reports.leaving(session),
             gone=lambda session: self._reports.gone(session),
             fenced=lambda: self._election.lose("fenced-by-executor"),
             may_order=lambda: self._election.is_owner,
--- a/src/knapweedwharf/platform/decode.py
+++ b/src/knapweedwharf/platform/decode.py
@@ -93,6 +93,16 @@
     )
 
 
+def _advice_terms(document: Document | None) -> model.AdviceTerms | None:
+    if not isinstance(document, dict):
+        return None
+    return model.AdviceTerms(
+        decision_s=_field(document, "decision_ms", float, 0.0) / _MILLI,
+        per_executor_s=_field(document, "per_worker_ms", float, 0.0) / _MILLI,
+        validity_s=_field(document, "validity_ms", float, 0.0) / _MILLI,
+    )
+
+
 def _route(document: Document) -> model.Route:
     return model.Route(
         name=_field(document, "name", str),
@@ -102,6 +112,7 @@
         priority=_whole(document, "priority", 1),
         max_attempts=max(1, _whole(document, "max_attempts", 1)),
         is_public=bool(document.get("public", False)),
+        advice=_advice_terms(document.get("advisor")),
     )
 
 
@@ -129,9 +140,75 @@
         accelerators=_whole(capacity, "gpu"),
         labels=tuple(labels),
         incarnation_ms=_whole(document, "born"),
+        remaining_s=_field(document, "remaining_ms", float, 0.0) / _MILLI,
+        machine_id=_label(document.get("machine")),
+    )
+
+
+def approval(document: Document) -> model.Approval:
+    """Decode the advisor's answer: rows of executor and ticket."""
+    rows = document.get("approved") or []
+    try:
+        tickets = {str(row[0]): str(row[1]) for row in rows}
+    except (TypeError, IndexError, KeyError) as error:
+        raise Malformed("a row of approved executors is broken") from error
+    return model.Approval(
+        tickets=tickets,
+        validity_s=_field(document, "validity_ms", float, 0.0) / _MILLI,
+    )
+
+
+_MACHINE_STATES = {
+    "up": model.MACHINE_UP,
+    "moving": model.MACHINE_MOVING,
+    "upkeep": model.MACHINE_MAINTAINED,
+    "down": model.MACHINE_DOWN,
+}
+
+
+def machines(document: Document) -> list[model.Machine]:
+    """Decode one page of the list of machines."""
+    rows = document.get("machines") or []
+    if not all(isinstance(row, dict) for row in rows):
+        raise Malformed("a machine is not an object")
+    return [_machine(row) for row in rows]
+
+
+def _machine(document: Document) -> model.Machine:
+    capacity = document.get("capacity") or {}
+    # A state of a later version is a machine that cannot be used now.
+    state = _field(document, "state", str)
+    return model.Machine(
+        machine_id=_field(document, "machine", str),
+        pool=_field(document, "pool", str, ""),
+        state=_MACHINE_STATES.get(state, model.MACHINE_DOWN),
+        cores_milli=_whole(capacity, "cpu"),
+        memory_mib=_whole(capacity, "mem_mb"),
+        accelerators=_whole(capacity, "gpu"),
+        labels=tuple(map(_label, document.get("labels") or ())),
+        executor_id=_label(document.get("id")),
     )
 
 
+def wave(text: bytes) -> model.Wave:
+    """Decode a wave of maintenance."""
+    document = parse(text)
+    machine_ids = _field(document, "machines", list)
+    return model.Wave(
+        number=_whole(document, "wave"),
+        machine_ids=tuple(map(_label, machine_ids)),
+        within_s=_field(document, "duration_s", float, 0.0),
+        # A cap of 0 would keep the wave from ever being done.
+        most_at_once=max(1, _whole(document, "cap", 1)),
+    )
+
+
+def wave_status(number: int, completed: bool) -> tuple[str, bytes]:
+    """Return the entry that tells the operator how a wave is."""
+    state = "completed" if completed else "active"
+    return f"status/wave/{number}", json.dumps({"state": state}).encode()
+
+
 def submission(document: Document) -> dict[str, typing.Any]:
     """Decode a submission into the keywords of ``Door.submit``."""
     return {
@@ -206,7 +283,10 @@
 
 
 def _run(row: list) -> model.Run:
-    return model.Run(str(row[0]), int(row[1]), row[2] or "", int(row[3]))
+    load = row[4] if len(row) > 4 else 0
+    return model.Run(
+        str(row[0]), int(row[1]), row[2] or "", int(row[3]), int(load or 0)
+    )
 
 
 def _end(row: list) -> model.End:
--- a/src/knapweedwharf/platform/executors.py
+++ b/src/knapweedwharf/platform/executors.py
@@ -1,21 +1,13 @@
-"""Client of the platform's executors.
-
-Failures: ``Unreachable`` (nothing was sent or done), ``OutcomeUnknown``
-(the order may be carried out, also seconds later), ``Fenced`` (a newer
-owner's epoch was seen), ``StartRefused`` (the run did not start),
-``Reborn`` (another incarnation answers at the address).
-"""
+"""Client of the platform's executors; see ``call`` for its failures."""
 
 from __future__ import annotations
 
-import dataclasses
-import json
-
 from returns import result
 
 from knapweedwharf.adapters import transport as transport_module
 from knapweedwharf import errors
 from knapweedwharf.fleet import model
+from knapweedwharf.platform import call
 from knapweedwharf.platform import decode
 
 MAX_ANSWER_BYTES = 1024 * 1024
@@ -25,27 +17,6 @@
 """How much later than its wait a renewal is taken for unanswered."""
 
 
-@dataclasses.dataclass(frozen=True)
-class StartRefused(errors.Fault):
-    """The executor rejected the start; nothing ran.
-
-    :ivar reason: ``old``, ``late``, ``room``, ``ticket`` or ``busy``.
-    """
-
-    reason: str
-
-    code = "start-refused"
-    http_status = 409
-
-
-@dataclasses.dataclass(frozen=True)
-class Reborn(errors.Fault):
-    """Another incarnation answers at the address."""
-
-    code = "executor-reborn"
-    http_status = 421
-
-
 class Executors:
     """Orders to executors over HTTP, on kept connections.
 
@@ -105,7 +76,7 @@
         if order.ticket:
             document["ticket"] = order.ticket
         answer = await self._call(executor, "/run-start", document)
-        return answer.map(lambda body: body.get("clock_ms", 0))
+        return answer.map(_clock_ms)
 
     async def stop(
         self,
@@ -118,7 +89,26 @@
         """Stop a run, or keep it from ever starting."""
         document = {"task": task_id, "run": run, "fencing_token": epoch}
         answer = await self._call(executor, "/run-stop", document)
-        return answer.map(lambda body: body.get("clock_ms", 0))
+        return answer.map(_clock_ms)
+
+    async def pace(
+        self,
+        executor: model.Executor,
+        *,
+        task_id: str,
+        run: int,
+        percent: int,
+        epoch: int,
+    ) -> result.Result[int, errors.Fault]:
+        """Let a run work at a share of its speed, from 0 to 100."""
+        document = {
+            "task": task_id,
+            "run": run,
+            "percentage": percent,
+            "fencing_token": epoch,
+        }
+        answer = await self._call(executor, "/pace", document)
+        return answer.map(_clock_ms)
 
     async def _call(
         self,
@@ -126,62 +116,19 @@
         path: str,
         document: object,
         timeout_s: float = 0.0,
-    ) -> result.Result[dict, errors.Fault]:
-        url = f"http://{executor.address}{path}"
-        answer = await self._transport.exchange(
+    ) -> call.Answer:
+        return await call.exchange(
+            self._transport,
             method="POST",
-            url=url,
-            headers={
-                "Content-Type": "application/json",
-                "X-Expected-Instance": executor.executor_id,
-            },
-            body=json.dumps(document).encode(),
+            url=f"http://{executor.address}{path}",
+            document=document,
+            headers={"X-Expected-Instance": executor.executor_id},
             timeout_s=timeout_s or self._timeout_s,
         )
-        if isinstance(answer, result.Failure):
-            self._transport.discard(url)
-            return answer
-        return _outcome(answer.unwrap())
 
 
-def _outcome(
-    reply: transport_module.Reply,
-) -> result.Result[dict, errors.Fault]:
-    try:
-        document = decode.parse(reply.body or b"{}")
-    except decode.Malformed:
-        document = {}
-    if reply.status == 200:
-        return result.Success(document)
-    if reply.status == 421:
-        return result.Failure(
-            Reborn(
-                message="Another incarnation answers at the address.",
-                remedy="Wait for its new entry.",
-            )
-        )
-    reason = str(document.get("reason", ""))
-    if reply.status == 409 and reason == "fence":
-        return result.Failure(
-            errors.Fenced(
-                message="The executor has seen a newer epoch.",
-                remedy="Stop giving orders; another VM is the owner.",
-            )
-        )
-    if reply.status in (400, 409, 429, 503):
-        return result.Failure(
-            StartRefused(
-                message=f"The executor refused the order ({reply.status}).",
-                remedy="Choose another executor or try again.",
-                reason=reason or ("busy" if reply.status != 400 else "bad"),
-            )
-        )
-    return result.Failure(
-        errors.OutcomeUnknown(
-            message=f"The executor answered status {reply.status}.",
-            remedy="Stop the run before starting it elsewhere.",
-        )
-    )
+def _clock_ms(document: dict) -> int:
+    return document.get("clock_ms", 0)
 
 
 def _report(document: dict) -> result.Result[model.Report, errors.Fault]:
--- a/src/knapweedwharf/platform/program.py
+++ b/src/knapweedwharf/platform/program.py
@@ -41,6 +41,9 @@
     executor_prefix="servers/",
     decode_desired=decode.desired,
     decode_executor=decode.executor,
+    wave_prefix="op/wave/",
+    decode_wave=decode.wave,
+    wave_status=decode.wave_status,
 )
 
 
--- a/src/knapweedwharf/platform/settings.py
+++ b/src/knapweedwharf/platform/settings.py
@@ -21,6 +21,10 @@
     r"^[0-9.]+:[0-9]{1,5}$", error="Not an IP:port address."
 )
 
+_OPTIONAL_ADDRESS = validate.Regexp(
+    r"^$|^[0-9.]+:[0-9]{1,5}$", error="Not an IP:port address."
+)
+
 
 def _positive() -> fields.Float:
     return fields.Float(validate=validate.Range(min=0, min_inclusive=False))
@@ -48,6 +52,12 @@
     platform = fields.Str(
         required=True, data_key="platform.address", validate=_ADDRESS
     )
+    advisor = fields.Str(load_default="", validate=_OPTIONAL_ADDRESS)
+    cloud_api = fields.Str(
+        load_default="",
+        data_key="cloud_api.address",
+        validate=_OPTIONAL_ADDRESS,
+    )
     min_ttl_ms = fields.Float(
         load_default=1000.0, data_key="platform.min_ttl_ms"
     )
@@ -58,6 +68,8 @@
     reclaim_timeout_ms = _positive()
     grace_period_s = _positive()
     status_s = _positive()
+    maintenance_s = _positive()
+    migration_s = _positive()
 
 
 _BOUNDS = {
@@ -68,6 +80,8 @@
     "reclaim_timeout_ms": "reclaim_timeout_s",
     "grace_period_s": "grace_period_s",
     "status_s": "status_retention_s",
+    "maintenance_s": "maintenance_s",
+    "migration_s": "migration_s",
 }
 """The platform's name of a bound, and ours."""
 
@@ -136,5 +150,7 @@
         readiness_address=loaded["ready"],
         store_address=loaded["platform"],
         min_lease_s=loaded["min_ttl_ms"] / _MILLI,
+        advisor_address=loaded["advisor"],
+        machines_address=loaded["cloud_api"],
         bounds=model.Bounds(**bounds),
     )
--- a/standins/fleet_executors.py
+++ b/standins/fleet_executors.py
@@ -14,7 +14,6 @@
 
 from knapweedwharf import errors
 from knapweedwharf.fleet import model
-from knapweedwharf.platform import executors as platform_executors
 
 ANSWER_S = 0.002
 CALL_TIMEOUT_S = 0.7
@@ -24,11 +23,15 @@
 
 @dataclasses.dataclass
 class RunState:
-    """A run at work."""
+    """A run at work.
+
+    :ivar still_s: for how long it made no progress.
+    """
 
     order: model.Order
     begun_s: float
     behaviour: dict
+    still_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -49,6 +52,7 @@
     :ivar silent: nothing is carried out or answered.
     :ivar lose_starts: so many next starts are done and not answered.
     :ivar late_s: unanswered starts are carried out so much later.
+    :ivar hangs: what runs makes no progress.
     """
 
     def __init__(self, spec: model.Executor, pool: Pool) -> None:
@@ -63,6 +67,8 @@
         self.silent = False
         self.lose_starts = 0
         self.late_s = 0.0
+        self.hangs = False
+        self.advanced_s = 0.0
         self.changed = asyncio.Condition()
 
     def clock_ms(self) -> int:
@@ -75,8 +81,12 @@
         for key, state in list(self.runs.items()):
             if self.clock_ms() >= self.lease_until_ms:
                 await self.finish(key, model.LAPSED)
-            elif self.pool.is_due(key, state, now_s):
+                continue
+            if self.hangs:
+                state.still_s += now_s - self.advanced_s
+            if self.pool.share(key, state, now_s) >= 1.0:
                 await self.finish(key, state.behaviour.get("ends", "done"))
+        self.advanced_s = now_s
 
     async def finish(self, key: tuple[str, int], how: str) -> None:
         """End a run."""
@@ -121,7 +131,7 @@
 
 
 def _refused(reason: str) -> errors.Fault:
-    return platform_executors.StartRefused("Refused.", "Elsewhere.", reason)
+    return errors.OrderRefused("Refused.", "Elsewhere.", reason)
 
 
 class Pool:
@@ -145,8 +155,8 @@
         self.executors[spec.executor_id] = executor
         return executor
 
-    def is_due(self, key: tuple[str, int], state: RunState, now_s) -> bool:
-        """Tell whether a run ends by itself now."""
+    def share(self, key: tuple[str, int], state: RunState, now_s) -> float:
+        """Return how much of a run is done, from 0 to 1."""
         gang = state.behaviour.get("gang", 1)
         begun_s = state.begun_s
         if gang > 1:
@@ -164,11 +174,15 @@
                 for s in self.stories
             )
             if done:
-                return True
+                return 1.0
             if len(members) < gang:
-                return False
+                return 0.0
             begun_s = max(members)
-        return now_s - begun_s >= state.behaviour.get("run_s", 1.0)
+        worked_s = now_s - begun_s - state.still_s
+        return min(1.0, worked_s / state.behaviour.get("run_s", 1.0))
+
+    def _percent(self, key: tuple[str, int], state: RunState, now_s) -> int:
+        return int(100 * max(0.0, self.share(key, state, now_s)))
 
     async def run_forever(self) -> None:
         """Let time pass on every executor."""
@@ -211,7 +225,11 @@
         if found.silent:
             await asyncio.sleep(CALL_TIMEOUT_S)
             return result.Failure(_UNKNOWN)
-        rows = [model.Run(t, r, "", 50) for t, r in found.runs]
+        now_s = asyncio.get_running_loop().time()
+        rows = [
+            model.Run(key[0], key[1], "", self._percent(key, state, now_s))
+            for key, state in found.runs.items()
+        ]
         return result.Success(
             model.Report(
                 found.clock_ms(),
--- a/testing/fleet/scene.py
+++ b/testing/fleet/scene.py
@@ -65,12 +65,25 @@
     return model.Executor(**document)
 
 
+def _decode_wave(value: bytes) -> model.Wave:
+    document = json.loads(value)
+    document["machine_ids"] = tuple(document["machine_ids"])
+    return model.Wave(**document)
+
+
+def _wave_status(number: int, completed: bool) -> tuple[str, bytes]:
+    return f"shown/wave/{number}", json.dumps(completed).encode()
+
+
 CATALOGUE = model.Catalogue(
     config_key=CONFIG_KEY,
     operator_prefix="operator/",
     executor_prefix=EXECUTORS,
     decode_desired=_decode_desired,
     decode_executor=_decode_executor,
+    wave_prefix="operator/wave/",
+    decode_wave=_decode_wave,
+    wave_status=_wave_status,
 )
 
 
--- a/testing/platform/test_adapter.py
+++ b/testing/platform/test_adapter.py
@@ -12,6 +12,7 @@
 
 from knapweedwharf import errors
 from knapweedwharf.fleet import model
+from knapweedwharf.platform import call
 from knapweedwharf.platform import executors
 from knapweedwharf.platform import program
 from knapweedwharf.platform import store as store_module
@@ -197,7 +198,7 @@
         spec = _executor(served)
         served.pool.executors.clear()
         answer = await client.start(spec, _order())
-        assert isinstance(answer.failure(), executors.Reborn)
+        assert isinstance(answer.failure(), call.Reborn)
         client.close()
 
     _play(main)
