--- a/src/knapweedwharf/core/constraint.py
+++ b/src/knapweedwharf/core/constraint.py
@@ -40,8 +40,7 @@
 ) -> set[str]:
     """Return the workers that a job must not go to.
 
-    They lack its label, are at the limit of its group, or have
-    neighbours that one would disturb.
+    They lack its label or are at the limit of its group.
     """
     found: set[str] = set()
     if job.label:
@@ -56,15 +55,24 @@
             for worker_id, room in topology.workers.items()
             if _of_group(room, job, record_of) >= job.max_per_worker
         )
-    if job.neighbours:
-        found.update(
-            worker_id
-            for worker_id, room in topology.workers.items()
-            if _has(room, _DISTURBS[job.neighbours], record_of)
-        )
     return found
 
 
+def disturbing(
+    topology: topology_module.Topology,
+    job: model.JobSpec,
+    record_of: Records,
+) -> set[str]:
+    """Return the workers where a job and what runs there disturb."""
+    if not job.neighbours:
+        return set()
+    return {
+        worker_id
+        for worker_id, room in topology.workers.items()
+        if _has(room, _DISTURBS[job.neighbours], record_of)
+    }
+
+
 def _has(
     room: topology_module.WorkerRoom, neighbours: str, record_of: Records
 ) -> bool:
--- a/src/knapweedwharf/core/engine.py
+++ b/src/knapweedwharf/core/engine.py
@@ -113,7 +113,7 @@
 
     @_apply.register
     def _(self, happened: event.WorkerLeaving) -> None:
-        self._hardware.leaving(happened.worker_id, happened.remaining_s)
+        self._hardware.leaving(happened)
 
     @_apply.register
     def _(self, happened: event.WorkerGone) -> None:
@@ -154,6 +154,10 @@
     def _(self, happened: event.UsageReported) -> None:
         self._lifecycle.usage_reported(happened)
 
+    @_apply.register
+    def _(self, happened: event.JobMoved) -> None:
+        self._lifecycle.moved(happened)
+
     @_apply.register
     def _(self, happened: event.WorkersApproved) -> None:
         self._lifecycle.workers_approved(happened)
--- a/src/knapweedwharf/core/event.py
+++ b/src/knapweedwharf/core/event.py
@@ -34,10 +34,20 @@
     """The platform is about to take a worker away.
 
     :ivar remaining_s: work that ends within this time may stay.
+    :ivar keeps_lasting: work that lasts stays until it is moved.
     """
 
     worker_id: str
     remaining_s: float = 0.0
+    keeps_lasting: bool = False
+
+
+@dataclasses.dataclass(frozen=True)
+class JobMoved:
+    """Work is to stop where it runs and to start elsewhere."""
+
+    job_id: str
+    why: str
 
 
 @dataclasses.dataclass(frozen=True)
@@ -176,6 +186,7 @@
     GangStopped,
     TaskEnded,
     UsageReported,
+    JobMoved,
     WorkersApproved,
     ProgressSeen,
     Tick,
--- a/src/knapweedwharf/core/hardware.py
+++ b/src/knapweedwharf/core/hardware.py
@@ -71,12 +71,10 @@
         self._state.topology.bar(worker_id, why)
         self._follow(worker_id)
 
-    def leaving(self, worker_id: str, remaining_s: float) -> None:
-        """Move work away from a worker that is about to go.
-
-        :param remaining_s: work that ends within it may stay.
-        """
+    def leaving(self, happened: event.WorkerLeaving) -> None:
+        """Move work away from a worker that is about to go."""
         state = self._state
+        worker_id, remaining_s = happened.worker_id, happened.remaining_s
         self.barred(worker_id, topology_module.LEAVING)
         text = f"Worker {worker_id} is about to leave."
         until_s = state.now_s + remaining_s
@@ -86,6 +84,8 @@
                 continue
             if remaining_s and state.expected_end_s(record) <= until_s:
                 continue
+            if happened.keeps_lasting and record.job.is_lasting:
+                continue
             reason = state.reason("worker-leaving", text)
             state.stop(record, "requeue", reason)
 
--- a/src/knapweedwharf/core/lifecycle.py
+++ b/src/knapweedwharf/core/lifecycle.py
@@ -137,6 +137,13 @@
         else:
             state.stop(record, "cancel", reason)
 
+    def moved(self, happened: event.JobMoved) -> None:
+        """Stop work so that it starts elsewhere."""
+        record = self._state.records.get(happened.job_id)
+        if record is not None and record.attempt_id:
+            reason = self._state.reason("moved", happened.why)
+            self._state.stop(record, "requeue", reason)
+
     def workers_approved(self, happened: event.WorkersApproved) -> None:
         """Let jobs of an approval use workers, or no longer use them."""
         state = self._state
--- a/src/knapweedwharf/core/model.py
+++ b/src/knapweedwharf/core/model.py
@@ -121,6 +121,8 @@
         which nothing is stopped for others.
     :ivar still_s: a run without progress for this long stands still; 0
         where workers report none.
+    :ivar mixes_after_s: wait after which work that fills and work that
+        serves share a worker; 0 for never.
     :ivar renew_reserved_s: how often reserved room is chosen anew; 0
         for once it is late.
     """
@@ -140,6 +142,7 @@
     most_lost_runs: float = 0.0
     settle_s: float = 3.0
     still_s: float = 0.0
+    mixes_after_s: float = 0.0
     renew_reserved_s: float = 0.0
 
 
@@ -178,7 +181,8 @@
         whatever it must; 0 for none.
     :ivar precedence: it may stop work of a lower precedence.
     :ivar saves_progress: a stop loses little of what was done.
-    :ivar neighbours: ``FILLS`` and ``SERVES`` do not share a worker.
+    :ivar neighbours: ``FILLS`` and ``SERVES`` had better not share a
+        worker.
     :ivar is_lasting: it never ends by itself.
     :ivar approval: only workers approved under this name run it; empty
         where any may.
--- a/src/knapweedwharf/core/reserve.py
+++ b/src/knapweedwharf/core/reserve.py
@@ -312,7 +312,9 @@
     gang can fit decides.
     """
     groups = borrowers.groups(state.topology, job.within)
-    avoid = state.avoided(job).union(state.quarantine.failed_on(job.job_id))
+    avoid = state.avoided(job, mixing=True).union(
+        state.quarantine.failed_on(job.job_id)
+    )
     limits = None
     if job.max_per_worker:
         limits = dict.fromkeys(state.topology.workers, job.max_per_worker)
--- a/src/knapweedwharf/core/state.py
+++ b/src/knapweedwharf/core/state.py
@@ -162,9 +162,28 @@
             patience_s = min(patience_s, job.start_within_s)
         return self.now_s - job.submitted_s >= patience_s
 
-    def avoided(self, job: model.JobSpec, *, near: bool = False) -> set[str]:
-        """Return the workers that a job may not be placed on."""
+    def _may_mix(self, job: model.JobSpec) -> bool:
+        """Tell whether a job has waited in vain for quiet neighbours."""
+        after_s = self.configuration.policy.mixes_after_s
+        return bool(after_s) and self.now_s - job.submitted_s >= after_s
+
+    def avoided(
+        self,
+        job: model.JobSpec,
+        *,
+        near: bool = False,
+        mixing: bool = False,
+    ) -> set[str]:
+        """Return the workers that a job may not be placed on.
+
+        :param near: those far from its data are among them.
+        :param mixing: those whose work it would disturb are not.
+        """
         found = constraint.unsuitable(self.topology, job, self.job_of_attempt)
+        if not mixing and not self._may_mix(job):
+            found |= constraint.disturbing(
+                self.topology, job, self.job_of_attempt
+            )
         if job.approval:
             found.update(
                 self.topology.workers.keys()
--- a/src/knapweedwharf/fleet/attempt.py
+++ b/src/knapweedwharf/fleet/attempt.py
@@ -32,6 +32,9 @@
     :ivar stop_sent: whether a stop is under way or was answered.
     :ivar stopped_s: when a stop was answered, or 0.
     :ivar is_inherited: a former owner ordered it, or was about to.
+    :ivar is_at_work: it lasts, and serves its users fully.
+    :ivar percent: its speed; None where a former owner may have set it.
+    :ivar percent_at_start: no speed was set yet.
     """
 
     index: int
@@ -44,6 +47,9 @@
     stop_sent: bool = False
     stopped_s: float = 0.0
     is_inherited: bool = False
+    is_at_work: bool = False
+    percent: int | None = 100
+    percent_at_start: bool = True
 
     def is_absent(self, asked_s: float) -> bool:
         """Tell whether a report without the run proves that it is over.
--- /dev/null
+++ b/src/knapweedwharf/fleet/availability.py
@@ -0,0 +1,45 @@
+"""Tasks that last and serve users: how many of a step may be away."""
+
+from __future__ import annotations
+
+from knapweedwharf.core import workflow
+from knapweedwharf.fleet import attempt as attempt_module
+from knapweedwharf.fleet import board as board_module
+
+
+def may_end(
+    board: board_module.Board, attempt: attempt_module.Attempt
+) -> bool:
+    """Tell whether an order may end an attempt of a step that lasts.
+
+    All others of its step that are not fully at work count as away,
+    whatever the cause.
+    """
+    step = attempt.job.steps[attempt.part.step]
+    at_work = sum(
+        member.is_at_work
+        for other in _of_step(board, attempt)
+        if other is not attempt and not other.must_stop
+        for member in other.members.values()
+    )
+    others_away = step.tasks - len(attempt.members) - at_work
+    # Of a gang's members each sees the others go too.
+    return others_away + len(attempt.members) - 1 < step.allowed_misses
+
+
+def _of_step(
+    board: board_module.Board, attempt: attempt_module.Attempt
+) -> list[attempt_module.Attempt]:
+    step_id = attempt.part.step_id(attempt.job.job_id)
+    return [
+        other
+        for other in board.attempts.values()
+        if other.job.job_id == attempt.job.job_id
+        and other.part.step_id(other.job.job_id) == step_id
+    ]
+
+
+def is_lasting(attempt: attempt_module.Attempt) -> bool:
+    """Tell whether an attempt's tasks run until they are stopped."""
+    step: workflow.Step = attempt.job.steps[attempt.part.step]
+    return step.is_lasting
--- a/src/knapweedwharf/fleet/board.py
+++ b/src/knapweedwharf/fleet/board.py
@@ -65,6 +65,7 @@
                     executor_id=place.worker_id,
                     phase=phase,
                     is_inherited=phase == attempt_module.ORDERED,
+                    percent=None if phase == attempt_module.ORDERED else 100,
                 )
                 for place in part.places
             },
@@ -102,6 +103,20 @@
         for attempt, index in list(runs.values()):
             yield attempt, attempt.members[index]
 
+    def work_at_stake(self, executor_id: str) -> float:
+        """Return the accelerator-seconds that its end would throw away.
+
+        Work that lasts counts by its accelerators, not by its age.
+        """
+        now_s = clock.elapsed_s()
+        at_stake = 0.0
+        for attempt, member in self.members_on(executor_id):
+            step = attempt.job.steps[attempt.part.step]
+            ran_s = now_s - member.since_s if member.since_s else 0.0
+            kept = step.is_lasting or step.saves_progress
+            at_stake += step.accelerators * (1.0 if kept else 1.0 + ran_s)
+        return at_stake
+
     def is_busy(self, executor_id: str) -> bool:
         """Tell whether something may run on an executor."""
         return executor_id in self._runs
--- a/src/knapweedwharf/fleet/decider.py
+++ b/src/knapweedwharf/fleet/decider.py
@@ -13,6 +13,7 @@
 from knapweedwharf.core import model as core_model
 from knapweedwharf.core import record as record_module
 from knapweedwharf.core import workflow
+from knapweedwharf.fleet import advice as advice_module
 from knapweedwharf.fleet import attempt as attempt_module
 from knapweedwharf.fleet import board as board_module
 from knapweedwharf.fleet import clock
@@ -32,6 +33,8 @@
     :param ordinal: the owner's; makes run numbers its own.
     :param start: sends an attempt's starts; its places are stored.
     :param settle: called once the engine wants an attempt stopped.
+    :param advice: asks the advisor about steps that need its word.
+    :param executors: those that may get work now, by service.
     """
 
     def __init__(
@@ -45,6 +48,8 @@
         sender: metrics.Metrics,
         start: Carry,
         settle: Carry,
+        advice: advice_module.Advice,
+        executors: abc.Callable[[str], list[model.Executor]],
     ) -> None:
         self._board = board
         self._ledger = ledger
@@ -54,6 +59,8 @@
         self._sender = sender
         self._start = start
         self._settle = settle
+        self._advice = advice
+        self._executors = executors
         self._log = log.get("decider").bind(epoch=ordinal)
         self._engines: dict[str, engine_module.Engine] = {}
 
@@ -99,6 +106,7 @@
                 phase=attempt_module.ORDERED,
             )
             attempt.told_started = True
+            self._advise(found, part)
             engine.restore(
                 record_module.JobRecord(
                     job=self._spec(found, part),
@@ -119,6 +127,64 @@
                     self._spec(found, part), part.failures
                 )
                 self.tell(found.job.service, submitted)
+                self._advise(found, part)
+
+    # Advice
+
+    def _advise(self, found: workflow.Workflow, part: workflow.Part) -> None:
+        job = found.job
+        if job.is_advised:
+            step_id = part.step_id(job.job_id)
+            self._advice.want(step_id, job.service, self._terms(job))
+
+    def _terms(self, job: workflow.Job) -> model.AdviceTerms:
+        desired = self._desired.current
+        routes = desired.routes if desired else ()
+        found = (r.advice for r in routes if r.name == job.route and r.advice)
+        return next(found, model.AdviceTerms())
+
+    def candidates(self, service: str, step_id: str) -> list[model.Executor]:
+        """Return the executors that a waiting step could use now.
+
+        Those with the most open room come first; none once no part of
+        the step waits.
+        """
+        found = self._board.workflows.get(workflow.job_id_of(step_id))
+        engine = self._engine(service)
+        waiting = [
+            part
+            for part in (found.parts.values() if found else ())
+            if part.step_id(found.job.job_id) == step_id
+            and part.part_id in engine.state.waiting
+        ]
+        if not waiting:
+            return []
+        label = found.job.steps[waiting[0].step].label
+        rooms = engine.topology.workers
+        usable = [
+            executor
+            for executor in self._executors(service)
+            if executor.executor_id in rooms
+            and (not label or label in executor.labels)
+        ]
+        usable.sort(key=lambda e: -rooms[e.executor_id].open.accelerators)
+        return usable
+
+    def approved(
+        self,
+        service: str,
+        step_id: str,
+        approved: tuple[str, ...],
+        denied: tuple[str, ...],
+    ) -> None:
+        """Let the engine use what the advisor has approved."""
+        known = event.WorkersApproved(step_id, approved, denied)
+        self.tell(service, known)
+
+    def _forget_advice(self, found: workflow.Workflow) -> None:
+        if found.job.is_advised:
+            for part in found.parts.values():
+                self._advice.forget(part.step_id(found.job.job_id))
 
     def cancel(self, found: workflow.Workflow) -> None:
         """Cancel a job."""
@@ -129,11 +195,12 @@
     def drop(self, found: workflow.Workflow) -> None:
         """Forget a job that ended long ago."""
         engine = self._engine(found.job.service)
-        for part_id in found.parts:
-            engine.records.pop(part_id, None)
+        for part in found.parts.values():
+            engine.drop(self._spec(found, part))
 
     def _end_job(self, found: workflow.Workflow) -> None:
         self._board.ended(found.job.job_id)
+        self._forget_advice(found)
         self._ledger.mark(found.job.job_id)
         for part_id in list(found.parts):
             self.tell(found.job.service, event.JobCancelled(part_id))
@@ -199,6 +266,7 @@
         self._ledger.mark(found.job.job_id)
         if found.completed:
             self._board.ended(found.job.job_id)
+            self._forget_advice(found)
             after_s = clock.unix_s() - found.job.submitted_s
             self._sender.timing(measures.JOB, after_s * 1000)
             self._log.info(
--- a/src/knapweedwharf/fleet/desired.py
+++ b/src/knapweedwharf/fleet/desired.py
@@ -20,6 +20,8 @@
     """Follows the desired state; it never goes back to an older one.
 
     :ivar current: the newest known, or None before the first.
+    :ivar waves: waves of maintenance that the operator has asked for, by
+        number.
     """
 
     def __init__(
@@ -30,6 +32,8 @@
         self._log = log.get("desired")
         self._confirmed_s: float | None = None
         self.current: model.Desired | None = None
+        self.waves: dict[int, model.Wave] = {}
+        self._wave_revisions: dict[str, int] = {}
         self.watcher = watcher_module.Watcher(
             store,
             catalogue.operator_prefix,
@@ -69,6 +73,8 @@
 
     def _take(self, items: abc.Iterable[model.Item]) -> None:
         for item in items:
+            if item.key.startswith(self._catalogue.wave_prefix):
+                self._take_wave(item)
             if item.key != self._catalogue.config_key:
                 continue
             known = self.current.revision if self.current else 0
@@ -76,6 +82,30 @@
                 continue
             self._decode(item)
 
+    def _take_wave(self, item: model.Item) -> None:
+        if item.revision <= self._wave_revisions.get(item.key, 0):
+            return
+        self._wave_revisions[item.key] = item.revision
+        try:
+            wave = self._catalogue.decode_wave(item.value)
+        except ValueError as error:
+            self._log.error(
+                "wave-malformed",
+                key=item.key,
+                revision=item.revision,
+                why=str(error),
+            )
+            return
+        self.waves[wave.number] = wave
+        self._log.info(
+            "wave-asked-for",
+            wave=wave.number,
+            revision=item.revision,
+            machines=len(wave.machine_ids),
+            within_s=wave.within_s,
+            most_at_once=wave.most_at_once,
+        )
+
     def _decode(self, item: model.Item) -> None:
         try:
             desired = self._catalogue.decode_desired(item.value, item.revision)
--- a/src/knapweedwharf/fleet/measures.py
+++ b/src/knapweedwharf/fleet/measures.py
@@ -46,6 +46,12 @@
     unit="milliseconds",
     text="From a job's submission to its completion.",
 )
+MAINTAINED = metrics.define(
+    "fleet.machines_maintained",
+    kind=metrics.COUNTER,
+    unit="machines",
+    text="Orders of maintenance that the platform accepted.",
+)
 ADVICE = metrics.define(
     "fleet.advice_ms",
     kind=metrics.TIMING,
--- a/src/knapweedwharf/fleet/model.py
+++ b/src/knapweedwharf/fleet/model.py
@@ -20,6 +20,13 @@
 REFUSED = "refused"
 """The executor rejected the start; nothing ran."""
 
+NO_TICKET = "ticket"
+"""Why a start was refused: its ticket is missing or has run out."""
+
+NOT_OF_WAVE = "wave"
+NO_MACHINE = "bad"
+"""Why maintenance was refused for good."""
+
 
 @dataclasses.dataclass(frozen=True)
 class Bounds:
--- a/src/knapweedwharf/fleet/node.py
+++ b/src/knapweedwharf/fleet/node.py
@@ -9,6 +9,7 @@
 from knapweedwharf.fleet import election as election_module
 from knapweedwharf.fleet import measures
 from knapweedwharf.fleet import model
+from knapweedwharf.fleet import outside as outside_module
 from knapweedwharf.fleet import tenure as tenure_module
 from knapweedwharf import metrics
 
@@ -16,8 +17,7 @@
 class Node:
     """Answers callers, and schedules while it is the owner.
 
-    :param store: client of the store.
-    :param executors: client of the executors.
+    :param outside: clients of the platform's services.
     :param sender: takes the values of metrics.
     :ivar tenure: the ownership in hand, or None.
     """
@@ -26,29 +26,30 @@
         self,
         site: model.Site,
         *,
-        store,
-        executors,
-        catalogue: model.Catalogue,
+        outside: outside_module.Outside,
         sender: metrics.Metrics,
     ) -> None:
         self._site = site
-        self._store = store
-        self._executors = executors
-        self._catalogue = catalogue
+        self._outside = outside
         self._sender = sender
         self._tasks: set[asyncio.Task] = set()
         self.tenure: tenure_module.Tenure | None = None
         self.desired = desired_module.DesiredState(
-            store=store, catalogue=catalogue, bounds=site.bounds
+            store=outside.store,
+            catalogue=outside.catalogue,
+            bounds=site.bounds,
         )
         self.door = door_module.Door(
-            store=store,
+            store=outside.store,
             desired=self.desired,
-            catalogue=catalogue,
+            catalogue=outside.catalogue,
             sender=sender,
         )
         self.election = election_module.Election(
-            site=site, store=store, on_won=self._won, on_lost=self._lost
+            site=site,
+            store=outside.store,
+            on_won=self._won,
+            on_lost=self._lost,
         )
 
     async def start(self) -> None:
@@ -75,9 +76,7 @@
         self._sender.count(measures.TAKE_OVERS)
         self.tenure = tenure_module.Tenure(
             site=self._site,
-            store=self._store,
-            client=self._executors,
-            catalogue=self._catalogue,
+            outside=self._outside,
             desired=self.desired,
             election=self.election,
             ownership=ownership,
--- a/src/knapweedwharf/fleet/orders.py
+++ b/src/knapweedwharf/fleet/orders.py
@@ -9,6 +9,7 @@
 
 from knapweedwharf.core import event
 from knapweedwharf import errors
+from knapweedwharf.fleet import advice as advice_module
 from knapweedwharf.fleet import attempt as attempt_module
 from knapweedwharf.fleet import board as board_module
 from knapweedwharf.fleet import clock
@@ -37,6 +38,7 @@
     :param sessions: by executor id.
     :param election: tells whether orders may still be given.
     :param tell: tells a service's engine.
+    :param advice: has the tickets of steps that need them.
     """
 
     def __init__(
@@ -49,6 +51,7 @@
         epoch: int,
         sender: metrics.Metrics,
         tell: Tell,
+        advice: advice_module.Advice,
     ) -> None:
         self._board = board
         self._ledger = ledger
@@ -57,6 +60,7 @@
         self._epoch = epoch
         self._sender = sender
         self._tell = tell
+        self._advice = advice
         self._log = log.get("orders").bind(epoch=epoch)
         self._tasks: set[asyncio.Task] = set()
 
@@ -80,15 +84,38 @@
 
     def start(self, attempt: attempt_module.Attempt) -> None:
         """Start every member; the places are stored."""
+        if attempt.job.is_advised:
+            self._spawn(self._start_advised(attempt))
+        else:
+            self._start_members(attempt, None)
+
+    async def _start_advised(self, attempt: attempt_module.Attempt) -> None:
+        """Start every member that has a valid ticket."""
+        executors = {
+            session.executor_id: session.executor
+            for member in attempt.pending()
+            if (session := self._sessions.get(member.executor_id)) is not None
+        }
+        step_id = attempt.part.step_id(attempt.job.job_id)
+        tickets = await self._advice.tickets(step_id, list(executors.values()))
+        self._start_members(attempt, tickets)
+
+    def _start_members(
+        self,
+        attempt: attempt_module.Attempt,
+        tickets: dict[str, str] | None,
+    ) -> None:
         for member in list(attempt.members.values()):
             if member.phase != attempt_module.INTENDED:
                 continue
             session = self._sessions.get(member.executor_id)
-            if attempt.must_stop or session is None:
+            lacks = tickets is not None and member.executor_id not in tickets
+            if attempt.must_stop or session is None or lacks:
                 self.end(attempt, member, model.REFUSED)
                 continue
             member.phase = attempt_module.ORDERED
-            self._spawn(self._start(attempt, member, session))
+            ticket = tickets[member.executor_id] if tickets else ""
+            self._spawn(self._start(attempt, member, session, ticket))
         self.settle(attempt)
 
     async def _start(
@@ -96,6 +123,7 @@
         attempt: attempt_module.Attempt,
         member: attempt_module.Member,
         session: session_module.Session,
+        ticket: str,
     ) -> None:
         order = model.Order(
             task_id=member.task_id,
@@ -104,6 +132,7 @@
             not_after_ms=0,
             epoch=self._epoch,
             checkpoint=attempt.part.checkpoint,
+            ticket=ticket,
         )
         maybe_sent = False
         for _try in range(START_TRIES):
@@ -126,7 +155,8 @@
                 break
         if member.phase != attempt_module.ORDERED:
             return
-        attempt.blamed = member.executor_id
+        if getattr(fault, "reason", "") != model.NO_TICKET:
+            attempt.blamed = member.executor_id
         if maybe_sent:
             await self._stop(attempt, member)
         else:
@@ -197,6 +227,33 @@
         )
         self._spawn(session.stop_run(task_id, run))
 
+    # Speeds
+
+    def pace(
+        self,
+        attempt: attempt_module.Attempt,
+        member: attempt_module.Member,
+        percent: int,
+    ) -> None:
+        """Set a member's speed; the next report repeats a lost order."""
+        session = self._sessions.get(member.executor_id)
+        if session is not None and self._election.is_owner:
+            self._spawn(self._pace(attempt, member, session, percent))
+
+    async def _pace(
+        self,
+        attempt: attempt_module.Attempt,
+        member: attempt_module.Member,
+        session: session_module.Session,
+        percent: int,
+    ) -> None:
+        answer = await session.pace_run(member.task_id, attempt.run, percent)
+        if isinstance(answer, result.Success):
+            member.percent = percent
+            member.percent_at_start = False
+        elif isinstance(answer.failure(), errors.Fenced):
+            self._election.lose("fenced-by-executor")
+
     # What becomes of members
 
     def end(
@@ -210,6 +267,7 @@
         if member.phase == attempt_module.ENDED:
             return
         member.phase = attempt_module.ENDED
+        member.is_at_work = False
         member.how = how
         if checkpoint:
             attempt.part.checkpoint = checkpoint
--- a/src/knapweedwharf/fleet/policy.py
+++ b/src/knapweedwharf/fleet/policy.py
@@ -31,6 +31,9 @@
 ORDER_MARGIN_S = 0.6
 """Time from the decision to stop others to the start on their room."""
 
+LASTING_PATIENCE_S = 1.0
+"""A third of the time for which a task that lasts may have no run."""
+
 GUARANTEED_PRECEDENCE = 2
 FIRST_PRECEDENCE = 1
 
@@ -49,6 +52,9 @@
 STILL_S = 2.0
 """Two reports; a sound run moves by a percent in a tenth of that."""
 
+MIXES_AFTER_S = 1.0
+"""Beside others, work is slow or disturbs; a run ends about as soon."""
+
 RENEW_RESERVED_S = 1.0
 """Executors report how far their runs are once a second."""
 
@@ -69,6 +75,7 @@
             most_lost_runs=MOST_LOST_RUNS,
             settle_s=SETTLE_S,
             still_s=STILL_S,
+            mixes_after_s=MIXES_AFTER_S,
             renew_reserved_s=RENEW_RESERVED_S,
         ),
     )
@@ -90,7 +97,10 @@
     """
     if step.is_lasting:
         # Its users are served by all of its tasks; none is a victim.
-        return workflow.Standing(precedence=GUARANTEED_PRECEDENCE)
+        return workflow.Standing(
+            precedence=GUARANTEED_PRECEDENCE,
+            start_within_s=LASTING_PATIENCE_S,
+        )
     if job.priority > 0:
         return workflow.Standing(
             handicap_s=job.priority * HANDICAP_PER_LEVEL_S
--- a/src/knapweedwharf/fleet/records.py
+++ b/src/knapweedwharf/fleet/records.py
@@ -13,6 +13,7 @@
 OWNER_KEY = "control/owner"
 EPOCH_KEY = "control/epoch"
 PENDING_KEY = "published/pending"
+WAVES = "waves/"
 
 SPEC = "spec"
 PROGRESS = "progress"
@@ -176,3 +177,23 @@
 def load_pending(value: bytes) -> dict[str, int]:
     """Decode how many jobs of each queue have not begun."""
     return json.loads(value)
+
+
+def wave_key(number: int) -> str:
+    """Return the key of what became of a wave of maintenance."""
+    return f"{WAVES}{number}"
+
+
+def dump_wave(begun: dict[str, str], finished: set[str]) -> bytes:
+    """Encode what became of a wave.
+
+    :param begun: machines ordered down, and the life that each had.
+    :param finished: machines that are back, or have left for good.
+    """
+    return _dump({"begun": begun, "finished": sorted(finished)})
+
+
+def load_wave(value: bytes) -> tuple[dict[str, str], set[str]]:
+    """Decode what became of a wave: what has begun, what is finished."""
+    document = json.loads(value)
+    return document["begun"], set(document["finished"])
--- a/src/knapweedwharf/fleet/registry.py
+++ b/src/knapweedwharf/fleet/registry.py
@@ -10,6 +10,7 @@
 from knapweedwharf.core import model as core_model
 from knapweedwharf.fleet import clock
 from knapweedwharf.fleet import model
+from knapweedwharf.fleet import outside as outside_module
 from knapweedwharf.fleet import session as session_module
 from knapweedwharf.fleet import watcher as watcher_module
 from knapweedwharf import log
@@ -32,15 +33,13 @@
         self,
         *,
         site: model.Site,
-        store,
-        client,
-        catalogue: model.Catalogue,
+        outside: outside_module.Outside,
         epoch: int,
         hooks: session_module.Hooks,
     ) -> None:
         self._site = site
-        self._client = client
-        self._catalogue = catalogue
+        self._client = outside.executors
+        self._catalogue = outside.catalogue
         self._epoch = epoch
         self._hooks = dataclasses.replace(hooks, gone=self._gone)
         self._on_gone = hooks.gone
@@ -48,11 +47,13 @@
         self._announced: dict[str, model.Executor] = {}
         self._expected: dict[str, float] = {}
         self._removed: dict[str, None] = {}
+        self._retired: set[str] = set()
+        self._by_machine: dict[str, str] = {}
         self._closing: set[asyncio.Task] = set()
         self.sessions: dict[str, session_module.Session] = {}
         self._watcher = watcher_module.Watcher(
-            store,
-            catalogue.executor_prefix,
+            outside.store,
+            outside.catalogue.executor_prefix,
             wait_s=WATCH_WAIT_S,
             on_listing=self._listed,
             on_changes=self._changed,
@@ -111,6 +112,8 @@
         executor_id = executor.executor_id
         self._expected.pop(executor_id, None)
         self._removed.pop(executor_id, None)
+        if executor.machine_id:
+            self._by_machine[executor.machine_id] = executor_id
         session = self.sessions.get(executor_id)
         if session is not None and _is_reborn(session.executor, executor):
             self._log.warning("executor-reborn", executor=executor_id)
@@ -141,6 +144,7 @@
             hooks=self._hooks,
         )
         self.sessions[executor.executor_id] = session
+        self._retired.discard(executor.executor_id)
         self._log.info(
             "executor-seen",
             executor=executor.executor_id,
@@ -168,6 +172,17 @@
         self._announced.pop(session.executor_id, None)
         self._hooks.barred(session)
 
+    def of_machine(self, machine_id: str) -> session_module.Session | None:
+        """Return the session with a machine's present life."""
+        executor_id = self._by_machine.get(machine_id, "")
+        session = self.sessions.get(executor_id)
+        return session if session is not None and session.listed else None
+
+    def retire(self, session: session_module.Session) -> None:
+        """Give an executor no new work in the rest of its life."""
+        self._retired.add(session.executor_id)
+        self._announced.pop(session.executor_id, None)
+
     def _leave(self, session: session_module.Session) -> None:
         """Let work move off an executor that drains, once it is sealed."""
         if session.sealed and not session.told_leaving:
@@ -188,19 +203,33 @@
         self._announced.pop(session.executor_id, None)
         self._on_gone(session)
         if session.listed:
+            retired = session.executor_id in self._retired
             self._open(session.executor, 0)
+            if retired:
+                self._retired.add(session.executor_id)
 
     # The engine's view
 
-    def announce(self, session: session_module.Session, tell: Tell) -> None:
-        """Let the engine use an executor that answers and is ready."""
+    def usable(self, service: str) -> list[model.Executor]:
+        """Return a service's executors that may get work now."""
+        return [e for e in self._announced.values() if e.service == service]
+
+    def announce(self, session: session_module.Session, tell: Tell) -> bool:
+        """Let the engine use an executor that answers and is ready.
+
+        :returns: whether the engine was told something new.
+        """
         executor = session.executor
         if executor.state == model.DRAINING:
             self._leave(session)
-        usable = session.listed and executor.state == model.READY
+        usable = (
+            session.listed
+            and executor.state == model.READY
+            and session.executor_id not in self._retired
+        )
         known = self._announced.get(executor.executor_id)
         if not usable or (known == executor and not session.was_silent):
-            return
+            return False
         session.was_silent = False
         self._announced[executor.executor_id] = executor
         tell(
@@ -217,6 +246,7 @@
                 )
             ),
         )
+        return True
 
     def tick(self) -> None:
         """Give up drained executors that have left.
--- a/src/knapweedwharf/fleet/reports.py
+++ b/src/knapweedwharf/fleet/reports.py
@@ -12,6 +12,7 @@
 from knapweedwharf.fleet import ledger as ledger_module
 from knapweedwharf.fleet import model
 from knapweedwharf.fleet import orders as orders_module
+from knapweedwharf.fleet import pacing as pacing_module
 from knapweedwharf.fleet import session as session_module
 from knapweedwharf import log
 
@@ -28,11 +29,13 @@
         ledger: ledger_module.Ledger,
         orders: orders_module.Orders,
         tell: orders_module.Tell,
+        pacing: pacing_module.Pacing,
     ) -> None:
         self._board = board
         self._ledger = ledger
         self._orders = orders
         self._tell = tell
+        self._pacing = pacing
         self._log = log.get("reports")
 
     def take(
@@ -56,6 +59,7 @@
                 self._lost(attempt, member, touched)
         self._settle(touched)
         self._tell_progress(session, report)
+        self._pacing.look(session.executor_id, report.runs)
 
     def _tell_progress(
         self, session: session_module.Session, report: model.Report
@@ -65,7 +69,10 @@
             held = self._board.member(
                 session.executor_id, run.task_id, run.run
             )
-            if held is not None and held[0].told_started:
+            if held is None or not held[0].told_started:
+                continue
+            # What is slowed down says nothing of its executor.
+            if held[1].percent == pacing_module.FULL_PERCENT:
                 shares[held[0].attempt_id] = run.percent / 100
         if shares:
             self._tell(
@@ -147,6 +154,7 @@
         attempt, member = held
         if run.checkpoint:
             attempt.part.checkpoint = run.checkpoint
+        member.is_at_work = run.percent == 100
         if member.phase == attempt_module.ORDERED and not member.stop_sent:
             self._orders.started(attempt, member)
             touched[attempt.attempt_id] = attempt
--- a/src/knapweedwharf/fleet/session.py
+++ b/src/knapweedwharf/fleet/session.py
@@ -191,6 +191,18 @@
             self.executor, task_id=task_id, run=run, epoch=self._epoch
         )
 
+    async def pace_run(
+        self, task_id: str, run: int, percent: int
+    ) -> result.Result[int, errors.Fault]:
+        """Order a run's speed."""
+        return await self._client.pace(
+            self.executor,
+            task_id=task_id,
+            run=run,
+            percent=percent,
+            epoch=self._epoch,
+        )
+
     async def _run(self) -> None:
         waits = backoff.Backoff(
             first_s=_FIRST_RETRY_S, longest_s=_LONGEST_RETRY_S
--- a/src/knapweedwharf/fleet/tenure.py
+++ b/src/knapweedwharf/fleet/tenure.py
@@ -12,19 +12,24 @@
 
 from returns import result
 
+from knapweedwharf.fleet import advice as advice_module
 from knapweedwharf.fleet import board as board_module
 from knapweedwharf.fleet import clock
 from knapweedwharf.fleet import decider as decider_module
+from knapweedwharf.fleet import desired as desired_module
 from knapweedwharf.fleet import election as election_module
 from knapweedwharf.fleet import intake as intake_module
 from knapweedwharf.fleet import ledger as ledger_module
 from knapweedwharf.fleet import measures
 from knapweedwharf.fleet import model
 from knapweedwharf.fleet import orders as orders_module
+from knapweedwharf.fleet import outside as outside_module
+from knapweedwharf.fleet import pacing as pacing_module
 from knapweedwharf.fleet import records
 from knapweedwharf.fleet import registry as registry_module
 from knapweedwharf.fleet import reports as reports_module
 from knapweedwharf.fleet import session as session_module
+from knapweedwharf.fleet import upkeep as upkeep_module
 from knapweedwharf import log
 from knapweedwharf import metrics
 
@@ -50,16 +55,14 @@
         self,
         *,
         site: model.Site,
-        store,
-        client,
-        catalogue: model.Catalogue,
-        desired,
+        outside: outside_module.Outside,
+        desired: desired_module.DesiredState,
         election: election_module.Election,
         ownership: election_module.Ownership,
         sender: metrics.Metrics,
     ) -> None:
         self._site = site
-        self._store = store
+        self._outside = outside
         self._election = election
         self._ownership = ownership
         self._sender = sender
@@ -69,7 +72,7 @@
         self._pruned_s = clock.elapsed_s()
         self.board = board_module.Board()
         self._ledger = ledger_module.Ledger(
-            store=store,
+            store=outside.store,
             epoch_revision=ownership.revision,
             dump=self.board.dump,
             on_fenced=lambda: election.lose("fenced-by-store"),
@@ -77,49 +80,72 @@
         )
         self.registry = registry_module.Registry(
             site=site,
-            store=store,
-            client=client,
-            catalogue=catalogue,
+            outside=outside,
             epoch=ownership.ordinal,
             hooks=self._hooks(),
         )
         self._connect(desired)
 
-    def _connect(self, desired) -> None:
+    def _connect(self, desired: desired_module.DesiredState) -> None:
         """Make the parts that tell each other what happens."""
-        site, election = self._site, self._election
-        ownership = self._ownership
+        self._advice = advice_module.Advice(
+            client=self._outside.advisor,
+            candidates=lambda *asked: self._decider.candidates(*asked),
+            approved=lambda *told: self._decider.approved(*told),
+            sender=self._sender,
+        )
         self._decider = decider_module.Decider(
             board=self.board,
             ledger=self._ledger,
             desired=desired,
-            bounds=site.bounds,
-            ordinal=ownership.ordinal,
+            bounds=self._site.bounds,
+            ordinal=self._ownership.ordinal,
             sender=self._sender,
             start=lambda attempt: self._orders.start(attempt),
             settle=lambda attempt: self._orders.settle(attempt),
+            advice=self._advice,
+            executors=self.registry.usable,
         )
         self._orders = orders_module.Orders(
             board=self.board,
             ledger=self._ledger,
             sessions=self.registry.sessions,
-            election=election,
-            epoch=ownership.ordinal,
+            election=self._election,
+            epoch=self._ownership.ordinal,
             sender=self._sender,
             tell=self._decider.tell,
+            advice=self._advice,
         )
+        self._connect_inputs(desired)
+
+    def _connect_inputs(self, desired: desired_module.DesiredState) -> None:
+        """Make the parts that bring what executors and callers do."""
         self._reports = reports_module.Reports(
             board=self.board,
             ledger=self._ledger,
             orders=self._orders,
             tell=self._decider.tell,
+            pacing=pacing_module.Pacing(
+                board=self.board, order=self._orders.pace
+            ),
         )
         self._intake = intake_module.Intake(
-            store=self._store,
+            store=self._outside.store,
             board=self.board,
             ledger=self._ledger,
             decider=self._decider,
         )
+        self._upkeep = upkeep_module.Upkeep(
+            bounds=self._site.bounds,
+            outside=self._outside,
+            desired=desired,
+            registry=self.registry,
+            board=self.board,
+            election=self._election,
+            ownership=self._ownership,
+            sender=self._sender,
+            tell=self._decider.tell,
+        )
 
     def _hooks(self) -> session_module.Hooks:
         return session_module.Hooks(
@@ -136,6 +162,7 @@
     async def start(self) -> None:
         """Take over: read the records, seal the executors, go on."""
         await self._ledger.start()
+        await self._advice.start()
         await self._intake.start()
         for work in (self._begin(), self._publish_forever()):
             self._tasks.append(asyncio.create_task(work))
@@ -146,7 +173,9 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self._intake.close()
+        await self._upkeep.close()
         await self.registry.close()
+        await self._advice.close()
         await self._orders.close()
         await self._ledger.close()
 
@@ -156,6 +185,7 @@
             for member in attempt.members.values():
                 self.registry.expect(member.executor_id)
         await self.registry.start()
+        await self._upkeep.start()
         while self._election.is_owner:
             await asyncio.sleep(TICK_S)
             try:
@@ -187,7 +217,8 @@
         asked_s: float,
     ) -> None:
         self._reports.take(session, report, asked_s)
-        self.registry.announce(session, self._decider.tell)
+        if self.registry.announce(session, self._decider.tell):
+            self._advice.look_again()
 
     async def _publish_forever(self) -> None:
         await self._intake.complete.wait()
@@ -200,7 +231,7 @@
 
     async def _publish(self, pending: dict[str, int]) -> None:
         write = model.Write(records.PENDING_KEY, records.dump_pending(pending))
-        committed = await self._store.commit(
+        committed = await self._outside.store.commit(
             model.Commit(
                 {records.EPOCH_KEY: self._ownership.revision}, (write,)
             )
--- a/src/knapweedwharf/platform/program.py
+++ b/src/knapweedwharf/platform/program.py
@@ -12,11 +12,14 @@
 from knapweedwharf.fleet import measures
 from knapweedwharf.fleet import model
 from knapweedwharf.fleet import node as node_module
+from knapweedwharf.fleet import outside as outside_module
 from knapweedwharf import log
 from knapweedwharf import metrics
+from knapweedwharf.platform import advisor as advisor_module
 from knapweedwharf.platform import decode
 from knapweedwharf.platform import executors as executors_module
 from knapweedwharf.platform import ingress as ingress_module
+from knapweedwharf.platform import machines as machines_module
 from knapweedwharf.platform import settings as settings_module
 from knapweedwharf.platform import store as store_module
 
@@ -26,6 +29,9 @@
 ORDER_TIMEOUT_S = 0.7
 """A hundred times an executor's usual answer."""
 
+MACHINES_TIMEOUT_S = 1.0
+"""As for the store; the service may be slow."""
+
 EXIT_MARGIN_S = 0.8
 """How long before SIGKILL the process ends by itself."""
 
@@ -74,11 +80,21 @@
             site.store_address, timeout_s=STORE_TIMEOUT_S
         )
         self._executors = executors_module.Executors(timeout_s=ORDER_TIMEOUT_S)
+        self._advisor = advisor_module.Advisor(site.advisor_address)
+        self._machines = machines_module.Machines(
+            site.machines_address,
+            holder=site.node_id,
+            timeout_s=MACHINES_TIMEOUT_S,
+        )
         self.node = node_module.Node(
             site,
-            store=self._store,
-            executors=self._executors,
-            catalogue=CATALOGUE,
+            outside=outside_module.Outside(
+                store=self._store,
+                executors=self._executors,
+                advisor=self._advisor,
+                machines=self._machines,
+                catalogue=CATALOGUE,
+            ),
             sender=sender,
         )
         self._sender = sender
@@ -138,6 +154,8 @@
         self._readiness.stop()
         self._metrics.stop()
         self._executors.close()
+        self._advisor.close()
+        self._machines.close()
         self._store.close()
         self._log.info("stopped", in_flight=self.in_flight)
 
--- a/standins/fleet_executors.py
+++ b/standins/fleet_executors.py
@@ -14,6 +14,7 @@
 
 from knapweedwharf import errors
 from knapweedwharf.fleet import model
+from standins import fleet_advisor
 
 ANSWER_S = 0.002
 CALL_TIMEOUT_S = 0.7
@@ -26,12 +27,14 @@
     """A run at work.
 
     :ivar still_s: for how long it made no progress.
+    :ivar percent: the speed it was given.
     """
 
     order: model.Order
     begun_s: float
     behaviour: dict
     still_s: float = 0.0
+    percent: int = 100
 
 
 @dataclasses.dataclass(frozen=True)
@@ -82,8 +85,10 @@
             if self.clock_ms() >= self.lease_until_ms:
                 await self.finish(key, model.LAPSED)
                 continue
-            if self.hangs:
-                state.still_s += now_s - self.advanced_s
+            slowed = 1.0 if self.hangs else 1.0 - state.percent / 100
+            state.still_s += slowed * (now_s - self.advanced_s)
+            if state.behaviour.get("lasts"):
+                continue
             if self.pool.share(key, state, now_s) >= 1.0:
                 await self.finish(key, state.behaviour.get("ends", "done"))
         self.advanced_s = now_s
@@ -121,6 +126,8 @@
         if order.run <= self.stopped.get(order.task_id, 0):
             return _refused("old")
         behaviour = json.loads(order.specification)
+        if behaviour.get("advised") and not self._has_ticket(order):
+            return _refused(model.NO_TICKET)
         if len(self.runs) >= behaviour.get("slots", 8):
             return _refused("room")
         self.lease_until_ms = max(self.lease_until_ms, order.not_after_ms)
@@ -129,6 +136,24 @@
         self.pool.starts.append((now_s, self.spec.executor_id, key))
         return None
 
+    def load_ms(self, state: RunState) -> int:
+        """Return a serving run's tail: 50 ms, and more beside fillers.
+
+        A filling run at full speed adds what its ``disturbs`` says.
+        """
+        if "serves" not in state.behaviour:
+            return 0
+        return 50 + sum(
+            int(other.behaviour.get("disturbs", 0) * other.percent / 100)
+            for other in self.runs.values()
+        )
+
+    def _has_ticket(self, order: model.Order) -> bool:
+        step_id = order.task_id.rsplit(".", 1)[0]
+        return self.pool.advisor.is_valid(
+            step_id, self.spec.executor_id, order.ticket
+        )
+
 
 def _refused(reason: str) -> errors.Fault:
     return errors.OrderRefused("Refused.", "Elsewhere.", reason)
@@ -139,10 +164,13 @@
 
     :ivar stories: runs that have ended, in order.
     :ivar renewals: so many were asked for.
+    :ivar refused: why starts were refused, in order.
     :ivar starts: (time, executor id, (task, run)) of each start.
     """
 
     def __init__(self) -> None:
+        self.advisor = fleet_advisor.FakeAdvisor()
+        self.refused: list[str] = []
         self.executors: dict[str, FakeExecutor] = {}
         self.stories: list[Story] = []
         self.starts: list[tuple[float, str, tuple[str, int]]] = []
@@ -225,18 +253,25 @@
         if found.silent:
             await asyncio.sleep(CALL_TIMEOUT_S)
             return result.Failure(_UNKNOWN)
+        return result.Success(self._report(found))
+
+    def _report(self, found: FakeExecutor) -> model.Report:
         now_s = asyncio.get_running_loop().time()
         rows = [
-            model.Run(key[0], key[1], "", self._percent(key, state, now_s))
+            model.Run(
+                key[0],
+                key[1],
+                "",
+                self._percent(key, state, now_s),
+                found.load_ms(state),
+            )
             for key, state in found.runs.items()
         ]
-        return result.Success(
-            model.Report(
-                found.clock_ms(),
-                found.spec.incarnation_ms,
-                tuple(rows),
-                tuple(found.ends),
-            )
+        return model.Report(
+            found.clock_ms(),
+            found.spec.incarnation_ms,
+            tuple(rows),
+            tuple(found.ends),
         )
 
     async def start(self, executor: model.Executor, order: model.Order):
@@ -254,6 +289,7 @@
             return result.Failure(_UNKNOWN)
         fault = found.start(order)
         if fault is not None:
+            self.refused.append(getattr(fault, "reason", fault.code))
             return result.Failure(fault)
         return result.Success(found.clock_ms())
 
@@ -277,5 +313,28 @@
             await found.finish((task_id, run), model.STOPPED)
         return result.Success(found.clock_ms())
 
+    async def pace(
+        self,
+        executor: model.Executor,
+        *,
+        task_id: str,
+        run: int,
+        percent: int,
+        epoch: int,
+    ):
+        """Answer an order of a run's speed."""
+        found = self.executors.get(executor.executor_id)
+        await asyncio.sleep(ANSWER_S)
+        if found is None or found.silent:
+            await asyncio.sleep(CALL_TIMEOUT_S)
+            return result.Failure(_UNKNOWN)
+        if epoch < found.epoch:
+            return result.Failure(_FENCED)
+        state = found.runs.get((task_id, run))
+        if state is None:
+            return result.Failure(_refused("old"))
+        state.percent = percent
+        return result.Success(found.clock_ms())
+
     def close(self) -> None:
         """Nothing is kept open."""
--- /dev/null
+++ b/standins/fleet_machines.py
@@ -0,0 +1,116 @@
+"""Machines in memory: moves and maintenance end a life and begin one."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+
+from returns import result
+
+from knapweedwharf import errors
+from knapweedwharf.fleet import model
+
+ANSWER_S = 0.005
+MAINTENANCE_S = 2.0
+MIGRATION_S = 1.5
+_UNKNOWN = errors.OutcomeUnknown(message="No answer.", remedy="Ask again.")
+_FENCED = errors.Fenced(message="Newer epoch.", remedy="Stop.")
+
+
+class FakeMachines:
+    """Every machine and its present life.
+
+    :param begin_life: called with a machine when it is up again.
+    :param end_life: called with a machine when it goes down.
+    :ivar lose_answers: so many next orders are done and not answered.
+    :ivar maintained: (time, machine) of each maintenance begun.
+    :ivar most_down: most machines that were down for it at once.
+    """
+
+    def __init__(self, *, begin_life, end_life) -> None:
+        self.machines: dict[str, model.Machine] = {}
+        self.lose_answers = 0
+        self.maintained: list[tuple[float, str]] = []
+        self.moved: list[tuple[float, str, str]] = []
+        self.most_down = 0
+        self.listings = 0
+        self._epochs: dict[str, int] = {}
+        self._done: set[tuple[str, int]] = set()
+        self._begin_life = begin_life
+        self._end_life = end_life
+        self._tasks: set[asyncio.Task] = set()
+
+    async def list(self):
+        """Return every machine."""
+        self.listings += 1
+        await asyncio.sleep(ANSWER_S)
+        return result.Success(tuple(self.machines.values()))
+
+    async def move(self, machine_id: str, pool: str, *, epoch: int):
+        """Move a machine to another pool."""
+        await asyncio.sleep(ANSWER_S)
+        fault = self._fault(machine_id, epoch)
+        machine = self.machines.get(machine_id)
+        if fault is None and machine.pool != pool:
+            self.moved.append((self._now_s(), machine_id, pool))
+            moved = dataclasses.replace(
+                machine, pool=pool, state=model.MACHINE_MOVING
+            )
+            await self._take_down(moved, MIGRATION_S)
+        return self._answer(fault)
+
+    async def maintain(self, machine_id: str, wave: int, *, epoch: int):
+        """Begin a machine's maintenance, once in a wave."""
+        await asyncio.sleep(ANSWER_S)
+        if (machine_id, wave) in self._done:
+            return self._answer(None)
+        fault = self._fault(machine_id, epoch)
+        if fault is None:
+            self._done.add((machine_id, wave))
+            self.maintained.append((self._now_s(), machine_id))
+            down = dataclasses.replace(
+                self.machines[machine_id], state=model.MACHINE_MAINTAINED
+            )
+            await self._take_down(down, MAINTENANCE_S)
+        return self._answer(fault)
+
+    def _fault(self, machine_id: str, epoch: int) -> errors.Fault | None:
+        machine = self.machines.get(machine_id)
+        if machine is None:
+            return errors.OrderRefused("No.", "Look.", model.NO_MACHINE)
+        if epoch < self._epochs.get(machine_id, 0):
+            return _FENCED
+        self._epochs[machine_id] = epoch
+        if machine.state != model.MACHINE_UP:
+            return errors.OrderRefused("Busy.", "Wait.", "busy")
+        return None
+
+    def _answer(self, fault: errors.Fault | None):
+        if self.lose_answers:
+            self.lose_answers -= 1
+            return result.Failure(_UNKNOWN)
+        return result.Failure(fault) if fault else result.Success(None)
+
+    async def _take_down(self, machine: model.Machine, for_s: float) -> None:
+        self.machines[machine.machine_id] = machine
+        down = [
+            m
+            for m in self.machines.values()
+            if m.state == model.MACHINE_MAINTAINED
+        ]
+        self.most_down = max(self.most_down, len(down))
+        await self._end_life(machine)
+        task = asyncio.create_task(self._come_back(machine, for_s))
+        self._tasks.add(task)
+
+    async def _come_back(self, machine: model.Machine, for_s: float) -> None:
+        await asyncio.sleep(for_s)
+        machine = dataclasses.replace(machine, state=model.MACHINE_UP)
+        self.machines[machine.machine_id] = machine
+        await self._begin_life(machine)
+
+    def _now_s(self) -> float:
+        return asyncio.get_running_loop().time()
+
+    def close(self) -> None:
+        """Nothing is kept open."""
--- a/standins/users_platform.py
+++ b/standins/users_platform.py
@@ -17,6 +17,7 @@
 from knapweedwharf import errors
 from knapweedwharf.fleet import model
 from standins import fleet_executors
+from standins import fleet_machines
 from standins import fleet_store
 from standins import loopback
 
@@ -27,6 +28,10 @@
 }
 
 
+async def _nothing(_machine: model.Machine) -> None:
+    """No executor comes or goes with a machine here."""
+
+
 def _document(item: model.Item) -> dict:
     return {
         "key": item.key,
@@ -178,7 +183,13 @@
                 "clock_ms": report.clock_ms,
                 "born": report.incarnation_ms,
                 "running": [
-                    [run.task_id, run.run, run.checkpoint, run.percent]
+                    [
+                        run.task_id,
+                        run.run,
+                        run.checkpoint,
+                        run.percent,
+                        run.load,
+                    ]
                     for run in report.runs
                 ],
                 "finished": [
@@ -195,6 +206,7 @@
             specification=document["specification"],
             not_after_ms=document["deadline_ms"],
             epoch=document["fencing_token"],
+            ticket=document.get("ticket", ""),
         )
         answer = await self.served.pool.start(spec, order)
         return answer.map(lambda clock_ms: {"clock_ms": clock_ms})
@@ -208,16 +220,102 @@
         )
         return answer.map(lambda clock_ms: {"clock_ms": clock_ms})
 
+    async def _pace(self, spec: model.Executor, document: dict):
+        answer = await self.served.pool.pace(
+            spec,
+            task_id=document["task"],
+            run=document["run"],
+            percent=document["percentage"],
+            epoch=document["fencing_token"],
+        )
+        return answer.map(lambda clock_ms: {"clock_ms": clock_ms})
+
+
+class _Advisor(_Handler):
+    async def post(self) -> None:
+        document = json.loads(self.request.body)
+        answer = await self.served.pool.advisor.approve(
+            document["phase"], document["workers"], timeout_s=1.0
+        )
+        if isinstance(answer, result.Failure):
+            self.reply(429, {})
+            return
+        approval = answer.unwrap()
+        self.reply(
+            200,
+            {
+                "approved": list(approval.tickets.items()),
+                "validity_ms": int(approval.validity_s * 1000),
+            },
+        )
+
+
+_MACHINE_STATES = {model.MACHINE_MAINTAINED: "upkeep"}
+
+
+class _Machines(_Handler):
+    async def get(self) -> None:
+        listed = (await self.served.machines.list()).unwrap()
+        first = int(self.get_argument("page_token", "0"))
+        after = first + self.served.page_items
+        rows = [
+            {
+                "machine": m.machine_id,
+                "pool": m.pool,
+                "state": _MACHINE_STATES.get(m.state, m.state),
+                "zone": "dc",
+                "labels": list(m.labels),
+                "capacity": {
+                    "cpu": m.cores_milli,
+                    "mem_mb": m.memory_mib,
+                    "gpu": m.accelerators,
+                },
+                "id": m.executor_id or None,
+            }
+            for m in listed[first:after]
+        ]
+        more = after < len(listed)
+        self.reply(
+            200,
+            {"machines": rows, "next_token": str(after) if more else None},
+        )
+
+    async def post(self, call: str) -> None:
+        document = json.loads(self.request.body)
+        epoch = int(self.request.headers["X-Fencing-Token"])
+        self.served.holders.add(self.request.headers["X-Duty-Holder"])
+        machines = self.served.machines
+        if call == "move":
+            done = await machines.move(
+                document["machine"], document["pool"], epoch=epoch
+            )
+        else:
+            done = await machines.maintain(
+                document["machine"], document["wave"], epoch=epoch
+            )
+        if isinstance(done, result.Success):
+            self.reply(200, {})
+            return
+        fault = done.failure()
+        reason = getattr(fault, "reason", "fence")
+        bad = reason == model.NO_MACHINE
+        self.reply(400 if bad else 409, {} if bad else {"reason": reason})
+
 
 class UsersPlatform:
     """The platform on a loopback port.
 
     :ivar page_items: items that a page of a listing holds.
+    :ivar holders: names under which machines were ordered.
     """
 
     def __init__(self) -> None:
         self.store = fleet_store.FakeStore(fleet_store.StoreState())
         self.pool = fleet_executors.Pool()
+        self.machines = fleet_machines.FakeMachines(
+            begin_life=_nothing, end_life=_nothing
+        )
+        self.holders: set[str] = set()
         self.page_items = 500
         self.port = loopback.free_port()
         fields = {"served": self}
@@ -232,7 +330,10 @@
                     (r"/kv-keep/(\d+)", _Lease, fields),
                     (r"/kv-lease-end/(\d+)", _Lease, fields),
                     (r"/run-(start|stop)", _Executor, fields),
-                    (r"/(hold)", _Executor, fields),
+                    (r"/(hold|pace)", _Executor, fields),
+                    (r"/advise", _Advisor, fields),
+                    (r"/machines", _Machines, fields),
+                    (r"/machine-(move|upkeep)", _Machines, fields),
                 ],
                 log_function=lambda handler: None,
             )
--- a/testing/fleet/scene.py
+++ b/testing/fleet/scene.py
@@ -12,8 +12,10 @@
 from knapweedwharf.fleet import door as door_module
 from knapweedwharf.fleet import model
 from knapweedwharf.fleet import node as node_module
+from knapweedwharf.fleet import outside as outside_module
 from knapweedwharf import metrics
 from standins import fleet_executors
+from standins import fleet_machines
 from standins import fleet_store
 from standins import virtual_time
 
@@ -22,6 +24,8 @@
 HOST = "queue.example"
 PREFIX = "/q/"
 URGENT_PREFIX = "/u/"
+ADVISED_PREFIX = "/a/"
+QUEUES = {PREFIX: 1, URGENT_PREFIX: 0, ADVISED_PREFIX: 1}
 UNIX_AT_START_S = 1_700_000_000.0
 BOUNDS = model.Bounds()
 
@@ -50,8 +54,11 @@
                 service="pool",
                 priority=priority,
                 max_attempts=document["attempts"],
+                advice=(
+                    model.AdviceTerms() if prefix == ADVISED_PREFIX else None
+                ),
             )
-            for prefix, priority in ((PREFIX, 1), (URGENT_PREFIX, 0))
+            for prefix, priority in QUEUES.items()
         ),
         services={"pool": model.Service("pool")},
         accounts={"acme": account},
@@ -107,9 +114,13 @@
         site = model.Site(name, "dc", "", "", "", "", bounds=BOUNDS)
         self.node = node_module.Node(
             site,
-            store=self.store,
-            executors=scene.pool,
-            catalogue=CATALOGUE,
+            outside=outside_module.Outside(
+                store=self.store,
+                executors=scene.pool,
+                advisor=scene.pool.advisor,
+                machines=scene.machines,
+                catalogue=CATALOGUE,
+            ),
             sender=metrics.Metrics(None),
         )
 
@@ -130,6 +141,10 @@
     def __init__(self) -> None:
         self.store = fleet_store.StoreState()
         self.pool = fleet_executors.Pool()
+        self.machines = fleet_machines.FakeMachines(
+            begin_life=self._begin_life, end_life=self._end_life
+        )
+        self._lives = 1
         self.vms: list[Vm] = []
         self._next_id = 0
 
@@ -165,11 +180,42 @@
             accelerators=8,
             labels=("a", rack),
             incarnation_ms=1,
+            machine_id=f"m-{executor_id}",
         )
         spec = dataclasses.replace(spec, **fields)
         self.pool.add(spec)
+        self.machines.machines[spec.machine_id] = model.Machine(
+            machine_id=spec.machine_id,
+            pool=spec.service,
+            state=model.MACHINE_UP,
+            cores_milli=spec.cores_milli,
+            memory_mib=spec.memory_mib,
+            accelerators=spec.accelerators,
+            labels=spec.labels,
+            executor_id=spec.executor_id,
+        )
         await self.list_executor(spec)
 
+    async def _end_life(self, machine: model.Machine) -> None:
+        """End all that runs on a machine; its entry vanishes."""
+        executor = self.pool.executors.pop(machine.executor_id, None)
+        if executor is not None:
+            for key in list(executor.runs):
+                await executor.finish(key, model.LAPSED)
+            await self.store.outsider_removes(EXECUTORS + machine.executor_id)
+
+    async def _begin_life(self, machine: model.Machine) -> None:
+        """Let a machine join its pool as another executor."""
+        self._lives += 1
+        executor_id = f"{machine.machine_id}-{self._lives}"
+        await self.add_executor(
+            executor_id,
+            rack=machine.labels[1],
+            machine_id=machine.machine_id,
+            service=machine.pool,
+            incarnation_ms=self._lives,
+        )
+
     async def list_executor(self, spec: model.Executor) -> None:
         """Write an executor's entry."""
         value = json.dumps(dataclasses.asdict(spec)).encode()
--- a/testing/platform/test_adapter.py
+++ b/testing/platform/test_adapter.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections import abc
+import dataclasses
 import json
 
 import pytest
@@ -12,8 +13,11 @@
 
 from knapweedwharf import errors
 from knapweedwharf.fleet import model
+from knapweedwharf.platform import advisor
 from knapweedwharf.platform import call
+from knapweedwharf.platform import decode
 from knapweedwharf.platform import executors
+from knapweedwharf.platform import machines
 from knapweedwharf.platform import program
 from knapweedwharf.platform import store as store_module
 from standins import loopback
@@ -204,6 +208,116 @@
     _play(main)
 
 
+def test_a_speed_is_set_and_a_tail_is_read():
+    async def main(served):
+        client = executors.Executors(timeout_s=2.0)
+        spec = _executor(served)
+        order = model.Order("j.0.0.0", 1, '{"serves": 1}', 10**9, 3)
+        await client.start(spec, order)
+        paced = await client.pace(
+            spec, task_id="j.0.0.0", run=1, percent=40, epoch=3
+        )
+        assert isinstance(paced, result.Success)
+        (state,) = served.pool.executors["i-1"].runs.values()
+        assert state.percent == 40
+        fields = {"epoch": 3, "lease_until_ms": 0, "noted_end": 0}
+        seen = (await client.renew(spec, wait_s=0.0, **fields)).unwrap()
+        assert [run.load for run in seen.runs] == [50]
+        client.close()
+
+    _play(main)
+
+
+def test_the_advisor_names_executors_and_tickets():
+    async def main(served):
+        client = advisor.Advisor(served.address)
+        served.pool.advisor.approved = {"i-1"}
+        answer = await client.approve("j.0.0", ["i-1", "i-2"], timeout_s=2.0)
+        assert answer.unwrap() == model.Approval({"i-1": "t0"}, 3.0)
+        served.pool.advisor.refuses = True
+        refused = await client.approve("j.0.0", ["i-1"], timeout_s=2.0)
+        assert isinstance(refused.failure(), errors.OrderRefused)
+        client.close()
+
+    _play(main)
+
+
+def test_a_start_carries_its_ticket():
+    async def main(served):
+        client = executors.Executors(timeout_s=2.0)
+        spec = _executor(served)
+        order = model.Order("j.0.0.0", 1, '{"advised": true}', 10**9, 3)
+        refused = (await client.start(spec, order)).failure()
+        assert refused.reason == model.NO_TICKET
+        answer = await served.pool.advisor.approve(
+            "j.0.0", ["i-1"], timeout_s=1.0
+        )
+        ticket = answer.unwrap().tickets["i-1"]
+        started = await client.start(
+            spec, dataclasses.replace(order, ticket=ticket)
+        )
+        assert isinstance(started, result.Success)
+        client.close()
+
+    _play(main)
+
+
+def _machine(number: int) -> model.Machine:
+    return model.Machine(
+        machine_id=f"m-{number}",
+        pool="pool",
+        state=model.MACHINE_UP,
+        cores_milli=8000,
+        memory_mib=8000,
+        accelerators=8,
+        labels=("a", "r1"),
+    )
+
+
+def test_machines_are_listed_whole_and_maintained_under_the_epoch():
+    async def main(served):
+        client = machines.Machines(
+            served.address, holder="vm-1", timeout_s=2.0
+        )
+        served.page_items = 2
+        for number in range(5):
+            machine = _machine(number)
+            served.machines.machines[machine.machine_id] = machine
+        listed = (await client.list()).unwrap()
+        assert listed == tuple(_machine(n) for n in range(5))
+        done = await client.maintain("m-0", 3, epoch=7)
+        assert isinstance(done, result.Success)
+        assert served.holders == {"vm-1"}
+        fenced = await client.move("m-0", "other", epoch=6)
+        assert isinstance(fenced.failure(), errors.Fenced)
+        busy = (await client.move("m-0", "other", epoch=7)).failure()
+        assert busy.reason == "busy"
+        unknown = (await client.maintain("m-9", 3, epoch=7)).failure()
+        assert unknown.reason == model.NO_MACHINE
+        listed = (await client.list()).unwrap()
+        assert listed[0].state == model.MACHINE_MAINTAINED
+        client.close()
+
+    _play(main)
+
+
+@pytest.mark.parametrize(
+    ("value", "reads"),
+    [
+        (b'{"wave":1,"machines":["m-1"],"duration_s":20,"cap":2}', True),
+        (b'{"wave":1}', False),
+        (b"\xff{", False),
+        (b'{"wave":"x","machines":[]}', False),
+    ],
+)
+def test_a_wave_is_read_or_refused(value, reads):
+    if reads:
+        assert decode.wave(value) == model.Wave(1, ("m-1",), 20.0, 2)
+    else:
+        with pytest.raises(ValueError):
+            decode.wave(value)
+
+
 # The whole process
 
 
