Move machines between working pools and pools on standby

Change: fleet/pools.py moves as many machines of a service's kind as its waiting work needs, after half a second of waiting. A move without an answer is repeated; a machine is emptied and barred before its move. Without a pool on standby the list of machines is never read.

Ruled out: moving ahead of demand by its trend (no load shows one).

Tests, on stand-ins only: testing/fleet/test_pools.py.

--- a/src/knapweedwharf/fleet/decider.py
+++ b/src/knapweedwharf/fleet/decider.py
@@ -7,6 +7,7 @@
 import functools
 import typing
 
+from knapweedwharf.core import amount
 from knapweedwharf.core import decision
 from knapweedwharf.core import engine as engine_module
 from knapweedwharf.core import event
@@ -129,6 +130,19 @@
                 self.tell(found.job.service, submitted)
                 self._advise(found, part)
 
+    def waiting_need(self, service: str) -> amount.Amount:
+        """Return what work needs that has waited a while for room."""
+        engine = self._engines.get(service)
+        need = amount.NOTHING
+        if engine is None:
+            return need
+        oldest_s = clock.unix_s() - policy.GROW_AFTER_S
+        for part_id in engine.state.waiting.job_ids():
+            job = engine.records[part_id].job
+            if job.submitted_s <= oldest_s:
+                need = need + amount.of_task(job).times(job.tasks)
+        return need
+
     # Advice
 
     def _advise(self, found: workflow.Workflow, part: workflow.Part) -> None:
--- a/src/knapweedwharf/fleet/measures.py
+++ b/src/knapweedwharf/fleet/measures.py
@@ -52,6 +52,12 @@
     unit="machines",
     text="Orders of maintenance that the platform accepted.",
 )
+MOVED = metrics.define(
+    "fleet.machines_moved",
+    kind=metrics.COUNTER,
+    unit="machines",
+    text="Orders of moves between pools that the platform accepted.",
+)
 ADVICE = metrics.define(
     "fleet.advice_ms",
     kind=metrics.TIMING,
--- a/src/knapweedwharf/fleet/policy.py
+++ b/src/knapweedwharf/fleet/policy.py
@@ -52,6 +52,9 @@
 STILL_S = 2.0
 """Two reports; a sound run moves by a percent in a tenth of that."""
 
+GROW_AFTER_S = 0.5
+"""Wait after which work is worth a machine more; a move takes thrice it."""
+
 MIXES_AFTER_S = 1.0
 """Beside others, work is slow or disturbs; a run ends about as soon."""
 
--- a/src/knapweedwharf/fleet/registry.py
+++ b/src/knapweedwharf/fleet/registry.py
@@ -183,6 +183,10 @@
         self._retired.add(session.executor_id)
         self._announced.pop(session.executor_id, None)
 
+    def reinstate(self, session: session_module.Session) -> None:
+        """Let a retired executor get work again, by its next report."""
+        self._retired.discard(session.executor_id)
+
     def _leave(self, session: session_module.Session) -> None:
         """Let work move off an executor that drains, once it is sealed."""
         if session.sealed and not session.told_leaving:
--- a/src/knapweedwharf/fleet/tenure.py
+++ b/src/knapweedwharf/fleet/tenure.py
@@ -25,6 +25,7 @@
 from knapweedwharf.fleet import orders as orders_module
 from knapweedwharf.fleet import outside as outside_module
 from knapweedwharf.fleet import pacing as pacing_module
+from knapweedwharf.fleet import pools as pools_module
 from knapweedwharf.fleet import records
 from knapweedwharf.fleet import registry as registry_module
 from knapweedwharf.fleet import reports as reports_module
@@ -135,6 +136,10 @@
             ledger=self._ledger,
             decider=self._decider,
         )
+        self._connect_machines(desired)
+
+    def _connect_machines(self, desired: desired_module.DesiredState) -> None:
+        """Make the parts that give orders for machines."""
         self._upkeep = upkeep_module.Upkeep(
             bounds=self._site.bounds,
             outside=self._outside,
@@ -146,6 +151,19 @@
             sender=self._sender,
             tell=self._decider.tell,
         )
+        self._pools = pools_module.Pools(
+            bounds=self._site.bounds,
+            outside=self._outside,
+            desired=desired,
+            registry=self.registry,
+            board=self.board,
+            election=self._election,
+            ownership=self._ownership,
+            sender=self._sender,
+            waiting=self._decider.waiting_need,
+            is_spoken_for=self._upkeep.is_ordered,
+            tell=self._decider.tell,
+        )
 
     def _hooks(self) -> session_module.Hooks:
         return session_module.Hooks(
@@ -174,6 +192,7 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self._intake.close()
         await self._upkeep.close()
+        await self._pools.close()
         await self.registry.close()
         await self._advice.close()
         await self._orders.close()
@@ -186,6 +205,7 @@
                 self.registry.expect(member.executor_id)
         await self.registry.start()
         await self._upkeep.start()
+        await self._pools.start()
         while self._election.is_owner:
             await asyncio.sleep(TICK_S)
             try:
--- a/src/knapweedwharf/fleet/upkeep.py
+++ b/src/knapweedwharf/fleet/upkeep.py
@@ -138,6 +138,13 @@
             self._task.cancel()
             await asyncio.gather(self._task, return_exceptions=True)
 
+    def is_ordered(self, machine_id: str) -> bool:
+        """Tell whether a machine's turn in some wave has begun."""
+        return any(
+            machine_id in wave.turns or machine_id in wave.down
+            for wave in self._waves.values()
+        )
+
     async def _run(self) -> None:
         waits = backoff.Backoff(
             first_s=_FIRST_RETRY_S, longest_s=_LONGEST_RETRY_S
--- a/testing/fleet/scene.py
+++ b/testing/fleet/scene.py
@@ -31,11 +31,23 @@
 
 
 def desired(
-    *, keys: abc.Iterable[str] = ("key",), guaranteed: int = 0, attempts=3
+    *,
+    keys: abc.Iterable[str] = ("key",),
+    guaranteed: int = 0,
+    attempts: int = 3,
+    standby: abc.Iterable[str] = (),
 ) -> bytes:
-    """Return a desired state of one account with two queues."""
+    """Return a desired state of one account with a queue of each kind.
+
+    :param standby: pools whose machines are off.
+    """
     return json.dumps(
-        {"keys": list(keys), "guaranteed": guaranteed, "attempts": attempts}
+        {
+            "keys": list(keys),
+            "guaranteed": guaranteed,
+            "attempts": attempts,
+            "standby": list(standby),
+        }
     ).encode()
 
 
@@ -60,7 +72,13 @@
             )
             for prefix, priority in QUEUES.items()
         ),
-        services={"pool": model.Service("pool")},
+        services={
+            "pool": model.Service("pool"),
+            **{
+                name: model.Service(name, is_standby=True)
+                for name in document.get("standby", ())
+            },
+        },
         accounts={"acme": account},
         account_by_key=dict.fromkeys(keys, "acme"),
     )
@@ -196,6 +214,18 @@
         )
         await self.list_executor(spec)
 
+    def add_spare(self, machine_id: str, *, pool: str, kind: str = "a"):
+        """Add a machine that is off, in a pool on standby."""
+        self.machines.machines[machine_id] = model.Machine(
+            machine_id=machine_id,
+            pool=pool,
+            state=model.MACHINE_UP,
+            cores_milli=32_000,
+            memory_mib=64_000,
+            accelerators=8,
+            labels=(kind, "r8"),
+        )
+
     async def _end_life(self, machine: model.Machine) -> None:
         """End all that runs on a machine; its entry vanishes."""
         executor = self.pool.executors.pop(machine.executor_id, None)
@@ -206,6 +236,10 @@
 
     async def _begin_life(self, machine: model.Machine) -> None:
         """Let a machine join its pool as another executor."""
+        if machine.pool != "pool":
+            off = dataclasses.replace(machine, executor_id="")
+            self.machines.machines[machine.machine_id] = off
+            return
         self._lives += 1
         executor_id = f"{machine.machine_id}-{self._lives}"
         await self.add_executor(
