Order waiting work by what it is worth yet; keep room for first work

Cause: under overload every job was served in the order of arrival, so that after a burst all that followed was late as well.

Change: in a precedence, work that can make its objective goes before late work, and work past three objectives comes last. Work with time to spare leaves as many accelerators open as first work has lately used (mean and 2.5 deviations over 10 s). Gangs wait six expected runs for one rack while more than half of the room is in use, and reserve after 3 s instead of 0.4 s. Less urgent work is later by 20 s a level (8 s). Work is weighed with its cores, 8 to an accelerator. First work may stop others after 0.3 s (0.9 s).

--- a/src/knapweedwharf/core/borrowers.py
+++ b/src/knapweedwharf/core/borrowers.py
@@ -52,7 +52,7 @@
         lost_s=state.estimates.lost_s(
             record.job, elapsed_s, restart_s=policy.restart_s
         )
-        * max(record.job.accelerators, 1),
+        * model.weight_of(record.job, policy),
         disturbance_s=policy.disturbance_s,
         frees=ledger.taken_by(places),
     )
--- a/src/knapweedwharf/core/model.py
+++ b/src/knapweedwharf/core/model.py
@@ -112,6 +112,8 @@
     :ivar reserve_after_s: wait after which a job gets a reservation.
     :ivar near_patience_runs: how many expected run times a job waits
         for a place near its data, or in one rack.
+    :ivar crowded_patience_runs: the same while more than half of the
+        room is in use; 0 for no difference.
     :ivar restart_s: work that a stop loses beside unsaved progress.
     :ivar disturbance_s: what a stop costs besides.
     :ivar most_lost_runs: work that may be stopped for urgent work, as a
@@ -123,6 +125,13 @@
         where workers report none.
     :ivar mixes_after_s: wait after which work that fills and work that
         serves share a worker; 0 for never.
+    :ivar late_factor: multiple of its objective after which a job is
+        worth nothing any more; 0 where objectives do not count.
+    :ivar headroom_deviations: room is kept for first work by its mean
+        use and so many standard deviations; negative for none.
+    :ivar headroom_memory_s: how far back that use counts.
+    :ivar accelerator_cores: cores that an accelerator is worth as much
+        as, where work is weighed; 0 weighs accelerators alone.
     :ivar renew_reserved_s: how often reserved room is chosen anew; 0
         for once it is late.
     """
@@ -136,6 +145,7 @@
     quarantine_s: float = 300.0
     max_attempts: int = 3
     near_patience_runs: float = 0.0
+    crowded_patience_runs: float = 0.0
     urgent_patience_s: float = 0.0
     restart_s: float = 20.0
     disturbance_s: float = 60.0
@@ -143,6 +153,10 @@
     settle_s: float = 3.0
     still_s: float = 0.0
     mixes_after_s: float = 0.0
+    late_factor: float = 0.0
+    accelerator_cores: float = 0.0
+    headroom_deviations: float = -1.0
+    headroom_memory_s: float = 10.0
     renew_reserved_s: float = 0.0
 
 
@@ -184,6 +198,9 @@
     :ivar neighbours: ``FILLS`` and ``SERVES`` had better not share a
         worker.
     :ivar is_lasting: it never ends by itself.
+    :ivar objective_s: from its submission; it is worth most until then.
+        0 where there is none.
+    :ivar after_s: work of its job that follows it.
     :ivar approval: only workers approved under this name run it; empty
         where any may.
     """
@@ -214,6 +231,8 @@
     neighbours: str = ""
     is_lasting: bool = False
     approval: str = ""
+    objective_s: float = 0.0
+    after_s: float = 0.0
 
     @property
     def accelerators(self) -> int:
@@ -226,6 +245,15 @@
         return max(self.precedence, int(self.urgency == URGENT))
 
 
+def weight_of(job: JobSpec, policy: PolicySpec) -> float:
+    """Return what a second of a job's work weighs, in accelerators."""
+    weight = float(job.accelerators)
+    if policy.accelerator_cores:
+        cores = job.tasks * job.cores_per_task
+        weight += cores / policy.accelerator_cores
+    return max(weight, 1.0)
+
+
 @dataclasses.dataclass(frozen=True)
 class Assignment:
     """The place of one task: accelerators by index on one worker."""
--- a/src/knapweedwharf/core/scheduler.py
+++ b/src/knapweedwharf/core/scheduler.py
@@ -30,6 +30,10 @@
         """Look at what time alone can change."""
         state = self._state
         state.waiting.due(state.now_s)
+        if state.configuration.policy.late_factor:
+            state.reorder()
+        if state.configuration.policy.headroom_deviations >= 0:
+            state.follow_first()
         if state.policy.holds:
             # A reservation that ends frees no room, yet opens some.
             state.waiting.wake_all()
@@ -103,6 +107,10 @@
             return
         if self._start_on_probation(record):
             return
+        if not state.leaves_headroom(job):
+            text = "It can wait; the open room is kept for first work."
+            self._block(record, state.reason("room-kept", text))
+            return
         share = state.search(job)
         if share is not None:
             text = "Room was found; the job borrows it."
@@ -155,7 +163,8 @@
         must_start = job.start_within_s and waited_s >= job.start_within_s
         if not limit or must_start:
             return True
-        own_s = state.estimates.run_s(job) * max(job.accelerators, 1)
+        policy = state.configuration.policy
+        own_s = state.estimates.run_s(job) * model.weight_of(job, policy)
         return choice.cost[0] <= limit * own_s
 
     def _start_on_probation(self, record: record_module.JobRecord) -> bool:
--- a/src/knapweedwharf/core/state.py
+++ b/src/knapweedwharf/core/state.py
@@ -10,6 +10,7 @@
 from knapweedwharf.core import constraint
 from knapweedwharf.core import decision
 from knapweedwharf.core import estimate
+from knapweedwharf.core import headroom
 from knapweedwharf.core import ledger
 from knapweedwharf.core import model
 from knapweedwharf.core import placement
@@ -21,6 +22,15 @@
 
 MAX_LENGTH_AGEINGS = 4
 
+_LATENESS = 2
+"""Ranks of a precedence: in time, and late."""
+
+HEADROOM_SHARE = 0.8
+"""Of its objective; a job that would end later waits no more for others."""
+
+_WORTHLESS = 10
+"""After every precedence."""
+
 
 class State:
     """Scheduling state of one data centre.
@@ -46,6 +56,7 @@
         self.reservations = claim.Reservations(self.topology)
         self.estimates = estimate.Estimates()
         self.progress = progress.Progress()
+        self.headroom = headroom.Headroom()
         self.approved: dict[str, set[str]] = {}
         self.quarantine = quarantine.Quarantine()
         self.used: dict[str, int] = {}
@@ -125,7 +136,7 @@
             record.note(job_class.blocked)
 
     def order_of(self, job: model.JobSpec, run_s: float) -> waiting.OrderKey:
-        """Return a job's place in the queue; it does not change.
+        """Return a job's place in the queue.
 
         Urgent work goes first. A lower urgency counts as an arrival
         later by one ageing time, and so does a longer run, within a
@@ -140,7 +151,54 @@
         length_s = min(run_s, MAX_LENGTH_AGEINGS * policy.ageing_s)
         length_s *= 1.0 - policy.fragmentation_weight
         later_s = level * policy.ageing_s + length_s + job.handicap_s
-        return (1 - job.precedence, job.submitted_s + later_s, job.job_id)
+        rank = self._rank(job, run_s)
+        return (rank, job.submitted_s + later_s, job.job_id)
+
+    def _rank(self, job: model.JobSpec, run_s: float) -> int:
+        """Return a job's place by precedence and by what it is worth yet.
+
+        Work that is worth nothing any more comes last; among work of a
+        precedence, what can be in time comes first.
+        """
+        late_factor = self.configuration.policy.late_factor
+        base = (1 - job.precedence) * _LATENESS
+        if not late_factor or not job.objective_s:
+            return base
+        scale = max(self.estimates.factor(job), 1.0)
+        ends_s = self.now_s - job.submitted_s + run_s + scale * job.after_s
+        if ends_s <= scale * job.objective_s:
+            return base
+        if ends_s <= scale * job.objective_s * late_factor:
+            return base + 1
+        return _WORTHLESS
+
+    def follow_first(self) -> None:
+        """Note what work that goes first uses now."""
+        memory_s = self.configuration.policy.headroom_memory_s
+        self.headroom.pass_time(self.now_s, memory_s=memory_s)
+
+    def leaves_headroom(self, job: model.JobSpec) -> bool:
+        """Tell whether a job may start as far as first work goes.
+
+        A job that would be late otherwise takes what room there is.
+        """
+        policy = self.configuration.policy
+        if policy.headroom_deviations < 0 or job.rank or not job.accelerators:
+            return True
+        kept = self.headroom.kept(policy.headroom_deviations)
+        if self.topology.open_accelerators - job.accelerators >= kept:
+            return True
+        scale = max(self.estimates.factor(job), 1.0)
+        run_s = self.estimates.run_s(job)
+        ends_s = self.now_s - job.submitted_s + run_s + scale * job.after_s
+        return ends_s >= HEADROOM_SHARE * scale * job.objective_s
+
+    def reorder(self) -> None:
+        """Put waiting jobs in the places that they have by now."""
+        for job_id in self.waiting.job_ids():
+            job = self.records[job_id].job
+            order = self.order_of(job, self.estimates.run_s(job))
+            self.waiting.reorder(job_id, order)
 
     def search(self, job: model.JobSpec) -> placement.Share | None:
         """Find open room, near its data or in one rack if that matters.
@@ -155,8 +213,15 @@
         return self._search(job, self.avoided(job))
 
     def is_impatient(self, job: model.JobSpec) -> bool:
-        """Tell whether a job has waited long enough for a near place."""
-        runs = self.configuration.policy.near_patience_runs
+        """Tell whether a job has waited long enough for a near place.
+
+        A distant run takes room from others for several times as long,
+        so it waits longer where room is scarce.
+        """
+        policy = self.configuration.policy
+        runs = policy.near_patience_runs
+        if policy.crowded_patience_runs and not self.topology.is_roomy():
+            runs = policy.crowded_patience_runs
         patience_s = runs * self.estimates.run_s(job)
         if job.start_within_s:
             patience_s = min(patience_s, job.start_within_s)
@@ -277,6 +342,8 @@
             self.used.get(job.account, 0) + job.accelerators
         )
         self.holding.setdefault(job.account, {})[job.job_id] = None
+        if job.rank:
+            self.headroom.in_use += job.accelerators
 
     def release(self, record: record_module.JobRecord) -> None:
         """Give back all that a record's attempt holds."""
@@ -284,6 +351,8 @@
         self.topology.release(record.attempt_id)
         self.by_attempt.pop(record.attempt_id, None)
         self.used[job.account] -= job.accelerators
+        if job.rank:
+            self.headroom.in_use -= job.accelerators
         held = self.holding[job.account]
         del held[job.job_id]
         if not held:
--- a/src/knapweedwharf/core/topology.py
+++ b/src/knapweedwharf/core/topology.py
@@ -198,6 +198,17 @@
         """Count free accelerators on usable workers."""
         return self._free_accelerators
 
+    def is_roomy(self) -> bool:
+        """Tell whether half of the usable room or more is free."""
+        usable = [room for room in self.workers.values() if room.usable]
+        accelerators = sum(room.spec.accelerators for room in usable)
+        cores = sum(room.spec.cores for room in usable)
+        free_cores = sum(room.cores for room in usable)
+        return (
+            2 * self._free_accelerators >= accelerators
+            and 2 * free_cores >= cores
+        )
+
     def racks_with(self, accelerators: int) -> abc.Iterator[RackRoom]:
         """Yield racks with enough open accelerators, tightest first."""
         start = bisect.bisect_left(self._by_open, (accelerators, ""))
--- a/src/knapweedwharf/core/waiting.py
+++ b/src/knapweedwharf/core/waiting.py
@@ -100,6 +100,17 @@
                 self.add(*keys)
                 self.wake_class(keys[0])
 
+    def reorder(self, job_id: str, order: OrderKey) -> None:
+        """Give a job that waits another place in its class."""
+        place = self._places.get(job_id)
+        if place is None or place[1] == order:
+            return
+        class_key, before = place
+        jobs = self._classes[class_key].jobs
+        del jobs[bisect.bisect_left(jobs, before)]
+        bisect.insort(jobs, order)
+        self._places[job_id] = (class_key, order)
+
     def discard(self, job_id: str) -> None:
         """Take a job out, if it waits."""
         self._later_keys.pop(job_id, None)
--- a/src/knapweedwharf/core/workflow.py
+++ b/src/knapweedwharf/core/workflow.py
@@ -69,6 +69,8 @@
     :ivar submitted_s: Unix time of the acceptance, by its VM's clock.
     :ivar repetitions: 0 for a job that runs once.
     :ivar first_run_s: Unix time at which repetition 0 is due.
+    :ivar slowdown: allowed multiple of its work's time; 0 for none.
+    :ivar target_s: time that it may take besides.
     :ivar is_advised: an advisor says which executors may run its steps.
     """
 
@@ -85,6 +87,8 @@
     first_run_s: float = 0.0
     interval_s: float = 0.0
     is_advised: bool = False
+    slowdown: float = 0.0
+    target_s: float = 0.0
 
     @property
     def occurrences(self) -> int:
@@ -101,6 +105,23 @@
         """Accelerators of the widest step."""
         return max(s.tasks * s.accelerators for s in self.steps)
 
+    def chain_s(self, number: int) -> float:
+        """Return the expected time of a step and of all that follow it."""
+        later = [
+            self.chain_s(index)
+            for index, step in enumerate(self.steps)
+            if number in step.after
+        ]
+        return self.steps[number].expected_run_s + max(later, default=0.0)
+
+    @property
+    def objective_s(self) -> float:
+        """Time from the submission within which it is worth most."""
+        if not self.slowdown:
+            return 0.0
+        chain_s = max(map(self.chain_s, range(len(self.steps))))
+        return self.slowdown * chain_s + self.target_s
+
     def due_s(self, occurrence: int) -> float:
         """Return the Unix time before which an occurrence waits."""
         if not self.is_timed:
@@ -310,4 +331,6 @@
         neighbours=_neighbours(step),
         is_lasting=step.is_lasting,
         approval=part.step_id(job.job_id) if job.is_advised else "",
+        objective_s=0.0 if step.is_lasting else job.objective_s,
+        after_s=job.chain_s(part.step) - step.expected_run_s,
     )
--- a/src/knapweedwharf/fleet/decider.py
+++ b/src/knapweedwharf/fleet/decider.py
@@ -28,6 +28,10 @@
 Carry = abc.Callable[[attempt_module.Attempt], None]
 
 
+_OF_A_START = ("accepted", "placed", "started")
+"""Reasons that every start has."""
+
+
 class Decider:
     """One engine for each service; jobs in, attempts out.
 
@@ -287,6 +291,7 @@
                 "job-completed",
                 job_id=found.job.job_id,
                 after_s=round(after_s, 3),
+                objective_s=round(found.job.objective_s, 3),
             )
         # Not from inside the engine's own event.
         asyncio.get_running_loop().call_soon(self.open, found)
@@ -328,11 +333,19 @@
             reason=taken.reason.code,
             urgency=taken.job.urgency,
             waited_s=round(waited_s, 3),
+            waited_for=self._waited_for(service, taken.job.job_id),
+            objective_s=round(taken.job.objective_s, 3),
         )
         self._ledger.mark(
             found.job.job_id, functools.partial(self._start, attempt)
         )
 
+    def _waited_for(self, service: str, part_id: str) -> list[str]:
+        """Return why a part did not start before, newest last."""
+        record = self._engine(service).records[part_id]
+        codes = [reason.code for reason in record.reasons]
+        return [code for code in codes if code not in _OF_A_START]
+
     @_carry_out.register
     def _(self, taken: decision.StopGang, service: str) -> None:
         attempt = self._board.attempts.get(taken.attempt_id)
--- a/src/knapweedwharf/fleet/door.py
+++ b/src/knapweedwharf/fleet/door.py
@@ -162,6 +162,8 @@
                 first_run_s=first_run_s,
                 interval_s=interval_s,
                 is_advised=allowed.route.advice is not None,
+                slowdown=allowed.route.slowdown,
+                target_s=allowed.route.target_s,
             )
             key = records.key(job.job_id, records.SPEC)
             return model.Commit(
--- a/src/knapweedwharf/fleet/model.py
+++ b/src/knapweedwharf/fleet/model.py
@@ -117,6 +117,8 @@
     """A queue of jobs, found by host and path prefix.
 
     :ivar priority: 0 comes first and may reclaim guaranteed room.
+    :ivar slowdown: multiple of its work's time that a job may take.
+    :ivar target_s: time that it may take besides.
     :ivar advice: what its advisor takes; None where any executor will do.
     """
 
@@ -127,6 +129,8 @@
     priority: int = 1
     max_attempts: int = 1
     is_public: bool = False
+    slowdown: float = 0.0
+    target_s: float = 0.0
     advice: AdviceTerms | None = None
 
 
--- a/src/knapweedwharf/fleet/policy.py
+++ b/src/knapweedwharf/fleet/policy.py
@@ -13,12 +13,17 @@
 
 ENGINE_POLICY = "short-runs"
 
-URGENT_PATIENCE_S = 0.9
-"""Leaves two thirds of the shortest reclaim time for stop and start."""
+URGENT_PATIENCE_S = 0.3
+"""A run that ends by itself meanwhile need not be stopped; a tenth of
+the shortest reclaim time."""
 
 NEAR_PATIENCE_RUNS = 1.2
 """A distant run takes three times as long, so two runs are saved."""
 
+CROWDED_PATIENCE_RUNS = 6.0
+"""A distant run takes three times the room; by then most jobs are worth
+nothing any more."""
+
 RESTART_S = 0.6
 """The time an executor takes to restore a checkpoint."""
 
@@ -37,11 +42,12 @@
 GUARANTEED_PRECEDENCE = 2
 FIRST_PRECEDENCE = 1
 
-RESERVE_AFTER_S = 0.4
-"""Time for a gang to find room at the end of some run."""
+RESERVE_AFTER_S = 3.0
+"""By ``python -m bench short_runs``; most gangs find room before, and
+reserved room stands empty meanwhile."""
 
-HANDICAP_PER_LEVEL_S = 8.0
-"""One typical run: less urgent work is overtaken for about as long."""
+HANDICAP_PER_LEVEL_S = 20.0
+"""Two typical runs, by ``python -m bench short_runs``."""
 
 QUARANTINE_S = 6.0
 """About as long as the executors' faults of the platform's sheet."""
@@ -55,6 +61,19 @@
 GROW_AFTER_S = 0.5
 """Wait after which work is worth a machine more; a move takes thrice it."""
 
+ACCELERATOR_CORES = 8.0
+"""As the platform weighs work that is thrown away."""
+
+LATE_FACTOR = 3.0
+"""The platform counts a job for nothing after three objectives."""
+
+HEADROOM_DEVIATIONS = 2.5
+"""By ``python -m bench short_runs``: 1.0 stops more work, 4.0 leaves the
+least urgent work waiting."""
+
+HEADROOM_MEMORY_S = 10.0
+"""A few runs of first work."""
+
 MIXES_AFTER_S = 1.0
 """Beside others, work is slow or disturbs; a run ends about as soon."""
 
@@ -72,6 +91,7 @@
             ageing_s=0.0,
             quarantine_s=QUARANTINE_S,
             near_patience_runs=NEAR_PATIENCE_RUNS,
+            crowded_patience_runs=CROWDED_PATIENCE_RUNS,
             urgent_patience_s=URGENT_PATIENCE_S,
             restart_s=RESTART_S,
             disturbance_s=DISTURBANCE_S,
@@ -79,6 +99,10 @@
             settle_s=SETTLE_S,
             still_s=STILL_S,
             mixes_after_s=MIXES_AFTER_S,
+            late_factor=LATE_FACTOR,
+            accelerator_cores=ACCELERATOR_CORES,
+            headroom_deviations=HEADROOM_DEVIATIONS,
+            headroom_memory_s=HEADROOM_MEMORY_S,
             renew_reserved_s=RENEW_RESERVED_S,
         ),
     )
--- a/src/knapweedwharf/platform/decode.py
+++ b/src/knapweedwharf/platform/decode.py
@@ -112,6 +112,8 @@
         priority=_whole(document, "priority", 1),
         max_attempts=max(1, _whole(document, "max_attempts", 1)),
         is_public=bool(document.get("public", False)),
+        slowdown=_field(document, "slowdown_factor", float, 0.0),
+        target_s=_field(document, "target_latency_ms", float, 0.0) / _MILLI,
         advice=_advice_terms(document.get("advisor")),
     )
 
--- a/src/knapweedwharf/story.py
+++ b/src/knapweedwharf/story.py
@@ -14,13 +14,17 @@
     "call-refused": "The call was refused: {why} ({detail})",
     "start-not-confirmed": "A start was not confirmed: {why}",
     "run-ended": "A run ended: {how}",
+    "part-placed": "Part {part} waited {waited_s} s for {waited_for}",
     "part-stopping": "Its run was stopped: {why}",
     "job-cancelled": "The caller cancelled it",
     "job-failed": "A part failed {failures} of {max_attempts} times",
-    "job-completed": "It completed after {after_s} s",
+    "job-completed": "It completed after {after_s} s of {objective_s} s",
 }
 """What an event says of an outcome; the later ones go first."""
 
+LONG_WAIT_S = 0.5
+"""A part is placed within some hundredths of a second where room is."""
+
 DECISIVE = ("job-completed", "job-failed", "job-cancelled", "call-refused")
 
 
@@ -105,9 +109,7 @@
     setbacks = [
         CAUSES[other.event].format_map(_Fields(other.fields))
         for other in lines
-        if other.event in ("part-stopping", "start-not-confirmed")
-        or other.event == "run-ended"
-        and dict(other.fields).get("how") != "done"
+        if _is_setback(other)
     ]
     takers = {other.node_id for other in lines if other.event == "job-taken"}
     if len(takers) > 1:
@@ -118,6 +120,23 @@
     return f"{text}. On the way: {'; '.join(counted)}."
 
 
+def _is_setback(line: Line) -> bool:
+    fields = dict(line.fields)
+    if line.event == "run-ended":
+        return fields.get("how") != "done"
+    if line.event == "part-placed":
+        return _number(fields.get("waited_s", "")) >= LONG_WAIT_S
+    return line.event in ("part-stopping", "start-not-confirmed")
+
+
+def _number(text: str) -> float:
+    try:
+        return float(text)
+    except ValueError:
+        # A line of another version; it is told as it stands.
+        return 0.0
+
+
 class _Fields(dict):
     """Fields of a line; a missing one is shown as a question mark."""
 
--- a/standins/fleet_machines.py
+++ b/standins/fleet_machines.py
@@ -23,6 +23,7 @@
     :param begin_life: called with a machine when it is up again.
     :param end_life: called with a machine when it goes down.
     :ivar lose_answers: so many next orders are done and not answered.
+    :ivar orders: machines of orders of maintenance, repeated ones too.
     :ivar maintained: (time, machine) of each maintenance begun.
     :ivar most_down: most machines that were down for it at once.
     """
@@ -30,6 +31,7 @@
     def __init__(self, *, begin_life, end_life) -> None:
         self.machines: dict[str, model.Machine] = {}
         self.lose_answers = 0
+        self.orders: list[str] = []
         self.maintained: list[tuple[float, str]] = []
         self.moved: list[tuple[float, str, str]] = []
         self.most_down = 0
@@ -62,6 +64,7 @@
     async def maintain(self, machine_id: str, wave: int, *, epoch: int):
         """Begin a machine's maintenance, once in a wave."""
         await asyncio.sleep(ANSWER_S)
+        self.orders.append(machine_id)
         if (machine_id, wave) in self._done:
             return self._answer(None)
         fault = self._fault(machine_id, epoch)
--- a/testing/core/test_constraint.py
+++ b/testing/core/test_constraint.py
@@ -98,6 +98,20 @@
     assert [p.worker_id for p in places][0] in ("w0", "w1")
 
 
+def test_where_room_is_scarce_a_job_waits_longer_for_its_data_rack():
+    engine = _engine()
+    for name in ("a", "b"):
+        _places(engine, name, accelerators_per_task=8, data_rack="r1")
+    _places(engine, "c", accelerators_per_task=4, data_rack="r0")
+    assert _places(engine, "late", data_rack="r1") == []
+    for runs, is_placed in (
+        (fleet_policy.NEAR_PATIENCE_RUNS, False),
+        (fleet_policy.CROWDED_PATIENCE_RUNS, True),
+    ):
+        engine.handle(event.Tick(), now_s=5.0 * runs + 0.1)
+        assert bool(engine.records["late"].assignments) == is_placed
+
+
 def test_first_work_stops_other_work_only_where_little_is_lost():
     engine = _full_engine()
     fields = {"accelerators_per_task": 8, "precedence": 1}
--- a/testing/fleet/test_upkeep.py
+++ b/testing/fleet/test_upkeep.py
@@ -106,6 +106,19 @@
     scene_module.play(main, monkeypatch)
 
 
+def test_another_owner_does_not_order_down_what_is_back(monkeypatch):
+    async def main(scene):
+        await scene.open(vms=2, executors=3)
+        await _ask(scene, ["m-e0", "m-e1", "m-e2"])
+        await scene.until(lambda: len(scene.machines.maintained) == 2)
+        first = scene.machines.orders[0]
+        await scene.owner.kill()
+        await scene.until(lambda: _shown(scene) is True, within_s=60)
+        assert scene.machines.orders.count(first) == 1
+
+    scene_module.play(main, monkeypatch)
+
+
 def test_a_machine_that_has_left_holds_nothing_up(monkeypatch):
     async def main(scene):
         await scene.open(vms=1, executors=2)
