Judge lateness by what work is likely to take; explain late requests

Room for first work was kept too while most of the pool was free, where a job that could run must not wait. From the lines of a late request one could not tell that its run was longer than declared, or that earlier calls were refused.

Change: an objective follows the longer of the corrected estimate and what runs of the kind typically take. Lines of ends bear ran_s, those of completions declared_s; `knapweedwharf explain` tells refused calls, long waits and overruns. The end of an owner's lease that the store does not answer is logged.

--- a/src/knapweedwharf/core/estimate.py
+++ b/src/knapweedwharf/core/estimate.py
@@ -24,6 +24,7 @@
 
     def __init__(self) -> None:
         self._log_factors: dict[tuple[str, str], float] = {}
+        self._typical_s: dict[str, float] = {}
         self._failed_checkpoints = FAILED_CHECKPOINTS
 
     def checkpointed(self, *, saved: bool) -> None:
@@ -55,6 +56,12 @@
         """Take in how long a finished job ran."""
         if ran_s <= 0 or job.declared_run_s <= 0:
             return
+        known_s = self._typical_s.pop(job.kind, ran_s)
+        self._typical_s[job.kind] = known_s + LEARNING_SHARE * (
+            ran_s - known_s
+        )
+        if len(self._typical_s) > MAX_KINDS:
+            del self._typical_s[next(iter(self._typical_s))]
         limit = math.log(MAX_FACTOR)
         seen = math.log(ran_s / job.declared_run_s)
         seen = max(-limit, min(limit, seen))
@@ -71,6 +78,13 @@
         key = (job.account, job.kind)
         return math.exp(self._log_factors.get(key, 0.0))
 
+    def longest_s(self, job: model.JobSpec) -> float:
+        """Return a run time that the job hardly exceeds by much.
+
+        A declared time that is far too short must not make it late.
+        """
+        return max(self.run_s(job), self._typical_s.get(job.kind, 0.0))
+
     def run_s(self, job: model.JobSpec) -> float:
         """Return the expected run time."""
         return job.declared_run_s * self.factor(job)
--- a/src/knapweedwharf/core/model.py
+++ b/src/knapweedwharf/core/model.py
@@ -198,8 +198,9 @@
     :ivar neighbours: ``FILLS`` and ``SERVES`` had better not share a
         worker.
     :ivar is_lasting: it never ends by itself.
-    :ivar objective_s: from its submission; it is worth most until then.
-        0 where there is none.
+    :ivar objective_s: from its submission; it is worth most until then,
+        if its declared times are right. 0 where there is none.
+    :ivar slowdown: how much later for each second that it runs longer.
     :ivar after_s: work of its job that follows it.
     :ivar approval: only workers approved under this name run it; empty
         where any may.
@@ -232,6 +233,7 @@
     is_lasting: bool = False
     approval: str = ""
     objective_s: float = 0.0
+    slowdown: float = 0.0
     after_s: float = 0.0
 
     @property
--- a/src/knapweedwharf/core/state.py
+++ b/src/knapweedwharf/core/state.py
@@ -164,19 +164,32 @@
         base = (1 - job.precedence) * _LATENESS
         if not late_factor or not job.objective_s:
             return base
-        scale = max(self.estimates.factor(job), 1.0)
-        ends_s = self.now_s - job.submitted_s + run_s + scale * job.after_s
-        if ends_s <= scale * job.objective_s:
+        ends_s = self.now_s - job.submitted_s + run_s + job.after_s
+        objective_s = self._objective_s(job)
+        if ends_s <= objective_s:
             return base
-        if ends_s <= scale * job.objective_s * late_factor:
+        if ends_s <= objective_s * late_factor:
             return base + 1
         return _WORTHLESS
 
+    def _objective_s(self, job: model.JobSpec) -> float:
+        """Return a job's objective by what its work is likely to take."""
+        longer_s = self.estimates.longest_s(job) - job.declared_run_s
+        return job.objective_s + job.slowdown * max(0.0, longer_s)
+
     def follow_first(self) -> None:
         """Note what work that goes first uses now."""
         memory_s = self.configuration.policy.headroom_memory_s
         self.headroom.pass_time(self.now_s, memory_s=memory_s)
 
+    def is_roomy(self) -> bool:
+        """Tell whether half of the room or more is free.
+
+        Nothing is kept waiting then for what may come.
+        """
+        policy = self.configuration.policy
+        return self.topology.is_roomy(policy.accelerator_cores)
+
     def leaves_headroom(self, job: model.JobSpec) -> bool:
         """Tell whether a job may start as far as first work goes.
 
@@ -185,13 +198,14 @@
         policy = self.configuration.policy
         if policy.headroom_deviations < 0 or job.rank or not job.accelerators:
             return True
+        if self.is_roomy():
+            return True
         kept = self.headroom.kept(policy.headroom_deviations)
         if self.topology.open_accelerators - job.accelerators >= kept:
             return True
-        scale = max(self.estimates.factor(job), 1.0)
         run_s = self.estimates.run_s(job)
-        ends_s = self.now_s - job.submitted_s + run_s + scale * job.after_s
-        return ends_s >= HEADROOM_SHARE * scale * job.objective_s
+        ends_s = self.now_s - job.submitted_s + run_s + job.after_s
+        return ends_s >= HEADROOM_SHARE * self._objective_s(job)
 
     def reorder(self) -> None:
         """Put waiting jobs in the places that they have by now."""
@@ -220,7 +234,7 @@
         """
         policy = self.configuration.policy
         runs = policy.near_patience_runs
-        if policy.crowded_patience_runs and not self.topology.is_roomy():
+        if policy.crowded_patience_runs and not self.is_roomy():
             runs = policy.crowded_patience_runs
         patience_s = runs * self.estimates.run_s(job)
         if job.start_within_s:
--- a/src/knapweedwharf/core/topology.py
+++ b/src/knapweedwharf/core/topology.py
@@ -198,16 +198,18 @@
         """Count free accelerators on usable workers."""
         return self._free_accelerators
 
-    def is_roomy(self) -> bool:
-        """Tell whether half of the usable room or more is free."""
-        usable = [room for room in self.workers.values() if room.usable]
-        accelerators = sum(room.spec.accelerators for room in usable)
-        cores = sum(room.spec.cores for room in usable)
-        free_cores = sum(room.cores for room in usable)
-        return (
-            2 * self._free_accelerators >= accelerators
-            and 2 * free_cores >= cores
-        )
+    def is_roomy(self, accelerator_cores: float) -> bool:
+        """Tell whether half of the usable room or more is free.
+
+        :param accelerator_cores: cores that an accelerator counts as.
+        """
+        whole = free = 0.0
+        for room in self.workers.values():
+            if room.usable:
+                whole += room.spec.cores
+                whole += accelerator_cores * room.spec.accelerators
+                free += room.cores + accelerator_cores * len(room.accelerators)
+        return 2 * free >= whole
 
     def racks_with(self, accelerators: int) -> abc.Iterator[RackRoom]:
         """Yield racks with enough open accelerators, tightest first."""
--- a/src/knapweedwharf/core/workflow.py
+++ b/src/knapweedwharf/core/workflow.py
@@ -119,8 +119,12 @@
         """Time from the submission within which it is worth most."""
         if not self.slowdown:
             return 0.0
-        chain_s = max(map(self.chain_s, range(len(self.steps))))
-        return self.slowdown * chain_s + self.target_s
+        return self.slowdown * self.declared_s + self.target_s
+
+    @property
+    def declared_s(self) -> float:
+        """Time that its longest chain of steps is declared to take."""
+        return max(map(self.chain_s, range(len(self.steps))))
 
     def due_s(self, occurrence: int) -> float:
         """Return the Unix time before which an occurrence waits."""
@@ -332,5 +336,6 @@
         is_lasting=step.is_lasting,
         approval=part.step_id(job.job_id) if job.is_advised else "",
         objective_s=0.0 if step.is_lasting else job.objective_s,
+        slowdown=job.slowdown,
         after_s=job.chain_s(part.step) - step.expected_run_s,
     )
--- a/src/knapweedwharf/fleet/decider.py
+++ b/src/knapweedwharf/fleet/decider.py
@@ -291,7 +291,7 @@
                 "job-completed",
                 job_id=found.job.job_id,
                 after_s=round(after_s, 3),
-                objective_s=round(found.job.objective_s, 3),
+                declared_s=round(found.job.declared_s, 3),
             )
         # Not from inside the engine's own event.
         asyncio.get_running_loop().call_soon(self.open, found)
@@ -334,7 +334,7 @@
             urgency=taken.job.urgency,
             waited_s=round(waited_s, 3),
             waited_for=self._waited_for(service, taken.job.job_id),
-            objective_s=round(taken.job.objective_s, 3),
+            declared_s=taken.job.declared_run_s,
         )
         self._ledger.mark(
             found.job.job_id, functools.partial(self._start, attempt)
--- a/src/knapweedwharf/fleet/election.py
+++ b/src/knapweedwharf/fleet/election.py
@@ -112,7 +112,14 @@
         self.withdrawn = True
         if self.ownership is not None:
             self.lose("resigned")
-            await self._store.end(self._lease_id)
+            await self._end_lease(self._lease_id)
+
+    async def _end_lease(self, lease_id: int) -> None:
+        """End a lease; without an answer it ends by itself."""
+        ended = await self._store.end(lease_id)
+        if isinstance(ended, result.Failure):
+            why = ended.failure().code
+            self._log.warning("lease-not-ended", lease=lease_id, why=why)
 
     @property
     def is_owner(self) -> bool:
@@ -216,7 +223,7 @@
         }
         won = await self._take(lease_id, ordinal + 1, expected)
         if won is None:
-            await self._store.end(lease_id)
+            await self._end_lease(lease_id)
             return
         self._lease_id = lease_id
         self._valid_until_s = sent_s + VALID_SHARE * self._lease_s
--- a/src/knapweedwharf/fleet/orders.py
+++ b/src/knapweedwharf/fleet/orders.py
@@ -271,9 +271,9 @@
         member.how = how
         if checkpoint:
             attempt.part.checkpoint = checkpoint
-        if member.since_s and how not in (model.DONE, model.FAILED):
+        ran_s = clock.elapsed_s() - member.since_s if member.since_s else 0.0
+        if ran_s and how not in (model.DONE, model.FAILED):
             step = attempt.job.steps[attempt.part.step]
-            ran_s = clock.elapsed_s() - member.since_s
             lost_ms = int(ran_s * step.accelerators * 1000)
             self._sender.count(measures.WASTED, lost_ms)
         self._log.info(
@@ -283,6 +283,7 @@
             run=attempt.run,
             executor=member.executor_id,
             how=how,
+            ran_s=round(ran_s, 3),
         )
 
     def settle(self, attempt: attempt_module.Attempt) -> None:
--- a/src/knapweedwharf/fleet/upkeep.py
+++ b/src/knapweedwharf/fleet/upkeep.py
@@ -11,7 +11,6 @@
 import asyncio
 from collections import abc
 import dataclasses
-import typing
 
 from returns import result
 
@@ -258,10 +257,10 @@
             return listed.failure()
         self._listed = {m.machine_id: m for m in listed.unwrap()}
         for machine_id in missing:
-            await self._judge_missing(known, machine_id)
+            self._judge_missing(known, machine_id)
         return None
 
-    async def _judge_missing(self, known: _Wave, machine_id: str) -> None:
+    def _judge_missing(self, known: _Wave, machine_id: str) -> None:
         machine = self._listed.get(machine_id)
         if machine is None:
             self._finish(known, machine_id, why="has-left")
@@ -416,5 +415,5 @@
     return f"{executor.executor_id}/{executor.incarnation_ms}"
 
 
-def _why(fault: errors.Fault) -> typing.Any:
+def _why(fault: errors.Fault) -> str:
     return getattr(fault, "reason", fault.code)
--- a/src/knapweedwharf/story.py
+++ b/src/knapweedwharf/story.py
@@ -18,13 +18,16 @@
     "part-stopping": "Its run was stopped: {why}",
     "job-cancelled": "The caller cancelled it",
     "job-failed": "A part failed {failures} of {max_attempts} times",
-    "job-completed": "It completed after {after_s} s of {objective_s} s",
+    "job-completed": "It completed {after_s} s after it was stored",
 }
 """What an event says of an outcome; the later ones go first."""
 
 LONG_WAIT_S = 0.5
 """A part is placed within some hundredths of a second where room is."""
 
+OVERRUN = 1.5
+"""A run as much longer than declared is late by itself."""
+
 DECISIVE = ("job-completed", "job-failed", "job-cancelled", "call-refused")
 
 
@@ -111,6 +114,8 @@
         for other in lines
         if _is_setback(other)
     ]
+    if line.event != "call-refused":
+        setbacks = [*_refusals(lines), *setbacks, *_overrun(line, lines)]
     takers = {other.node_id for other in lines if other.event == "job-taken"}
     if len(takers) > 1:
         setbacks.append(f"{len(takers)} owners scheduled it in turn")
@@ -120,6 +125,28 @@
     return f"{text}. On the way: {'; '.join(counted)}."
 
 
+def _refusals(lines: list[Line]) -> list[str]:
+    """Return what became of tries before the one that was stored."""
+    reasons = [
+        dict(line.fields).get("detail", "?")
+        for line in lines
+        if line.event == "call-refused"
+    ]
+    if not reasons:
+        return []
+    return [f"{len(reasons)} calls were refused before ({reasons[-1]})"]
+
+
+def _overrun(last: Line, lines: list[Line]) -> list[str]:
+    """Return by how much the longest run exceeds what was declared."""
+    declared_s = _number(dict(last.fields).get("declared_s", ""))
+    runs = (dict(li.fields) for li in lines if li.event == "run-ended")
+    longest_s = max((_number(r.get("ran_s", "")) for r in runs), default=0.0)
+    if not declared_s or longest_s < OVERRUN * declared_s:
+        return []
+    return [f"a run took {longest_s} s, {declared_s} s were declared"]
+
+
 def _is_setback(line: Line) -> bool:
     fields = dict(line.fields)
     if line.event == "run-ended":
