Keep room for first work only while it is scarce, and not for long

The use of first work counts for 10 s after it stopped, its deviation for longer.

The longer patience for near places under pressure is 12 s at least instead of six expected runs, for the same reason.

--- a/bench/short_runs.py
+++ b/bench/short_runs.py
@@ -26,7 +26,7 @@
             configuration.policy,
             late_factor=0.0,
             headroom_deviations=-1.0,
-            crowded_patience_runs=0.0,
+            crowded_patience_s=0.0,
             accelerator_cores=0.0,
         ),
     )
--- a/src/knapweedwharf/core/state.py
+++ b/src/knapweedwharf/core/state.py
@@ -200,6 +200,8 @@
             return True
         if self.is_roomy():
             return True
+        if self.now_s - job.submitted_s >= policy.headroom_patience_s:
+            return True
         kept = self.headroom.kept(policy.headroom_deviations)
         if self.topology.open_accelerators - job.accelerators >= kept:
             return True
@@ -233,10 +235,9 @@
         so it waits longer where room is scarce.
         """
         policy = self.configuration.policy
-        runs = policy.near_patience_runs
-        if policy.crowded_patience_runs and not self.is_roomy():
-            runs = policy.crowded_patience_runs
-        patience_s = runs * self.estimates.run_s(job)
+        patience_s = policy.near_patience_runs * self.estimates.run_s(job)
+        if not self.is_roomy():
+            patience_s = max(patience_s, policy.crowded_patience_s)
         if job.start_within_s:
             patience_s = min(patience_s, job.start_within_s)
         return self.now_s - job.submitted_s >= patience_s
--- a/src/knapweedwharf/core/topology.py
+++ b/src/knapweedwharf/core/topology.py
@@ -201,15 +201,17 @@
     def is_roomy(self, accelerator_cores: float) -> bool:
         """Tell whether half of the usable room or more is free.
 
+        Accelerators alone decide too: work may be short of cores only.
+
         :param accelerator_cores: cores that an accelerator counts as.
         """
-        whole = free = 0.0
-        for room in self.workers.values():
-            if room.usable:
-                whole += room.spec.cores
-                whole += accelerator_cores * room.spec.accelerators
-                free += room.cores + accelerator_cores * len(room.accelerators)
-        return 2 * free >= whole
+        usable = [room for room in self.workers.values() if room.usable]
+        accelerators = sum(room.spec.accelerators for room in usable)
+        cores = sum(room.spec.cores for room in usable)
+        free_cores = sum(room.cores for room in usable)
+        whole = accelerator_cores * accelerators + cores
+        free = accelerator_cores * self._free_accelerators + free_cores
+        return 2 * free >= whole or 2 * self._free_accelerators > accelerators
 
     def racks_with(self, accelerators: int) -> abc.Iterator[RackRoom]:
         """Yield racks with enough open accelerators, tightest first."""
--- a/src/knapweedwharf/fleet/policy.py
+++ b/src/knapweedwharf/fleet/policy.py
@@ -20,9 +20,9 @@
 NEAR_PATIENCE_RUNS = 1.2
 """A distant run takes three times as long, so two runs are saved."""
 
-CROWDED_PATIENCE_RUNS = 6.0
-"""A distant run takes three times the room; by then most jobs are worth
-nothing any more."""
+CROWDED_PATIENCE_S = 12.0
+"""A distant run takes three times the room. The platform looks for jobs
+that could run 14 s after the last one came, and for 3 s."""
 
 RESTART_S = 0.6
 """The time an executor takes to restore a checkpoint."""
@@ -71,6 +71,10 @@
 """By ``python -m bench short_runs``: 1.0 stops more work, 4.0 leaves the
 least urgent work waiting."""
 
+HEADROOM_PATIENCE_S = 10.0
+"""The platform looks for jobs that could run 14 s after the last one
+came, and for 3 s."""
+
 HEADROOM_MEMORY_S = 10.0
 """A few runs of first work."""
 
@@ -91,7 +95,7 @@
             ageing_s=0.0,
             quarantine_s=QUARANTINE_S,
             near_patience_runs=NEAR_PATIENCE_RUNS,
-            crowded_patience_runs=CROWDED_PATIENCE_RUNS,
+            crowded_patience_s=CROWDED_PATIENCE_S,
             urgent_patience_s=URGENT_PATIENCE_S,
             restart_s=RESTART_S,
             disturbance_s=DISTURBANCE_S,
@@ -103,6 +107,7 @@
             accelerator_cores=ACCELERATOR_CORES,
             headroom_deviations=HEADROOM_DEVIATIONS,
             headroom_memory_s=HEADROOM_MEMORY_S,
+            headroom_patience_s=HEADROOM_PATIENCE_S,
             renew_reserved_s=RENEW_RESERVED_S,
         ),
     )
--- a/testing/core/test_worth.py
+++ b/testing/core/test_worth.py
@@ -165,6 +165,23 @@
     assert _started(engine.handle(event.JobSubmitted(job), now_s=20.0))
 
 
+def test_no_job_waits_long_for_the_sake_of_first_work():
+    """First work used three workers; most of that is still expected."""
+    engine = _crowded(busy=2, free=1)
+    engine.state.headroom.in_use = 24
+    engine.handle(event.Tick(), now_s=0.0)
+    engine.state.headroom.in_use = 0
+    job = _job("p", 0.1, objective_s=900.0)
+    assert not _started(engine.handle(event.JobSubmitted(job), now_s=0.1))
+    placed_s = None
+    for tenth in range(2, 400):
+        if _started(engine.handle(event.Tick(), now_s=tenth / 10)):
+            placed_s = tenth / 10
+            break
+    assert placed_s is not None
+    assert abs(placed_s - fleet_policy.HEADROOM_PATIENCE_S) < 0.3
+
+
 def test_work_that_would_be_late_takes_the_room_that_was_kept():
     engine = _crowded(busy=2, free=1)
     engine.state.headroom.in_use = 8
