Share the builders of the tests of short runs

Cause: six tests built the same engine, jobs and scenes line by line. Ruled out: nothing else was tried. Conclusion: testing/core and testing/fleet pass as before.

--- a/testing/core/test_progress.py
+++ b/testing/core/test_progress.py
@@ -3,45 +3,10 @@
 from __future__ import annotations
 
 from knapweedwharf.core import decision
-from knapweedwharf.core import engine as engine_module
 from knapweedwharf.core import event
-from knapweedwharf.core import model
 from knapweedwharf.core import progress as progress_module
 from knapweedwharf.core import record as record_module
-from knapweedwharf.fleet import policy as fleet_policy
-
-
-def _job(job_id: str, **fields) -> model.JobSpec:
-    defaults = {
-        "account": "a",
-        "data_centre": "pool",
-        "kind": "k",
-        "tasks": 1,
-        "accelerators_per_task": 8,
-        "cores_per_task": 1,
-        "memory_mib_per_task": 100,
-        "declared_run_s": 5.0,
-    }
-    return model.JobSpec(job_id=job_id, **{**defaults, **fields})
-
-
-def _engine(workers: int) -> engine_module.Engine:
-    engine = engine_module.Engine(
-        data_centre="pool", attempt_prefix="t", policy="short-runs"
-    )
-    configured = event.ConfigurationChanged(fleet_policy.configuration())
-    engine.handle(configured, now_s=0.0)
-    for number in range(workers):
-        spec = model.WorkerSpec(f"w{number}", "r", "pool", 8, 32, 64000)
-        engine.handle(event.WorkerSealed(spec), now_s=0.0)
-    return engine
-
-
-def _start(engine: engine_module.Engine, job: model.JobSpec, now_s: float):
-    taken = engine.handle(event.JobSubmitted(job), now_s=now_s)
-    start = next(t for t in taken if isinstance(t, decision.StartGang))
-    engine.handle(event.GangStarted(start.attempt_id), now_s=now_s)
-    return start
+from testing.core import short_runs
 
 
 def test_the_end_is_reckoned_from_the_pace():
@@ -71,10 +36,14 @@
 
 def test_a_reservation_follows_the_pace_and_not_the_estimate():
     """Both workers are full; the one with the longer estimate is ahead."""
-    engine = _engine(2)
-    slow = _start(engine, _job("slow", declared_run_s=2.0), 0.0)
-    fast = _start(engine, _job("fast", declared_run_s=60.0), 0.0)
-    waiting = _job("gang", accelerators_per_task=8, submitted_s=0.0)
+    engine = short_runs.engine(2)
+    slow = short_runs.start(
+        engine, short_runs.job("slow", declared_run_s=2.0), 0.0
+    )
+    fast = short_runs.start(
+        engine, short_runs.job("fast", declared_run_s=60.0), 0.0
+    )
+    waiting = short_runs.job("gang")
     engine.handle(event.JobSubmitted(waiting), now_s=0.1)
     for second in range(1, 4):
         for start, pace in ((slow, 0.05), (fast, 0.25)):
@@ -89,19 +58,25 @@
 
 
 def test_a_worker_whose_work_hangs_gets_no_more_of_it():
-    engine = _engine(2)
-    start = _start(engine, _job("j", accelerators_per_task=1), 0.0)
+    engine = short_runs.engine(2)
+    start = short_runs.start(
+        engine, short_runs.job("j", accelerators_per_task=1), 0.0
+    )
     hung = start.assignments[0].worker_id
     for second in range(1, 4):
         seen = event.ProgressSeen(hung, ((start.attempt_id, 0.5),))
         engine.handle(seen, now_s=float(second) * 1.01)
-    other = _start(engine, _job("k", accelerators_per_task=1), 3.1)
+    other = short_runs.start(
+        engine, short_runs.job("k", accelerators_per_task=1), 3.1
+    )
     assert other.assignments[0].worker_id != hung
 
 
 def test_hung_work_restarts_once_it_waited_for_what_a_stop_loses():
-    engine = _engine(2)
-    start = _start(engine, _job("j", saves_progress=False), 0.0)
+    engine = short_runs.engine(2)
+    start = short_runs.start(
+        engine, short_runs.job("j", saves_progress=False), 0.0
+    )
     hung = start.assignments[0].worker_id
     stopped_s = None
     for tenth in range(1, 100):
@@ -118,17 +93,19 @@
 
 
 def test_work_that_lasts_is_never_taken_for_hung():
-    engine = _engine(1)
-    start = _start(engine, _job("j", is_lasting=True), 0.0)
+    engine = short_runs.engine(1)
+    start = short_runs.start(engine, short_runs.job("j", is_lasting=True), 0.0)
     for second in range(1, 30):
         seen = event.ProgressSeen("w0", ((start.attempt_id, 1.0),))
         assert not engine.handle(seen, now_s=float(second))
 
 
 def test_work_that_ends_in_time_stays_on_a_worker_that_leaves():
-    engine = _engine(2)
+    engine = short_runs.engine(2)
     starts = [
-        _start(engine, _job(name, accelerators_per_task=4), 0.0)
+        short_runs.start(
+            engine, short_runs.job(name, accelerators_per_task=4), 0.0
+        )
         for name in ("ends", "stays")
     ]
     assert len({s.assignments[0].worker_id for s in starts}) == 1
--- a/testing/core/test_worth.py
+++ b/testing/core/test_worth.py
@@ -8,60 +8,32 @@
 from knapweedwharf.core import headroom as headroom_module
 from knapweedwharf.core import model
 from knapweedwharf.fleet import policy as fleet_policy
+from testing.core import short_runs
 
 
 def _job(job_id: str, submitted_s: float, **fields) -> model.JobSpec:
-    defaults = {
-        "account": "a",
-        "data_centre": "pool",
-        "kind": "k",
-        "tasks": 1,
-        "accelerators_per_task": 8,
-        "cores_per_task": 1,
-        "memory_mib_per_task": 100,
-        "declared_run_s": 2.0,
-    }
-    return model.JobSpec(
-        job_id=job_id, submitted_s=submitted_s, **{**defaults, **fields}
-    )
-
-
-def _engine(workers: int) -> engine_module.Engine:
-    engine = engine_module.Engine(
-        data_centre="pool", attempt_prefix="t", policy="short-runs"
-    )
-    configured = event.ConfigurationChanged(fleet_policy.configuration())
-    engine.handle(configured, now_s=0.0)
-    for number in range(workers):
-        spec = model.WorkerSpec(f"w{number}", "r", "pool", 8, 32, 64000)
-        engine.handle(event.WorkerSealed(spec), now_s=0.0)
-    return engine
+    fields.setdefault("declared_run_s", 2.0)
+    return short_runs.job(job_id, submitted_s, **fields)
 
 
 def _crowded(*, busy: int, free: int) -> engine_module.Engine:
     """Return an engine of which most workers are busy for long."""
-    engine = _engine(busy + free)
+    engine = short_runs.engine(busy + free)
     for number in range(busy):
         job = _job(
             f"long{number}", 0.0, cores_per_task=32, declared_run_s=900.0
         )
-        engine.handle(event.JobSubmitted(job), now_s=0.0)
-        attempt_id = engine.records[job.job_id].attempt_id
-        engine.handle(event.GangStarted(attempt_id), now_s=0.0)
+        short_runs.start(engine, job, 0.0)
     return engine
 
 
 def _started(decisions) -> list[str]:
-    return [
-        taken.job.job_id
-        for taken in decisions
-        if isinstance(taken, decision.StartGang)
-    ]
+    return [taken.job.job_id for taken in short_runs.starts(decisions)]
 
 
 def _serve_in_turn(jobs: list[model.JobSpec], *, objective_s: float) -> int:
     """Serve a queue on one worker; returns how many are in time."""
-    engine = _engine(1)
+    engine = short_runs.engine(1)
     waiting = sorted(jobs, key=lambda job: job.submitted_s)
     running: tuple[float, str] | None = None
     in_time = 0
@@ -104,7 +76,7 @@
 
 
 def test_work_that_is_worth_nothing_any_more_is_still_done():
-    engine = _engine(1)
+    engine = short_runs.engine(1)
     late = _job("late", 0.0, objective_s=1.0)
     (started,) = _started(engine.handle(event.JobSubmitted(late), now_s=50.0))
     assert started == "late"
@@ -131,15 +103,13 @@
     engine = _crowded(busy=5, free=3)
     now_s = 0.0
     for number in range(10):
-        job = _first(f"f{number}", now_s)
-        engine.handle(event.JobSubmitted(job), now_s=now_s)
-        attempt_id = engine.records[job.job_id].attempt_id
-        engine.handle(event.GangStarted(attempt_id), now_s=now_s)
-        worker_id = engine.records[job.job_id].assignments[0].worker_id
+        first = _first(f"f{number}", now_s)
+        start = short_runs.start(engine, first, now_s)
         for _tenth in range(20):
             now_s += 0.1
             engine.handle(event.Tick(), now_s=now_s)
-        ended = event.TaskEnded(attempt_id, 0, worker_id, True, "")
+        worker_id = start.assignments[0].worker_id
+        ended = event.TaskEnded(start.attempt_id, 0, worker_id, True, "")
         engine.handle(ended, now_s=now_s)
     patient = [
         _job(f"p{n}", now_s, objective_s=60.0, declared_run_s=9.0)
--- a/testing/fleet/test_movement.py
+++ b/testing/fleet/test_movement.py
@@ -12,6 +12,26 @@
 step = scene_module.step
 
 
+async def _run_for_3_s(scene, run_s: float) -> tuple[str, str]:
+    """Run a job for 3 s on two executors; returns it and its executor."""
+    await scene.open(vms=1, executors=2)
+    job_id, _outcome = await scene.submit(
+        scene.vms[0], step(expected_run_s=run_s), behaviour={"run_s": run_s}
+    )
+    await scene.until(lambda: len(scene.pool.starts) == 1)
+    await asyncio.sleep(3.0)
+    return job_id, scene.pool.starts[0][1]
+
+
+async def _drain(scene, executor_id: str) -> None:
+    executor = scene.pool.executors[executor_id]
+    await scene.list_executor(
+        dataclasses.replace(
+            executor.spec, state=model.DRAINING, remaining_s=2.0
+        )
+    )
+
+
 def test_fresh_work_on_a_hanging_executor_restarts_elsewhere(monkeypatch):
     async def main(scene):
         await scene.open(vms=1, executors=2)
@@ -29,20 +49,9 @@
 
 def test_long_work_leaves_an_executor_that_drains(monkeypatch):
     async def main(scene):
-        await scene.open(vms=1, executors=2)
-        job_id, _outcome = await scene.submit(
-            scene.vms[0], step(expected_run_s=20), behaviour={"run_s": 20}
-        )
-        await scene.until(lambda: len(scene.pool.starts) == 1)
-        _began_s, executor_id, _key = scene.pool.starts[0]
-        executor = scene.pool.executors[executor_id]
-        await asyncio.sleep(3.0)
+        job_id, executor_id = await _run_for_3_s(scene, 20.0)
         drained_s = asyncio.get_running_loop().time()
-        await scene.list_executor(
-            dataclasses.replace(
-                executor.spec, state=model.DRAINING, remaining_s=2.0
-            )
-        )
+        await _drain(scene, executor_id)
         await scene.until(lambda: len(scene.pool.starts) == 2)
         moved_s, other_id, _key = scene.pool.starts[1]
         assert other_id != executor_id
@@ -54,19 +63,8 @@
 
 def test_short_work_ends_on_an_executor_that_drains(monkeypatch):
     async def main(scene):
-        await scene.open(vms=1, executors=2)
-        job_id, _outcome = await scene.submit(
-            scene.vms[0], step(expected_run_s=4), behaviour={"run_s": 4}
-        )
-        await scene.until(lambda: len(scene.pool.starts) == 1)
-        _began_s, executor_id, _key = scene.pool.starts[0]
-        executor = scene.pool.executors[executor_id]
-        await asyncio.sleep(3.0)
-        await scene.list_executor(
-            dataclasses.replace(
-                executor.spec, state=model.DRAINING, remaining_s=2.0
-            )
-        )
+        job_id, executor_id = await _run_for_3_s(scene, 4.0)
+        await _drain(scene, executor_id)
         await scene.until_state(job_id, workflow.COMPLETED)
         assert [s.how for s in scene.runs_of(job_id)] == [model.DONE]
 
--- a/testing/fleet/test_pacing.py
+++ b/testing/fleet/test_pacing.py
@@ -28,6 +28,26 @@
     return step(accelerators=0, fills_spare=True, **fields)
 
 
+async def _serve(scene, *, tasks: int = 1, **pool) -> str:
+    """Open a scene whose users are served; returns the serving job."""
+    await scene.open(**pool)
+    serving, _outcome = await scene.submit(
+        scene.vms[0], _serving(tasks), behaviour=SERVING
+    )
+    await scene.until_state(serving, workflow.ACTIVE)
+    return serving
+
+
+async def _fill(scene, *, run_s: float = 60.0, disturbs: int) -> str:
+    """Submit work that disturbs its neighbours so many ms."""
+    filling, _outcome = await scene.submit(
+        scene.vms[0],
+        _filling(expected_run_s=run_s),
+        behaviour={"run_s": run_s, "disturbs": disturbs},
+    )
+    return filling
+
+
 def test_speed_falls_at_once_and_rises_in_steps():
     assert pacing.next_percent(80, 1.1) == 0
     assert pacing.next_percent(80, 0.9) == 40
@@ -39,14 +59,8 @@
 
 def test_filling_work_keeps_away_from_users_while_it_can(monkeypatch):
     async def main(scene):
-        await scene.open(vms=1, executors=2)
-        serving, _outcome = await scene.submit(
-            scene.vms[0], _serving(), behaviour=SERVING
-        )
-        await scene.until_state(serving, workflow.ACTIVE)
-        filling, _outcome = await scene.submit(
-            scene.vms[0], _filling(), behaviour={"disturbs": 500}
-        )
+        serving = await _serve(scene, vms=1, executors=2)
+        filling = await _fill(scene, run_s=1.0, disturbs=500)
         await scene.until_state(filling, workflow.COMPLETED)
         served_by = {e for _at_s, e, k in scene.pool.starts if serving in k[0]}
         assert scene.runs_of(filling)[0].executor_id not in served_by
@@ -56,15 +70,9 @@
 
 def test_filling_work_runs_though_users_are_served_everywhere(monkeypatch):
     async def main(scene):
-        await scene.open(vms=1, executors=2)
-        serving, _outcome = await scene.submit(
-            scene.vms[0], _serving(2), behaviour=SERVING
-        )
-        await scene.until_state(serving, workflow.ACTIVE)
+        await _serve(scene, vms=1, executors=2, tasks=2)
         await asyncio.sleep(0.5)
-        filling, _outcome = await scene.submit(
-            scene.vms[0], _filling(), behaviour={"run_s": 2.0, "disturbs": 20}
-        )
+        filling = await _fill(scene, run_s=2.0, disturbs=20)
         await scene.until_state(filling, workflow.COMPLETED)
 
     scene_module.play(main, monkeypatch)
@@ -83,16 +91,8 @@
     """The filling work doubles what its neighbours need at full speed."""
 
     async def main(scene):
-        await scene.open(vms=1, executors=1)
-        serving, _outcome = await scene.submit(
-            scene.vms[0], _serving(), behaviour=SERVING
-        )
-        await scene.until_state(serving, workflow.ACTIVE)
-        await scene.submit(
-            scene.vms[0],
-            _filling(expected_run_s=60.0),
-            behaviour={"run_s": 60.0, "disturbs": 200},
-        )
+        await _serve(scene, vms=1, executors=1)
+        await _fill(scene, disturbs=200)
         over_s = longest_s = 0.0
         for _hundredth in range(3000):
             await asyncio.sleep(0.01)
@@ -106,16 +106,8 @@
 
 def test_filling_work_is_fast_again_once_users_have_gone(monkeypatch):
     async def main(scene):
-        await scene.open(vms=1, executors=1)
-        serving, _outcome = await scene.submit(
-            scene.vms[0], _serving(), behaviour=SERVING
-        )
-        await scene.until_state(serving, workflow.ACTIVE)
-        filling, _outcome = await scene.submit(
-            scene.vms[0],
-            _filling(expected_run_s=30.0),
-            behaviour={"run_s": 30.0, "disturbs": 400},
-        )
+        serving = await _serve(scene, vms=1, executors=1)
+        filling = await _fill(scene, run_s=30.0, disturbs=400)
         await scene.until_state(filling, workflow.ACTIVE)
         await asyncio.sleep(4.0)
         await scene.vms[0].node.door.cancel(scene.call(serving))
@@ -128,16 +120,8 @@
 
 def test_a_new_owner_sets_speeds_anew(monkeypatch):
     async def main(scene):
-        await scene.open(vms=2, executors=1)
-        serving, _outcome = await scene.submit(
-            scene.vms[0], _serving(), behaviour=SERVING
-        )
-        await scene.until_state(serving, workflow.ACTIVE)
-        filling, _outcome = await scene.submit(
-            scene.vms[0],
-            _filling(expected_run_s=60.0),
-            behaviour={"run_s": 60.0, "disturbs": 400},
-        )
+        await _serve(scene, vms=2, executors=1)
+        filling = await _fill(scene, disturbs=400)
         await scene.until_state(filling, workflow.ACTIVE)
         await asyncio.sleep(3.0)
         (executor,) = scene.pool.executors.values()
