Count a gang as done though a member was taken for lapsed before

All three members of a gang ran in the data centre that was cut off. The gang ended done during the cut. The lease of one executor was taken for lapsed, and the engine was told; an instant later another executor answered and told of the common end. The engine had one member lapsed and the others done, so the part went back into the queue and ran again, though the end had been noted.

Change: once one member is known to be done, the engine is told that all are, also those that were told otherwise before.

Ruled out: the lapse reckoned too early (the restart came 6.4 s after the last renewal, 0.3 s after the slowest clock's lease).

Test that fails first: testing/fleet/test_faults.py, a_gang_is_done_though_a_member_was_taken_for_lapsed (4 runs instead of 2).

--- a/src/knapweedwharf/fleet/attempt.py
+++ b/src/knapweedwharf/fleet/attempt.py
@@ -127,6 +127,17 @@
         """Whether members that still run have lost their purpose."""
         return self.stopping or self.start_failed or self.over
 
+    def correct_ends(self) -> None:
+        """Count every member as done, also those told otherwise before.
+
+        Executors of a gang are heard at different times: the lease of
+        one may have lapsed when another tells of the common end.
+        """
+        for member in self.members.values():
+            if member.phase == ENDED and member.how != model.DONE:
+                member.how = model.DONE
+                member.told = False
+
     def untold_ends(self) -> list[Member]:
         """Return the ended members that the engine is to hear of."""
         return [
--- a/src/knapweedwharf/fleet/orders.py
+++ b/src/knapweedwharf/fleet/orders.py
@@ -341,6 +341,7 @@
             # also of one whose start was never confirmed.
             for member in attempt.unended():
                 self.end(attempt, member, model.DONE)
+            attempt.correct_ends()
         for member in attempt.untold_ends():
             self._tell_end(attempt, member, succeeded=done)
 
--- a/testing/fleet/test_faults.py
+++ b/testing/fleet/test_faults.py
@@ -345,3 +345,32 @@
         assert len(scene.runs_of(job_id)) == 2
 
     scene_module.play(main, monkeypatch)
+
+
+def test_a_gang_is_done_though_a_member_was_taken_for_lapsed(monkeypatch):
+    """One executor is given up; then another tells of the gang's end."""
+
+    async def main(scene):
+        await scene.open(vms=1, executors=2)
+        job_id, _outcome = await scene.submit(
+            scene.vms[0],
+            step(tasks=2, is_gang=True, accelerators=8),
+            behaviour={"gang": 2, "run_s": 4.0},
+        )
+        await scene.until_state(job_id, workflow.ACTIVE)
+        await asyncio.sleep(1.5)
+        (attempt,) = scene.owner.node.tenure.board.attempts.values()
+        first, second = scene.pool.executors.values()
+        first.silent = True
+        await asyncio.sleep(1.2)
+        second.silent = True
+        await scene.until(
+            lambda: any(m.told for m in attempt.members.values())
+        )
+        second.silent = False
+        await asyncio.sleep(3.0)
+        first.silent = False
+        await scene.until_state(job_id, workflow.COMPLETED)
+        assert [s.how for s in scene.runs_of(job_id)] == [model.DONE] * 2
+
+    scene_module.play(main, monkeypatch)
