Let parts of cores share a core on the users' platform

Cause: a task's cores were rounded up to whole ones. A hundred tasks of 0.3 cores filled 32 cores at a third of their use, and the rest waited in a pool that was mostly free.

Change: cores are thousandths in the engine on that platform, for workers, tasks and the weight of accelerators.

Ruled out: rounding to tenths (the platform counts thousandths).

Test that fails first: testing/fleet/test_path.py, small_parts_of_cores_share_a_core.

--- a/bench/_short_player.py
+++ b/bench/_short_player.py
@@ -114,7 +114,12 @@
         name, rack = f"w{number}", f"r{number // load.per_rack}"
         self._racks[name] = rack
         spec = model.WorkerSpec(
-            name, rack, "pool", load.accelerators, load.cores, load.memory_mib
+            name,
+            rack,
+            "pool",
+            load.accelerators,
+            load.cores * 1000,
+            load.memory_mib,
         )
         self._tell(event.WorkerSealed(spec))
         at_s = REPORT_S * number / load.workers
@@ -275,7 +280,8 @@
 
     def _waste(self, run: _Run) -> None:
         weight = sum(
-            place.cores + _short_load.WORK_CORES * len(place.accelerators)
+            place.cores / 1000
+            + _short_load.WORK_CORES * len(place.accelerators)
             for place in run.places
         )
         self._waste_core_s += weight * (self.now_s - run.began_s)
--- a/src/knapweedwharf/core/workflow.py
+++ b/src/knapweedwharf/core/workflow.py
@@ -9,7 +9,6 @@
 
 from collections import abc
 import dataclasses
-import math
 import typing
 
 from knapweedwharf.core import model
@@ -21,7 +20,6 @@
 CANCELLED = "cancelled"
 FINAL_STATES = frozenset({COMPLETED, FAILED, CANCELLED})
 
-MILLI = 1000
 UNLIMITED = 1_000_000_000
 """Attempts of tasks that last; more than a platform ever sees."""
 
@@ -302,13 +300,13 @@
 ) -> model.JobSpec:
     """Return a part as the engine's job.
 
-    Fractions of cores count as whole ones.
+    Its cores are thousandths, as are those of the workers it goes to.
 
     :param standing: how it stands against other work.
     """
     job = workflow.job
     step = job.steps[part.step]
-    cores = 0 if step.fills_spare else math.ceil(step.cores_milli / MILLI)
+    cores = 0 if step.fills_spare else step.cores_milli
     submitted_s = max(job.submitted_s, job.due_s(part.occurrence))
     return model.JobSpec(
         job_id=part.part_id,
--- a/src/knapweedwharf/fleet/policy.py
+++ b/src/knapweedwharf/fleet/policy.py
@@ -61,8 +61,9 @@
 GROW_AFTER_S = 0.5
 """Wait after which work is worth a machine more; a move takes thrice it."""
 
-ACCELERATOR_CORES = 8.0
-"""As the platform weighs work that is thrown away."""
+ACCELERATOR_CORES = 8000.0
+"""In thousandths, as all cores here; the platform weighs work that is
+thrown away by it."""
 
 LATE_FACTOR = 3.0
 """The platform counts a job for nothing after three objectives."""
--- a/src/knapweedwharf/fleet/pools.py
+++ b/src/knapweedwharf/fleet/pools.py
@@ -41,7 +41,7 @@
 """Orders in one tick; the platform's rate is several times that."""
 
 Waiting = abc.Callable[[str], amount.Amount]
-"""service to what its waiting work needs"""
+"""service to what its waiting work needs, cores in thousandths"""
 
 Tell = abc.Callable[[str, event.Event], None]
 """(service, event) to the service's engine"""
@@ -49,17 +49,14 @@
 
 def machines_for(need: amount.Amount, machine: model.Machine) -> int:
     """Return how many machines hold what waits."""
-    shares = [
-        (
-            need.accelerators / machine.accelerators
-            if machine.accelerators
-            else math.inf * bool(need.accelerators > 0)
-        ),
-        need.cores * 1000 / max(machine.cores_milli, 1),
+    if need.accelerators and not machine.accelerators:
+        return 0
+    shares = (
+        need.accelerators / max(machine.accelerators, 1),
+        need.cores / max(machine.cores_milli, 1),
         need.memory_mib / max(machine.memory_mib, 1),
-    ]
-    widest = max((share for share in shares if share > 0), default=0.0)
-    return 0 if math.isinf(widest) else math.ceil(widest)
+    )
+    return math.ceil(max(shares))
 
 
 class Pools:
--- a/src/knapweedwharf/fleet/registry.py
+++ b/src/knapweedwharf/fleet/registry.py
@@ -244,7 +244,7 @@
                     rack=executor.rack,
                     data_centre=executor.service,
                     accelerators=executor.accelerators,
-                    cores=executor.cores_milli // 1000,
+                    cores=executor.cores_milli,
                     memory_mib=executor.memory_mib,
                     labels=frozenset(executor.labels),
                 )
--- a/testing/core/short_runs.py
+++ b/testing/core/short_runs.py
@@ -10,14 +10,17 @@
 
 
 def job(job_id: str, submitted_s: float = 0.0, **fields) -> model.JobSpec:
-    """Return a job of one task that takes a worker's accelerators."""
+    """Return a job of one task that takes a worker's accelerators.
+
+    Cores are thousandths.
+    """
     defaults = {
         "account": "a",
         "data_centre": "pool",
         "kind": "k",
         "tasks": 1,
         "accelerators_per_task": 8,
-        "cores_per_task": 1,
+        "cores_per_task": 1000,
         "memory_mib_per_task": 100,
         "declared_run_s": 5.0,
     }
@@ -34,7 +37,7 @@
     configured = event.ConfigurationChanged(fleet_policy.configuration())
     made.handle(configured, now_s=0.0)
     for number in range(workers):
-        spec = model.WorkerSpec(f"w{number}", "r", "pool", 8, 32, 64000)
+        spec = model.WorkerSpec(f"w{number}", "r", "pool", 8, 32_000, 64000)
         made.handle(event.WorkerSealed(spec), now_s=0.0)
     return made
 
--- a/testing/core/test_constraint.py
+++ b/testing/core/test_constraint.py
@@ -20,7 +20,7 @@
             f"r{number // 2}",
             "pool",
             8,
-            32,
+            32_000,
             64000,
             labels=frozenset({"big"} if number == 3 else ()),
         )
@@ -34,7 +34,7 @@
     defaults = {
         "tasks": 1,
         "accelerators_per_task": 1,
-        "cores_per_task": 1,
+        "cores_per_task": 1000,
         "memory_mib_per_task": 100,
         "declared_run_s": 5.0,
     }
@@ -100,7 +100,7 @@
 
 def test_where_room_is_scarce_a_job_waits_longer_for_its_data_rack():
     engine = _engine()
-    whole = {"accelerators_per_task": 8, "cores_per_task": 24}
+    whole = {"accelerators_per_task": 8, "cores_per_task": 24_000}
     for name in ("a", "b"):
         _places(engine, name, data_rack="r1", **whole)
     _places(engine, "c", accelerators_per_task=4, data_rack="r0")
--- a/testing/core/test_worth.py
+++ b/testing/core/test_worth.py
@@ -21,7 +21,7 @@
     engine = short_runs.engine(busy + free)
     for number in range(busy):
         job = _job(
-            f"long{number}", 0.0, cores_per_task=32, declared_run_s=900.0
+            f"long{number}", 0.0, cores_per_task=32_000, declared_run_s=900.0
         )
         short_runs.start(engine, job, 0.0)
     return engine
--- a/testing/fleet/test_path.py
+++ b/testing/fleet/test_path.py
@@ -12,6 +12,20 @@
 step = scene_module.step
 
 
+def test_small_parts_of_cores_share_a_core(monkeypatch):
+    async def main(scene):
+        await scene.open(vms=1, executors=1)
+        job_id, _outcome = await scene.submit(
+            scene.vms[0],
+            step(tasks=100, cores_milli=300, memory_mib=1, accelerators=0),
+            behaviour={"run_s": 5.0, "slots": 200},
+        )
+        await scene.until(lambda: len(scene.pool.starts) == 100, within_s=3.0)
+        await scene.until_state(job_id, workflow.COMPLETED)
+
+    scene_module.play(main, monkeypatch)
+
+
 def test_a_job_runs_once_and_is_shown_as_completed(monkeypatch):
     async def main(scene):
         await scene.open(vms=2, executors=2)
--- a/testing/fleet/test_pools.py
+++ b/testing/fleet/test_pools.py
@@ -21,7 +21,7 @@
         (amount.Amount(), 0),
         (amount.Amount(1, 1, 1), 1),
         (amount.Amount(17, 1, 1), 3),
-        (amount.Amount(0, 65, 0), 3),
+        (amount.Amount(0, 65_000, 0), 3),
         (amount.Amount(0, 0, 200_000), 4),
     ],
 )
