--- a/testing/fleet/test_pacing.py
+++ b/testing/fleet/test_pacing.py
@@ -88,7 +88,7 @@
 
 
 def test_users_are_over_their_target_for_two_reports_at_most(monkeypatch):
-    """The filling work takes five times what its neighbours need at full speed."""
+    """At full speed it takes its neighbours to five times their tail."""
 
     async def main(scene):
         await _serve(scene, vms=1, executors=1)
