Call one piece of code where the fleet had several

Cause: read as a whole, the parts of the fleet repeated themselves. Six had the same start and close around one task; upkeep and pools took the same nine arguments one by one; the type of "tell an engine" stood in four modules; the word for a fault was found by getattr in four places; moving work off a leaving worker copied the loop that does so for a lost one. How a job stands was worked out again for each of its tasks, with a count over all jobs each time, and once more only to forget it.

Change: fleet/background.py, fleet/duty.py, event.Tell, Fault.why, Hardware._requeue_on with what may stay, State._ends_s. A job's standing is worked out once a step; a job is forgotten by its id.

Ruled out: one pass over a report for ends, runs and speeds (three readers of one list are plainer); a shared shape of store and other calls (their answers differ).

Behaviour stays.

--- a/src/knapweedwharf/core/engine.py
+++ b/src/knapweedwharf/core/engine.py
@@ -71,10 +71,11 @@
         """Take over a record that an earlier epoch wrote."""
         self._lifecycle.restore(record)
 
-    def drop(self, job: model.JobSpec) -> None:
+    def drop(self, job_id: str) -> None:
         """Forget a job that ended long ago."""
-        self.state.records.pop(job.job_id, None)
-        self._lifecycle.approval_over(job.approval)
+        record = self.state.records.pop(job_id, None)
+        if record is not None:
+            self._lifecycle.approval_over(record.job.approval)
 
     def handle(
         self, happened: event.Event, *, now_s: float
--- a/src/knapweedwharf/core/event.py
+++ b/src/knapweedwharf/core/event.py
@@ -191,3 +191,6 @@
     ProgressSeen,
     Tick,
 ]
+
+Tell = typing.Callable[[str, Event], None]
+"""(service, event) to the engine of the service's pool"""
--- a/src/knapweedwharf/core/hardware.py
+++ b/src/knapweedwharf/core/hardware.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections import abc
+
 from knapweedwharf.core import decision
 from knapweedwharf.core import event
 from knapweedwharf.core import ledger
@@ -11,6 +13,13 @@
 from knapweedwharf.core import state as state_module
 from knapweedwharf.core import topology as topology_module
 
+Stays = abc.Callable[[record_module.JobRecord], bool]
+"""Tells whether an attempt may stay where it runs."""
+
+
+def _nothing_stays(_record: record_module.JobRecord) -> bool:
+    return False
+
 
 class Hardware:
     """Workers that come, go, fail and return; the rules in force."""
@@ -78,16 +87,13 @@
         self.barred(worker_id, topology_module.LEAVING)
         text = f"Worker {worker_id} is about to leave."
         until_s = state.now_s + remaining_s
-        for attempt_id in state.topology.attempts_on(worker_id):
-            record = state.job_of_attempt(attempt_id)
-            if record is None or record.state == record_module.STOPPING:
-                continue
+
+        def stays(record: record_module.JobRecord) -> bool:
             if remaining_s and state.expected_end_s(record) <= until_s:
-                continue
-            if happened.keeps_lasting and record.job.is_lasting:
-                continue
-            reason = state.reason("worker-leaving", text)
-            state.stop(record, "requeue", reason)
+                return True
+            return happened.keeps_lasting and record.job.is_lasting
+
+        self._requeue_on(worker_id, "worker-leaving", text, stays=stays)
 
     def progressed(self, happened: event.ProgressSeen) -> None:
         """Take in how far attempts are; act on those that stand still."""
@@ -299,10 +305,18 @@
         for job_id in state.reservations.on_worker(worker_id):
             state.reservations.drop(job_id)
 
-    def _requeue_on(self, worker_id: str, code: str, text: str) -> None:
+    def _requeue_on(
+        self,
+        worker_id: str,
+        code: str,
+        text: str,
+        *,
+        stays: Stays = _nothing_stays,
+    ) -> None:
         state = self._state
         for attempt_id in state.topology.attempts_on(worker_id):
             record = state.job_of_attempt(attempt_id)
             if record is None or record.state == record_module.STOPPING:
                 continue
-            state.stop(record, "requeue", state.reason(code, text))
+            if not stays(record):
+                state.stop(record, "requeue", state.reason(code, text))
--- a/src/knapweedwharf/core/state.py
+++ b/src/knapweedwharf/core/state.py
@@ -168,7 +168,7 @@
         base = (1 - job.precedence) * _LATENESS
         if not late_factor or not job.objective_s:
             return base
-        ends_s = self.now_s - job.submitted_s + run_s + job.after_s
+        ends_s = self._ends_s(job, run_s)
         objective_s = self._objective_s(job)
         if ends_s <= objective_s:
             return base
@@ -176,6 +176,10 @@
             return base + 1
         return _WORTHLESS
 
+    def _ends_s(self, job: model.JobSpec, run_s: float) -> float:
+        """Return how old a job is at its end, if it starts now."""
+        return self.now_s - job.submitted_s + run_s + job.after_s
+
     def _objective_s(self, job: model.JobSpec) -> float:
         """Return a job's objective by what its work is likely to take."""
         longer_s = self.estimates.longest_s(job) - job.declared_run_s
@@ -209,8 +213,7 @@
         kept = self.headroom.kept(policy.headroom_deviations)
         if self.topology.open_accelerators - job.accelerators >= kept:
             return True
-        run_s = self.estimates.run_s(job)
-        ends_s = self.now_s - job.submitted_s + run_s + job.after_s
+        ends_s = self._ends_s(job, self.estimates.run_s(job))
         return ends_s >= HEADROOM_SHARE * self._objective_s(job)
 
     def reorder(self) -> None:
--- a/src/knapweedwharf/errors.py
+++ b/src/knapweedwharf/errors.py
@@ -23,6 +23,11 @@
     code = "fault"
     http_status = 500
 
+    @property
+    def why(self) -> str:
+        """One word for it in log lines."""
+        return self.code
+
     def __str__(self) -> str:
         return f"{self.message} {self.remedy}"
 
@@ -142,6 +147,11 @@
     code = "order-refused"
     http_status = 409
 
+    @property
+    def why(self) -> str:
+        """The reason that the other side gave."""
+        return self.reason
+
 
 @dataclasses.dataclass(frozen=True)
 class Fenced(Fault):
--- a/src/knapweedwharf/fleet/advice.py
+++ b/src/knapweedwharf/fleet/advice.py
@@ -14,6 +14,7 @@
 from returns import result
 
 from knapweedwharf import backoff
+from knapweedwharf.fleet import background
 from knapweedwharf.fleet import clock
 from knapweedwharf.fleet import measures
 from knapweedwharf.fleet import model
@@ -78,7 +79,7 @@
 """(service, step id, approved executors, denied ones)"""
 
 
-class Advice:
+class Advice(background.Background):
     """Asks the advisor, one call after the other.
 
     :param client: the advisor's.
@@ -103,17 +104,6 @@
         self._steps: dict[str, _Step] = {}
         self._renewals: list[_Renewal] = []
         self._wake = asyncio.Event()
-        self._task: asyncio.Task | None = None
-
-    async def start(self) -> None:
-        """Begin to ask."""
-        self._task = asyncio.create_task(self._run())
-
-    async def close(self) -> None:
-        """Ask no more."""
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
 
     def want(
         self, step_id: str, service: str, terms: model.AdviceTerms
--- a/src/knapweedwharf/fleet/decider.py
+++ b/src/knapweedwharf/fleet/decider.py
@@ -101,9 +101,8 @@
     def restore(self, found: workflow.Workflow) -> None:
         """Hand the engine a job's attempts that may still run."""
         engine = self._engine(found.job.service)
-        for part in found.parts.values():
-            if part.done or not part.places:
-                continue
+        placed = [p for p in found.parts.values() if p.places and not p.done]
+        for part, spec in self._specs(found, placed):
             attempt = self._board.add(
                 f"{part.part_id}/{part.run}",
                 found,
@@ -114,7 +113,7 @@
             self._advise(found, part)
             engine.restore(
                 record_module.JobRecord(
-                    job=self._spec(found, part),
+                    job=spec,
                     state=record_module.RUNNING,
                     attempt_id=attempt.attempt_id,
                     assignments=part.places,
@@ -126,13 +125,15 @@
     def open(self, found: workflow.Workflow) -> None:
         """Submit the parts of a job whose turn has come."""
         held = self._board.held_parts(found.job.job_id)
-        for part in found.open_parts(clock.unix_s()):
-            if part.part_id not in held:
-                submitted = event.JobSubmitted(
-                    self._spec(found, part), part.failures
-                )
-                self.tell(found.job.service, submitted)
-                self._advise(found, part)
+        opened = [
+            part
+            for part in found.open_parts(clock.unix_s())
+            if part.part_id not in held
+        ]
+        for part, spec in self._specs(found, opened):
+            submitted = event.JobSubmitted(spec, part.failures)
+            self.tell(found.job.service, submitted)
+            self._advise(found, part)
 
     def waiting_need(self, service: str) -> amount.Amount:
         """Return what work needs that has waited a while for room."""
@@ -213,8 +214,8 @@
     def drop(self, found: workflow.Workflow) -> None:
         """Forget a job that ended long ago."""
         engine = self._engine(found.job.service)
-        for part in found.parts.values():
-            engine.drop(self._spec(found, part))
+        for part_id in found.parts:
+            engine.drop(part_id)
 
     def _end_job(self, found: workflow.Workflow) -> None:
         self._board.ended(found.job.job_id)
@@ -223,20 +224,28 @@
         for part_id in list(found.parts):
             self.tell(found.job.service, event.JobCancelled(part_id))
 
-    def _spec(
-        self, found: workflow.Workflow, part: workflow.Part
-    ) -> core_model.JobSpec:
-        job = found.job
+    def _specs(
+        self, found: workflow.Workflow, parts: list[workflow.Part]
+    ) -> abc.Iterator[tuple[workflow.Part, core_model.JobSpec]]:
+        """Yield parts as the engine's jobs; a step's stand alike."""
+        standings = {
+            number: self._standing(found.job, number)
+            for number in {part.step for part in parts}
+        }
+        for part in parts:
+            standing = standings[part.step]
+            yield part, workflow.spec_of(found, part, standing=standing)
+
+    def _standing(self, job: workflow.Job, number: int) -> workflow.Standing:
         desired = self._desired.current
         account = desired.accounts.get(job.account) if desired else None
-        standing = policy.standing(
+        return policy.standing(
             job,
-            job.steps[part.step],
+            job.steps[number],
             guaranteed=account.guaranteed_accelerators if account else 0,
             claimed=self._board.claimed_accelerators(job.account),
             bounds=self._bounds,
         )
-        return workflow.spec_of(found, part, standing=standing)
 
     # Decisions
 
--- a/src/knapweedwharf/fleet/ledger.py
+++ b/src/knapweedwharf/fleet/ledger.py
@@ -14,6 +14,7 @@
 
 from knapweedwharf import backoff
 from knapweedwharf import errors
+from knapweedwharf.fleet import background
 from knapweedwharf.fleet import clock
 from knapweedwharf.fleet import measures
 from knapweedwharf.fleet import model
@@ -35,7 +36,7 @@
 Then = abc.Callable[[], None]
 
 
-class Ledger:
+class Ledger(background.Background):
     """Writes the records of jobs that changed.
 
     :param epoch_revision: condition of every write.
@@ -63,17 +64,6 @@
         self._dirty: dict[str, list[Then]] = {}
         self._under_way: frozenset[str] = frozenset()
         self._wake = asyncio.Event()
-        self._task: asyncio.Task | None = None
-
-    async def start(self) -> None:
-        """Begin to write."""
-        self._task = asyncio.create_task(self._run())
-
-    async def close(self) -> None:
-        """Stop writing."""
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
 
     def known(self, job_id: str, revision: int) -> None:
         """Note the revision of a record that was read."""
--- a/src/knapweedwharf/fleet/orders.py
+++ b/src/knapweedwharf/fleet/orders.py
@@ -28,9 +28,6 @@
 MAX_STOP_RETRY_S = 0.6
 """Stops are repeated until answered, several times a lease."""
 
-Tell = abc.Callable[[str, event.Event], None]
-"""(service, event) to the service's engine"""
-
 
 class Orders:
     """Carries attempts out, each member by a task of its own.
@@ -50,7 +47,7 @@
         election: election_module.Election,
         epoch: int,
         sender: metrics.Metrics,
-        tell: Tell,
+        tell: event.Tell,
         advice: advice_module.Advice,
     ) -> None:
         self._board = board
@@ -155,7 +152,7 @@
                 break
         if member.phase != attempt_module.ORDERED:
             return
-        if getattr(fault, "reason", "") != model.NO_TICKET:
+        if fault.why != model.NO_TICKET:
             attempt.blamed = member.executor_id
         if maybe_sent:
             await self._stop(attempt, member)
@@ -175,7 +172,7 @@
             task=member.task_id,
             run=attempt.run,
             executor=member.executor_id,
-            why=getattr(fault, "reason", fault.code),
+            why=fault.why,
         )
         if isinstance(fault, errors.Fenced):
             self._election.lose("fenced-by-executor")
--- a/src/knapweedwharf/fleet/pools.py
+++ b/src/knapweedwharf/fleet/pools.py
@@ -17,16 +17,12 @@
 from knapweedwharf.core import amount
 from knapweedwharf.core import event
 from knapweedwharf import errors
-from knapweedwharf.fleet import board as board_module
+from knapweedwharf.fleet import background
 from knapweedwharf.fleet import clock
-from knapweedwharf.fleet import desired as desired_module
-from knapweedwharf.fleet import election as election_module
+from knapweedwharf.fleet import duty as duty_module
 from knapweedwharf.fleet import measures
 from knapweedwharf.fleet import model
-from knapweedwharf.fleet import outside as outside_module
-from knapweedwharf.fleet import registry as registry_module
 from knapweedwharf import log
-from knapweedwharf import metrics
 
 TICK_S = 0.5
 """Under a third of a move."""
@@ -43,9 +39,6 @@
 Waiting = abc.Callable[[str], amount.Amount]
 """service to what its waiting work needs, cores in thousandths"""
 
-Tell = abc.Callable[[str, event.Event], None]
-"""(service, event) to the service's engine"""
-
 
 def machines_for(need: amount.Amount, machine: model.Machine) -> int:
     """Return how many machines hold what waits."""
@@ -59,58 +52,37 @@
     return math.ceil(max(shares))
 
 
-class Pools:
+class Pools(background.Background):
     """Moves machines while this VM is the owner.
 
     :param waiting: what a service's waiting work needs.
     :param is_spoken_for: machines that others give orders for.
-    :param tell: tells a service's engine.
     """
 
     def __init__(
         self,
+        duty: duty_module.Duty,
         *,
-        bounds: model.Bounds,
-        outside: outside_module.Outside,
-        desired: desired_module.DesiredState,
-        registry: registry_module.Registry,
-        board: board_module.Board,
-        election: election_module.Election,
-        ownership: election_module.Ownership,
-        sender: metrics.Metrics,
         waiting: Waiting,
         is_spoken_for: abc.Callable[[str], bool],
-        tell: Tell,
     ) -> None:
-        self._machines = outside.machines
-        self._desired = desired
-        self._registry = registry
-        self._board = board
-        self._election = election
-        self._ordinal = ownership.ordinal
-        self._sender = sender
+        self._machines = duty.outside.machines
+        self._desired = duty.desired
+        self._registry = duty.registry
+        self._board = duty.board
+        self._election = duty.election
+        self._ordinal = duty.ownership.ordinal
+        self._sender = duty.sender
+        self._tell = duty.tell
+        self._first_order_s = duty.first_order_s
         self._waiting = waiting
         self._is_spoken_for = is_spoken_for
-        self._tell = tell
-        self._log = log.get("pools").bind(epoch=ownership.ordinal)
+        self._log = log.get("pools").bind(epoch=duty.ownership.ordinal)
         self._listed: tuple[model.Machine, ...] = ()
         self._looked_s = float("-inf")
         self._idle_since_s: dict[str, float] = {}
         self._misfits: set[tuple[str, str]] = set()
         self._unsure: dict[str, tuple[model.Machine, str]] = {}
-        # Orders of two holders must not alternate.
-        self._first_order_s = clock.elapsed_s() + bounds.owner_lease_s
-        self._task: asyncio.Task | None = None
-
-    async def start(self) -> None:
-        """Begin to move machines."""
-        self._task = asyncio.create_task(self._run())
-
-    async def close(self) -> None:
-        """Give no more orders."""
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
 
     async def _run(self) -> None:
         while self._election.is_owner:
@@ -263,7 +235,7 @@
             self._sender.count(measures.MOVED)
         else:
             fault = moved.failure()
-            outcome = getattr(fault, "reason", fault.code)
+            outcome = fault.why
             self._not_moved(machine, pool, fault)
         self._log.info(
             "machine-moved",
@@ -284,7 +256,7 @@
         elif isinstance(fault, errors.OutcomeUnknown):
             # It may be carried out yet; the order is repeated.
             self._unsure[machine.machine_id] = (machine, pool)
-        elif getattr(fault, "reason", "") == model.NO_MACHINE:
+        elif fault.why == model.NO_MACHINE:
             self._misfits.add((machine.kind, pool))
 
 
--- a/src/knapweedwharf/fleet/registry.py
+++ b/src/knapweedwharf/fleet/registry.py
@@ -18,9 +18,6 @@
 WATCH_WAIT_S = 1.0
 """Half of the time within which a draining executor gets no start."""
 
-Tell = abc.Callable[[str, event.Event], None]
-"""(service, event) to the service's engine"""
-
 
 class Registry:
     """Follows the executors' entries and keeps a session with each.
@@ -218,7 +215,9 @@
         """Return a service's executors that may get work now."""
         return [e for e in self._announced.values() if e.service == service]
 
-    def announce(self, session: session_module.Session, tell: Tell) -> bool:
+    def announce(
+        self, session: session_module.Session, tell: event.Tell
+    ) -> bool:
         """Let the engine use an executor that answers and is ready.
 
         :returns: whether the engine was told something new.
--- a/src/knapweedwharf/fleet/reports.py
+++ b/src/knapweedwharf/fleet/reports.py
@@ -28,7 +28,7 @@
         board: board_module.Board,
         ledger: ledger_module.Ledger,
         orders: orders_module.Orders,
-        tell: orders_module.Tell,
+        tell: event.Tell,
         pacing: pacing_module.Pacing,
     ) -> None:
         self._board = board
--- a/src/knapweedwharf/fleet/session.py
+++ b/src/knapweedwharf/fleet/session.py
@@ -17,6 +17,7 @@
 
 from knapweedwharf import backoff
 from knapweedwharf import errors
+from knapweedwharf.fleet import background
 from knapweedwharf.fleet import clock
 from knapweedwharf.fleet import model
 from knapweedwharf import log
@@ -85,7 +86,7 @@
 """(job id, what to call once its record is stored)"""
 
 
-class Session:
+class Session(background.Background):
     """Renews one executor's lease until it is gone.
 
     :ivar executor: its newest entry.
@@ -125,7 +126,6 @@
         self._clock_ms = 0
         self._clock_at_s = 0.0
         self._failures = 0
-        self._task: asyncio.Task | None = None
         # A former owner may have extended the lease up to now.
         self._lease_sent_s = clock.elapsed_s()
 
@@ -134,16 +134,6 @@
         """The executor's id."""
         return self.executor.executor_id
 
-    async def start(self) -> None:
-        """Begin to renew."""
-        self._task = asyncio.create_task(self._run())
-
-    async def close(self) -> None:
-        """Stop renewing."""
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
-
     def clock_ms(self, ahead_s: float = 0.0) -> int:
         """Return the executor's clock ``ahead_s`` from now."""
         passed_s = clock.elapsed_s() - self._clock_at_s + ahead_s
--- a/src/knapweedwharf/fleet/tenure.py
+++ b/src/knapweedwharf/fleet/tenure.py
@@ -17,6 +17,7 @@
 from knapweedwharf.fleet import clock
 from knapweedwharf.fleet import decider as decider_module
 from knapweedwharf.fleet import desired as desired_module
+from knapweedwharf.fleet import duty as duty_module
 from knapweedwharf.fleet import election as election_module
 from knapweedwharf.fleet import intake as intake_module
 from knapweedwharf.fleet import ledger as ledger_module
@@ -140,7 +141,7 @@
 
     def _connect_machines(self, desired: desired_module.DesiredState) -> None:
         """Make the parts that give orders for machines."""
-        self._upkeep = upkeep_module.Upkeep(
+        duty = duty_module.Duty(
             bounds=self._site.bounds,
             outside=self._outside,
             desired=desired,
@@ -149,20 +150,14 @@
             election=self._election,
             ownership=self._ownership,
             sender=self._sender,
+            first_order_s=clock.elapsed_s() + self._site.bounds.owner_lease_s,
             tell=self._decider.tell,
         )
+        self._upkeep = upkeep_module.Upkeep(duty)
         self._pools = pools_module.Pools(
-            bounds=self._site.bounds,
-            outside=self._outside,
-            desired=desired,
-            registry=self.registry,
-            board=self.board,
-            election=self._election,
-            ownership=self._ownership,
-            sender=self._sender,
+            duty,
             waiting=self._decider.waiting_need,
             is_spoken_for=self._upkeep.is_ordered,
-            tell=self._decider.tell,
         )
 
     def _hooks(self) -> session_module.Hooks:
--- a/src/knapweedwharf/fleet/upkeep.py
+++ b/src/knapweedwharf/fleet/upkeep.py
@@ -9,7 +9,6 @@
 from __future__ import annotations
 
 import asyncio
-from collections import abc
 import dataclasses
 
 from returns import result
@@ -18,18 +17,14 @@
 from knapweedwharf.core import event
 from knapweedwharf import errors
 from knapweedwharf.fleet import availability
-from knapweedwharf.fleet import board as board_module
+from knapweedwharf.fleet import background
 from knapweedwharf.fleet import clock
-from knapweedwharf.fleet import desired as desired_module
-from knapweedwharf.fleet import election as election_module
+from knapweedwharf.fleet import duty as duty_module
 from knapweedwharf.fleet import measures
 from knapweedwharf.fleet import model
-from knapweedwharf.fleet import outside as outside_module
 from knapweedwharf.fleet import records
-from knapweedwharf.fleet import registry as registry_module
 from knapweedwharf.fleet import session as session_module
 from knapweedwharf import log
-from knapweedwharf import metrics
 
 TICK_S = 0.25
 """A tenth of the shortest maintenance."""
@@ -47,9 +42,6 @@
 _FIRST_RETRY_S = 0.2
 _LONGEST_RETRY_S = 1.0
 
-Tell = abc.Callable[[str, event.Event], None]
-"""(service, event) to the service's engine"""
-
 
 @dataclasses.dataclass(slots=True)
 class _Wave:
@@ -89,53 +81,26 @@
         return self.finished.issuperset(self.wave.machine_ids)
 
 
-class Upkeep:
-    """Carries the operator's waves out while this VM is the owner.
-
-    :param tell: tells a service's engine.
-    """
-
-    def __init__(
-        self,
-        *,
-        bounds: model.Bounds,
-        outside: outside_module.Outside,
-        desired: desired_module.DesiredState,
-        registry: registry_module.Registry,
-        board: board_module.Board,
-        election: election_module.Election,
-        ownership: election_module.Ownership,
-        sender: metrics.Metrics,
-        tell: Tell,
-    ) -> None:
-        self._bounds = bounds
-        self._store = outside.store
-        self._machines = outside.machines
-        self._catalogue = outside.catalogue
-        self._desired = desired
-        self._registry = registry
-        self._board = board
-        self._election = election
-        self._ownership = ownership
-        self._sender = sender
-        self._tell = tell
-        self._log = log.get("upkeep").bind(epoch=ownership.ordinal)
+class Upkeep(background.Background):
+    """Carries the operator's waves out while this VM is the owner."""
+
+    def __init__(self, duty: duty_module.Duty) -> None:
+        self._bounds = duty.bounds
+        self._store = duty.outside.store
+        self._machines = duty.outside.machines
+        self._catalogue = duty.outside.catalogue
+        self._desired = duty.desired
+        self._registry = duty.registry
+        self._board = duty.board
+        self._election = duty.election
+        self._ownership = duty.ownership
+        self._sender = duty.sender
+        self._tell = duty.tell
+        self._first_order_s = duty.first_order_s
+        self._log = log.get("upkeep").bind(epoch=duty.ownership.ordinal)
         self._waves: dict[int, _Wave] = {}
         self._listed: dict[str, model.Machine] = {}
         self._looked_s = float("-inf")
-        # Orders of two holders must not alternate.
-        self._first_order_s = clock.elapsed_s() + bounds.owner_lease_s
-        self._task: asyncio.Task | None = None
-
-    async def start(self) -> None:
-        """Begin to carry waves out."""
-        self._task = asyncio.create_task(self._run())
-
-    async def close(self) -> None:
-        """Give no more orders."""
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
 
     def is_ordered(self, machine_id: str) -> bool:
         """Tell whether a machine's turn in some wave has begun."""
@@ -396,7 +361,7 @@
             wave=known.wave.number,
             machine=machine_id,
             life=known.begun.get(machine_id, ""),
-            outcome="accepted" if fault is None else _why(fault),
+            outcome="accepted" if fault is None else fault.why,
         )
         return fault
 
@@ -413,7 +378,3 @@
 def _life(session: session_module.Session) -> str:
     executor = session.executor
     return f"{executor.executor_id}/{executor.incarnation_ms}"
-
-
-def _why(fault: errors.Fault) -> str:
-    return getattr(fault, "reason", fault.code)
--- a/src/knapweedwharf/fleet/watcher.py
+++ b/src/knapweedwharf/fleet/watcher.py
@@ -9,6 +9,7 @@
 
 from knapweedwharf import backoff
 from knapweedwharf import errors
+from knapweedwharf.fleet import background
 from knapweedwharf.fleet import clock
 from knapweedwharf.fleet import model
 from knapweedwharf import log
@@ -23,7 +24,7 @@
 its clock may run a little faster than ours."""
 
 
-class Watcher:
+class Watcher(background.Background):
     """Tells an owner what lies under a prefix and what changes there.
 
     :param wait_s: how long one watch waits; bounds the age of what is
@@ -50,22 +51,11 @@
         self._on_listing = on_listing
         self._on_changes = on_changes
         self._log = log.get("watcher").bind(prefix=prefix)
-        self._task: asyncio.Task | None = None
         self._revision = 0
         self._lost = False
         self._answered_s: float | None = None
         self.confirmed_s: float | None = None
 
-    async def start(self) -> None:
-        """Begin to follow."""
-        self._task = asyncio.create_task(self._run())
-
-    async def close(self) -> None:
-        """Stop following."""
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
-
     @property
     def age_s(self) -> float:
         """How old the last confirmation is; infinite before the first."""
--- a/standins/fleet_executors.py
+++ b/standins/fleet_executors.py
@@ -289,7 +289,7 @@
             return result.Failure(_UNKNOWN)
         fault = found.start(order)
         if fault is not None:
-            self.refused.append(getattr(fault, "reason", fault.code))
+            self.refused.append(fault.why)
             return result.Failure(fault)
         return result.Success(found.clock_ms())
 
