Apply ends that are heard after their executor was given up

Cause: a new session passed over each end whose run no attempt held any more, and acknowledged it all the same. A run that had ended done was then run again; one that had failed didn't count as an attempt. The newest failed run is now stored for each part, so that an end that is listed again counts once. Ruled out: not acknowledging such ends; the cursor would hold up all later ones.

--- a/src/knapweedwharf/core/engine.py
+++ b/src/knapweedwharf/core/engine.py
@@ -174,6 +174,14 @@
     def _(self, happened: event.JobCancelled) -> None:
         self._lifecycle.cancelled(happened.job_id)
 
+    @_apply.register
+    def _(self, happened: event.LateSuccess) -> None:
+        self._lifecycle.succeeded_late(happened.job_id)
+
+    @_apply.register
+    def _(self, happened: event.LateFailure) -> None:
+        self._lifecycle.failed_late(happened.job_id)
+
     @_apply.register
     def _(self, happened: event.GangStarted) -> None:
         self._lifecycle.gang_started(happened.attempt_id)
--- a/src/knapweedwharf/core/event.py
+++ b/src/knapweedwharf/core/event.py
@@ -75,6 +75,20 @@
     job_id: str
 
 
+@dataclasses.dataclass(frozen=True)
+class LateSuccess:
+    """An earlier attempt, given up as lost, is found to have succeeded."""
+
+    job_id: str
+
+
+@dataclasses.dataclass(frozen=True)
+class LateFailure:
+    """An earlier attempt, given up as lost, is found to have failed."""
+
+    job_id: str
+
+
 @dataclasses.dataclass(frozen=True)
 class GangStarted:
     """Every task of the attempt is confirmed to run."""
@@ -180,6 +194,8 @@
     WorkerGone,
     JobSubmitted,
     JobCancelled,
+    LateSuccess,
+    LateFailure,
     GangStarted,
     GangAdopted,
     GangRefused,
--- a/src/knapweedwharf/core/lifecycle.py
+++ b/src/knapweedwharf/core/lifecycle.py
@@ -128,21 +128,57 @@
 
     def cancelled(self, job_id: str) -> None:
         """Cancel a job in whatever state it is."""
-        state = self._state
-        record = state.records.get(job_id)
-        if record is None or record.state in state.chart.final:
+        record = self._unended(job_id)
+        if record is not None:
+            reason = self._state.reason("cancelled", "The job was cancelled.")
+            self._end(record, "cancel", reason)
+
+    def succeeded_late(self, job_id: str) -> None:
+        """Finish a job of which an attempt that was given up succeeded."""
+        record = self._unended(job_id)
+        if record is not None:
+            text = "An attempt that was taken for lost had succeeded."
+            reason = self._state.reason("succeeded-late", text)
+            self._end(record, "finish", reason)
+
+    def failed_late(self, job_id: str) -> None:
+        """Count the failure of an attempt that was given up as lost."""
+        record = self._unended(job_id)
+        if record is None:
             return
-        reason = state.reason("cancelled", "The job was cancelled.")
+        record.failures += 1
+        text = "An attempt that was taken for lost had failed."
+        reason = self._state.reason("failed-late", text)
+        if self._is_exhausted(record):
+            self._end(record, "fail", reason)
+        else:
+            self._state.record_change(record, reason)
+
+    def _unended(self, job_id: str) -> record_module.JobRecord | None:
+        record = self._state.records.get(job_id)
+        if record is None or record.state in self._state.chart.final:
+            return None
+        return record
+
+    def _end(
+        self,
+        record: record_module.JobRecord,
+        chart_event: str,
+        reason: model.Reason,
+    ) -> None:
+        """End a job in whatever state it is; a running attempt is stopped."""
+        state = self._state
+        job_id = record.job.job_id
         if record.state == record_module.QUEUED:
             state.waiting.discard(job_id)
             state.drop_claim(job_id)
             state.reservations.drop(job_id)
-            state.transition(record, "cancel", reason)
+            state.transition(record, chart_event, reason)
         elif record.state == record_module.STOPPING:
-            record.after_stop = "cancel"
+            record.after_stop = chart_event
             state.record_change(record, reason)
         else:
-            state.stop(record, "cancel", reason)
+            state.stop(record, chart_event, reason)
 
     def moved(self, happened: event.JobMoved) -> None:
         """Stop a job so that it starts elsewhere."""
--- a/src/knapweedwharf/fleet/decider.py
+++ b/src/knapweedwharf/fleet/decider.py
@@ -350,14 +350,16 @@
             if record.has_failed:
                 part.failed_run = part.run
         if decided.state == "finished":
-            self._part_done(flow, part)
+            if not part.done:
+                self.part_done(flow, part)
         elif decided.state == "failed":
             self._part_failed(flow, part)
         elif decided.state == record_module.QUEUED and part.placements:
             part.placements = ()
             self._progress_writer.mark_dirty(flow.job.job_id)
 
-    def _part_done(self, flow: workflow.Workflow, part: workflow.Part) -> None:
+    def part_done(self, flow: workflow.Workflow, part: workflow.Part) -> None:
+        """Mark a part as done; submit the parts that waited for it."""
         flow.mark_part_done(part)
         self._progress_writer.mark_dirty(flow.job.job_id)
         if flow.completed:
--- a/src/knapweedwharf/fleet/records.py
+++ b/src/knapweedwharf/fleet/records.py
@@ -89,7 +89,7 @@
 
     A part is [done, failures, run, checkpoint, placements, Unix time of
     the placement]; a placement is [task index, worker, accelerators].
-    ``failed_runs`` has the parts whose current run is counted as failed.
+    ``failed_runs`` has the newest run of each part that its failures count.
     """
     document: dict[str, typing.Any] = {
         "state": progress.state,
@@ -101,9 +101,9 @@
         },
     }
     failed_runs = {
-        part_id: part.run
+        part_id: part.failed_run
         for part_id, part in progress.parts.items()
-        if part.placements and part.failed_run == part.run
+        if part.failed_run and not part.done
     }
     if with_parts and failed_runs:
         document["failed_runs"] = failed_runs
--- a/src/knapweedwharf/fleet/reports.py
+++ b/src/knapweedwharf/fleet/reports.py
@@ -8,6 +8,7 @@
 from knapweedwharf.core import event
 from knapweedwharf.core import workflow
 from knapweedwharf.fleet import attempt as attempt_module
+from knapweedwharf.fleet import late_ends as late_ends_module
 from knapweedwharf.fleet import model
 from knapweedwharf.fleet import orders as orders_module
 from knapweedwharf.fleet import pacing as pacing_module
@@ -30,12 +31,14 @@
         orders: orders_module.Orders,
         tell: event.EventSink,
         pacing: pacing_module.Pacing,
+        late_ends: late_ends_module.LateEnds,
     ) -> None:
         self._scheduling_state = scheduling_state
         self._progress_writer = progress_writer
         self._orders = orders
         self._tell = tell
         self._pacing = pacing
+        self._late_ends = late_ends
         self._log = log.get("reports")
 
     def apply(
@@ -105,7 +108,7 @@
                 session.executor_id, end.task_id, end.run
             )
             if held is None:
-                # Another member may have reported the gang's end already.
+                self._late_ends.apply(session.executor_id, end)
                 continue
             attempt, member = held
             self._orders.record_end(
--- a/src/knapweedwharf/fleet/scheduling_state.py
+++ b/src/knapweedwharf/fleet/scheduling_state.py
@@ -58,6 +58,14 @@
         part = flow.parts.get(part_id) if flow else None
         return (flow, part) if part is not None else None
 
+    def find_part_of_task(
+        self, task_id: str
+    ) -> tuple[workflow.Workflow, workflow.Part] | None:
+        """Return the part of a task and its job, or None if unknown."""
+        flow = self.workflows.get(workflow.job_id_of(task_id))
+        part_id = workflow.part_id_of(flow.job, task_id) if flow else None
+        return self.find_part(part_id) if part_id else None
+
     def mark_ended(self, job_id: str) -> None:
         """Record that a job has ended now."""
         self.ended_s.setdefault(job_id, clock.elapsed_s())
--- a/src/knapweedwharf/fleet/tenure.py
+++ b/src/knapweedwharf/fleet/tenure.py
@@ -19,6 +19,7 @@
 from knapweedwharf.fleet import desired as desired_module
 from knapweedwharf.fleet import election as election_module
 from knapweedwharf.fleet import intake as intake_module
+from knapweedwharf.fleet import late_ends as late_ends_module
 from knapweedwharf.fleet import machine_order_context as context_module
 from knapweedwharf.fleet import maintenance as maintenance_module
 from knapweedwharf.fleet import metric_definitions
@@ -139,6 +140,11 @@
                 scheduling_state=self.scheduling_state,
                 set_speed=self._orders.pace,
             ),
+            late_ends=late_ends_module.LateEnds(
+                scheduling_state=self.scheduling_state,
+                decider=self._decider,
+                progress_writer=self._progress_writer,
+            ),
         )
         self._intake = intake_module.Intake(
             store=self._clients.store,
