Compress the records of wide jobs

Cause: the owner writes the whole record of a job whenever one of its parts changes, and reads it again in its watch. With jobs of 161 tasks that took 75 to 135 KB/s of the 250 KB/s of its link, plus base64. Change: a record of 512 bytes or more is compressed, and a part that is done keeps nothing else. Compressing 12 KB takes 0.04 ms, its JSON 0.13. Weighed: a record for each part; it multiplies the entries of a transaction, of which the store allows 32.

--- a/src/knapweedwharf/fleet/records.py
+++ b/src/knapweedwharf/fleet/records.py
@@ -5,6 +5,7 @@
 import dataclasses
 import json
 import typing
+import zlib
 
 from knapweedwharf.core import model as core_model
 from knapweedwharf.core import workflow
@@ -19,6 +20,12 @@
 PROGRESS = "progress"
 CANCEL = "cancel"
 
+COMPRESSED_FROM_BYTES = 512
+"""Smaller records gain little."""
+
+_FASTEST = 1
+_JSON_START = b"{"
+
 _DEFAULTS = workflow.Step._field_defaults
 
 
@@ -44,6 +51,22 @@
     return json.dumps(document, separators=(",", ":")).encode()
 
 
+def _compress(value: bytes) -> bytes:
+    if len(value) < COMPRESSED_FROM_BYTES:
+        return value
+    return zlib.compress(value, _FASTEST)
+
+
+def _load_compressed(value: bytes) -> typing.Any:
+    """Decode a document that may be compressed; ValueError if malformed."""
+    if not value.startswith(_JSON_START):
+        try:
+            value = zlib.decompress(value)
+        except zlib.error as error:
+            raise ValueError(f"compressed record: {error}") from error
+    return json.loads(value)
+
+
 def dump_job(job: workflow.Job) -> bytes:
     """Encode a submitted job; step fields at their default are left out."""
     document = {
@@ -88,7 +111,9 @@
     :param with_parts: include its parts, as long as any may run.
 
     A part is [done, failures, run, checkpoint, placements, Unix time of
-    the placement]; a placement is [task index, worker, accelerators].
+    the placement], or [done] once it is done; a placement is [task index,
+    worker, accelerators]. The record is written at every change of any
+    part, so a large one is compressed.
     ``failed_runs`` has the newest run of each part that its failures count.
     """
     document: dict[str, typing.Any] = {
@@ -107,16 +132,18 @@
     }
     if with_parts and failed_runs:
         document["failed_runs"] = failed_runs
-    return _dump(document)
+    return _compress(_dump(document))
 
 
 def _dump_part(part: workflow.Part) -> list:
+    if part.done:
+        return [1]
     places = [
         [place.task_index, place.worker_id, list(place.accelerators)]
         for place in part.placements
     ]
     return [
-        int(part.done),
+        0,
         part.failures,
         part.run,
         part.checkpoint,
@@ -127,12 +154,12 @@
 
 def load_state(value: bytes) -> str:
     """Return the job state in an encoded progress record."""
-    return json.loads(value)["state"]
+    return _load_compressed(value)["state"]
 
 
 def load_progress(job: workflow.Job, value: bytes) -> workflow.Workflow:
     """Decode a job's progress."""
-    document = json.loads(value)
+    document = _load_compressed(value)
     progress = workflow.Workflow(job)
     progress.has_started = document["begun"]
     progress.completed = document["state"] == workflow.COMPLETED
@@ -150,7 +177,9 @@
     fields = part_id.split(".")
     occurrence, number = int(fields[1]), int(fields[2])
     step = job.steps[number]
-    done, failures, run, checkpoint, places, placed_s = row
+    done, failures, run, checkpoint, places, placed_s = (
+        row if len(row) > 1 else (row[0], 0, 0, "", (), 0.0)
+    )
     probe = workflow.Part(
         part_id,
         occurrence,
