Bound the starts in flight by the owner's link

Cause: a step of 161 tasks was started at once, each start with the specification of the job, up to 5 KB. On a link of 250 KB/s they held up one another and all renewals for longer than the time-outs, were repeated and then stopped. A start that still waits isn't sent once its attempt is to stop or its executor drains. On the stand-in with a link of 250 KB/s the tests failed before: starts were stopped and repeated, urgent ones took 6.7 s.

--- a/src/knapweedwharf/fleet/orders.py
+++ b/src/knapweedwharf/fleet/orders.py
@@ -18,6 +18,7 @@
 from knapweedwharf.fleet import progress_writer as progress_writer_module
 from knapweedwharf.fleet import scheduling_state as scheduling_state_module
 from knapweedwharf.fleet import session as session_module
+from knapweedwharf.fleet import start_window as start_window_module
 from knapweedwharf import log
 from knapweedwharf import metrics
 
@@ -36,6 +37,7 @@
     :param election: knows whether orders may still be sent.
     :param tell: passes an event to a service's engine.
     :param advice: provides the tickets of steps that need them.
+    :param window: bounds the starts in flight.
     """
 
     def __init__(
@@ -49,6 +51,7 @@
         sender: metrics.Metrics,
         tell: event.EventSink,
         advice: advice_module.Advice,
+        window: start_window_module.StartWindow,
     ) -> None:
         self._scheduling_state = scheduling_state
         self._progress_writer = progress_writer
@@ -58,6 +61,7 @@
         self._sender = sender
         self._tell = tell
         self._advice = advice
+        self._window = window
         self._log = log.get("orders").bind(epoch=epoch)
         self._tasks: set[asyncio.Task] = set()
 
@@ -132,15 +136,14 @@
             ticket=ticket,
         )
         maybe_sent = False
+        fault: errors.Fault | None = None
         for _try in range(START_TRIES):
-            may_order = await self._election.may_order()
-            if not may_order or member.phase != attempt_module.ORDERED:
-                return
-            sent_s = clock.elapsed_s()
-            answer = await session.start_run(order)
+            answer = await self._send_start(
+                attempt, member, session, order, is_repeated=maybe_sent
+            )
+            if answer is None:
+                break
             if isinstance(answer, result.Success):
-                took_ms = (clock.elapsed_s() - sent_s) * 1000
-                self._sender.timing(metric_definitions.START_MS, took_ms)
                 self.record_start(attempt, member)
                 return
             fault = answer.failure()
@@ -151,9 +154,10 @@
             repeatable = (errors.OutcomeUnknown, errors.Unreachable)
             if not isinstance(fault, repeatable):
                 break
-        if member.phase != attempt_module.ORDERED:
+        is_lost = self._election.ownership is None
+        if is_lost or member.phase != attempt_module.ORDERED:
             return
-        if fault.why != model.NO_TICKET:
+        if fault is not None and fault.why != model.NO_TICKET:
             attempt.refused_by = member.executor_id
         if maybe_sent:
             await self._stop(attempt, member)
@@ -161,6 +165,35 @@
             self.record_end(attempt, member, model.REFUSED)
             self.advance(attempt)
 
+    async def _send_start(
+        self,
+        attempt: attempt_module.Attempt,
+        member: attempt_module.Member,
+        session: session_module.Session,
+        order: model.StartOrder,
+        *,
+        is_repeated: bool,
+    ) -> result.Result[int, errors.Fault] | None:
+        """Send a start when it is its turn; None if it is not to be sent.
+
+        :param is_repeated: it may have been sent before, so that a stop
+            has to follow if it is not confirmed.
+        """
+        size = len(order.specification)
+        async with self._window.slot(attempt.job.priority, size):
+            may_order = await self._election.may_order()
+            if not may_order or member.phase != attempt_module.ORDERED:
+                return None
+            is_leaving = session.executor.state == model.DRAINING
+            if (attempt.must_stop or is_leaving) and not is_repeated:
+                return None
+            sent_s = clock.elapsed_s()
+            answer = await session.start_run(order)
+        if isinstance(answer, result.Success):
+            took_ms = (clock.elapsed_s() - sent_s) * 1000
+            self._sender.timing(metric_definitions.START_MS, took_ms)
+        return answer
+
     def _handle_start_failure(
         self,
         attempt: attempt_module.Attempt,
--- a/src/knapweedwharf/fleet/tenure.py
+++ b/src/knapweedwharf/fleet/tenure.py
@@ -33,6 +33,7 @@
 from knapweedwharf.fleet import reports as reports_module
 from knapweedwharf.fleet import scheduling_state as scheduling_state_module
 from knapweedwharf.fleet import session as session_module
+from knapweedwharf.fleet import start_window as start_window_module
 from knapweedwharf.fleet import take_over as take_over_module
 from knapweedwharf.fleet import waiting_report as waiting_report_module
 from knapweedwharf import log
@@ -126,6 +127,9 @@
             sender=self._sender,
             tell=self._decider.tell,
             advice=self._advice,
+            window=start_window_module.StartWindow(
+                self._process_config.capacity.link_bps
+            ),
         )
         self._connect_inputs(desired)
 
--- a/testing/fleet/scene.py
+++ b/testing/fleet/scene.py
@@ -8,6 +8,7 @@
 import json
 
 from knapweedwharf.core import workflow
+from knapweedwharf.fleet import capacity
 from knapweedwharf.fleet import clients as clients_module
 from knapweedwharf.fleet import clock
 from knapweedwharf.fleet import job_api as job_api_module
@@ -17,6 +18,7 @@
 from standins import fleet_executors
 from standins import fleet_machines
 from standins import fleet_store
+from standins import limited_link
 from standins import virtual_time
 
 CONFIG_KEY = "operator/config"
@@ -129,14 +131,30 @@
 
     def __init__(self, name: str, scene: Scene) -> None:
         self.store = fleet_store.FakeStore(scene.store)
+        executors = scene.pool
+        link_capacity = capacity.Capacity()
+        if scene.link_bytes_per_s:
+            link = limited_link.Link(scene.link_bytes_per_s)
+            self.store = limited_link.LimitedStore(scene.store, link)
+            executors = limited_link.LimitedExecutors(scene.pool, link)
+            link_capacity = capacity.Capacity(
+                link_bps=8 * scene.link_bytes_per_s
+            )
         process_config = model.ProcessConfig(
-            name, "dc", "", "", "", "", bounds=BOUNDS
+            name,
+            "dc",
+            "",
+            "",
+            "",
+            "",
+            bounds=BOUNDS,
+            capacity=link_capacity,
         )
         self.node = node_module.Node(
             process_config,
             clients=clients_module.PlatformClients(
                 store=self.store,
-                executors=scene.pool,
+                executors=executors,
                 advisor=scene.pool.advisor,
                 machines=scene.machines,
                 store_schema=STORE_SCHEMA,
@@ -156,7 +174,11 @@
 
 
 class Scene:
-    """The store, the executors and some VMs."""
+    """The store, the executors and some VMs.
+
+    :ivar link_bytes_per_s: bandwidth of each VM's link, for all of its
+        calls together and each way; 0 if it isn't limited.
+    """
 
     def __init__(self) -> None:
         self.store = fleet_store.StoreState()
@@ -166,6 +188,7 @@
             on_machine_down=self._end_executor,
         )
         self._incarnations = 1
+        self.link_bytes_per_s = 0.0
         self.vms: list[Vm] = []
         self._next_id = 0
 
