Let time-outs to executors follow their answer times

Cause: renewals failed after 0.7 s, probes after 0.3 s, whatever the owner's own link did. When it delayed all answers by more, each executor in turn was taken for silent and its runs for lapsed. Change: the median of the executors' latest answer times, three times over, within a second. A rack or data centre that is cut off doesn't move it. The least values stay; they moved from the adapter to the session. Ruled out: up to 2 s; the return of a cut executor is then seen too late (test_runs_survive_a_partition_shorter_than_their_lease). A test with answers 0.8 s late from all executors loses work without it.

--- a/src/knapweedwharf/fleet/registry.py
+++ b/src/knapweedwharf/fleet/registry.py
@@ -8,6 +8,7 @@
 
 from knapweedwharf.core import event
 from knapweedwharf.core import model as core_model
+from knapweedwharf.fleet import answer_times as answer_times_module
 from knapweedwharf.fleet import clients as clients_module
 from knapweedwharf.fleet import clock
 from knapweedwharf.fleet import model
@@ -24,6 +25,7 @@
 
     :param hooks: callbacks for the sessions' events.
     :ivar sessions: by executor id.
+    :ivar answer_times: how long the executors take to answer.
     """
 
     def __init__(
@@ -48,6 +50,7 @@
         self._by_machine: dict[str, str] = {}
         self._tasks: set[asyncio.Task] = set()
         self.sessions: dict[str, session_module.Session] = {}
+        self.answer_times = answer_times_module.AnswerTimes()
         self._watcher = watcher_module.Watcher(
             clients.store,
             clients.store_schema.executor_prefix,
@@ -139,6 +142,7 @@
             epoch=self._epoch,
             bounds=self._process_config.bounds,
             hooks=self._hooks,
+            answer_times=self.answer_times,
         )
         self.sessions[executor.executor_id] = session
         self._retired.discard(executor.executor_id)
@@ -196,6 +200,7 @@
         self._announced.pop(session.executor_id, None)
         self.sessions.pop(session.executor_id, None)
         self._spawn(session.close())
+        self.answer_times.forget(session.executor_id)
         self._on_gone(session)
 
     def _session_gone(self, session: session_module.Session) -> None:
@@ -204,6 +209,7 @@
             return
         del self.sessions[session.executor_id]
         self._announced.pop(session.executor_id, None)
+        self.answer_times.forget(session.executor_id)
         self._on_gone(session)
         if session.listed:
             retired = session.executor_id in self._retired
--- a/src/knapweedwharf/fleet/session.py
+++ b/src/knapweedwharf/fleet/session.py
@@ -18,6 +18,7 @@
 
 from knapweedwharf import backoff
 from knapweedwharf import errors
+from knapweedwharf.fleet import answer_times as answer_times_module
 from knapweedwharf.fleet import background
 from knapweedwharf.fleet import clock
 from knapweedwharf.fleet import model
@@ -38,8 +39,15 @@
 SILENT_AFTER_FAILURES = 2
 """A single lost answer does not make an executor silent."""
 
+RENEWAL_TIMEOUT_S = 0.7
+"""Time beyond the requested wait after which a renewal has failed, while
+executors answer as usual."""
+
+ORDER_TIMEOUT_S = 0.7
+"""The same for an order: a hundred times the usual answer time."""
+
 PROBE_TIMEOUT_S = 0.3
-"""Timeout of calls to a silent executor; short, so that its return is seen
+"""The same for calls to a silent executor; short, so that its return is seen
 before its lease ends."""
 
 _FIRST_RETRY_S = 0.03
@@ -110,6 +118,7 @@
         epoch: int,
         bounds: model.TimeLimits,
         hooks: Hooks,
+        answer_times: answer_times_module.AnswerTimes,
     ) -> None:
         self.executor = executor
         self.acknowledged_end = 0
@@ -123,6 +132,7 @@
         self._epoch = epoch
         self._bounds = bounds
         self._hooks = hooks
+        self._answer_times = answer_times
         self._log = log.get("session").bind(executor=executor.executor_id)
         self._pending_acknowledgements: collections.deque[
             _PendingAcknowledgement
@@ -190,14 +200,25 @@
         bounded = dataclasses.replace(
             order, not_after_ms=self.clock_ms(self._bounds.max_lease_s)
         )
-        return await self._client.start(self.executor, bounded)
+        sent_s = self._lease_sent_s
+        answer = await self._client.start(
+            self.executor,
+            bounded,
+            timeout_s=self._answer_times.timeout_s(ORDER_TIMEOUT_S),
+        )
+        self._answer_times.add(self.executor_id, clock.elapsed_s() - sent_s)
+        return answer
 
     async def stop_run(
         self, task_id: str, run: int
     ) -> result.Result[int, errors.Fault]:
         """Order a stop."""
         return await self._client.stop(
-            self.executor, task_id=task_id, run=run, epoch=self._epoch
+            self.executor,
+            task_id=task_id,
+            run=run,
+            epoch=self._epoch,
+            timeout_s=self._answer_times.timeout_s(ORDER_TIMEOUT_S),
         )
 
     async def pace_run(
@@ -210,6 +231,7 @@
             run=run,
             percent=percent,
             epoch=self._epoch,
+            timeout_s=self._answer_times.timeout_s(ORDER_TIMEOUT_S),
         )
 
     async def _run(self) -> None:
@@ -263,8 +285,13 @@
             lease_until_ms=until_ms,
             acknowledged_end=self.acknowledged_end,
             wait_s=wait_s,
-            timeout_s=PROBE_TIMEOUT_S if self._failures else 0.0,
+            timeout_s=self._answer_times.timeout_s(
+                PROBE_TIMEOUT_S if self._failures else RENEWAL_TIMEOUT_S
+            ),
         )
+        late_s = clock.elapsed_s() - sent_s - wait_s
+        if late_s >= 0.0:
+            self._answer_times.add(self.executor_id, late_s)
         if isinstance(answer, result.Failure):
             return answer.failure()
         report = answer.unwrap()
--- a/src/knapweedwharf/platform/executors.py
+++ b/src/knapweedwharf/platform/executors.py
@@ -14,20 +14,15 @@
 """Holds 500 ended and 500 current runs, each under 200 bytes, several times
 over."""
 
-_RENEWAL_MARGIN_S = 0.7
-"""Time beyond the requested wait after which a renewal has timed out; also
-the longest silence within its report. After a take-over, the reports of all
+REPORT_SILENCE_S = 0.7
+"""Longest silence within a report. After a take-over, the reports of all
 executors share the owner's link."""
 
 
 class Executors:
-    """Sends orders to executors over persistent HTTP connections.
+    """Sends orders to executors over persistent HTTP connections."""
 
-    :param timeout_s: timeout of one order.
-    """
-
-    def __init__(self, *, timeout_s: float) -> None:
-        self._timeout_s = timeout_s
+    def __init__(self) -> None:
         self._transport = transport_module.HttpTransport(
             max_body_bytes=MAX_ANSWER_BYTES, reuse=True
         )
@@ -44,7 +39,7 @@
         lease_until_ms: int,
         acknowledged_end: int,
         wait_s: float,
-        timeout_s: float = 0.0,
+        timeout_s: float,
     ) -> result.Result[model.Report, errors.Fault]:
         """Extend the lease of all runs and read current and ended runs.
 
@@ -54,7 +49,7 @@
         :param wait_s: how long the executor may wait for the next end; 0
             makes it answer at once.
         :param timeout_s: time in addition to ``wait_s`` until the report
-            begins; 0 selects the default.
+            begins.
         """
         document = {"fencing_token": epoch, "ack_cursor": acknowledged_end}
         if lease_until_ms:
@@ -65,13 +60,17 @@
             executor,
             "/hold",
             document,
-            wait_s + (timeout_s or _RENEWAL_MARGIN_S),
-            silence_s=_RENEWAL_MARGIN_S,
+            wait_s + timeout_s,
+            silence_s=max(timeout_s, REPORT_SILENCE_S),
         )
         return answer.bind(_decode_report)
 
     async def start(
-        self, executor: model.Executor, order: model.StartOrder
+        self,
+        executor: model.Executor,
+        order: model.StartOrder,
+        *,
+        timeout_s: float,
     ) -> result.Result[int, errors.Fault]:
         """Start a run; return the executor's clock in milliseconds."""
         document = {
@@ -85,7 +84,7 @@
             document["checkpoint"] = order.checkpoint
         if order.ticket:
             document["ticket"] = order.ticket
-        answer = await self._call(executor, "/run-start", document)
+        answer = await self._call(executor, "/run-start", document, timeout_s)
         return answer.map(_clock_ms)
 
     async def stop(
@@ -95,10 +94,11 @@
         task_id: str,
         run: int,
         epoch: int,
+        timeout_s: float,
     ) -> result.Result[int, errors.Fault]:
         """Stop a run, or prevent a later start of it."""
         document = {"task": task_id, "run": run, "fencing_token": epoch}
-        answer = await self._call(executor, "/run-stop", document)
+        answer = await self._call(executor, "/run-stop", document, timeout_s)
         return answer.map(_clock_ms)
 
     async def pace(
@@ -109,6 +109,7 @@
         run: int,
         percent: int,
         epoch: int,
+        timeout_s: float,
     ) -> result.Result[int, errors.Fault]:
         """Throttle a run to a percentage of its full speed, 0 to 100."""
         document = {
@@ -117,7 +118,7 @@
             "percentage": percent,
             "fencing_token": epoch,
         }
-        answer = await self._call(executor, "/pace", document)
+        answer = await self._call(executor, "/pace", document, timeout_s)
         return answer.map(_clock_ms)
 
     async def _call(
@@ -125,7 +126,7 @@
         executor: model.Executor,
         path: str,
         document: object,
-        timeout_s: float = 0.0,
+        timeout_s: float,
         silence_s: float | None = None,
     ) -> call.Answer:
         return await call.exchange(
@@ -134,7 +135,7 @@
             url=f"http://{executor.address}{path}",
             document=document,
             headers={"X-Expected-Instance": executor.executor_id},
-            timeout_s=timeout_s or self._timeout_s,
+            timeout_s=timeout_s,
             silence_s=silence_s,
         )
 
--- a/src/knapweedwharf/platform/program.py
+++ b/src/knapweedwharf/platform/program.py
@@ -26,9 +26,6 @@
 STORE_TIMEOUT_S = 1.0
 """A hundred times the usual response time; still enough for a slow store."""
 
-ORDER_TIMEOUT_S = 0.7
-"""A hundred times an executor's usual response time."""
-
 MACHINES_TIMEOUT_S = 1.0
 """The same as for the store, because this service may be slow too."""
 
@@ -79,7 +76,7 @@
         self._store = store_module.Store(
             process_config.store_address, timeout_s=STORE_TIMEOUT_S
         )
-        self._executors = executors_module.Executors(timeout_s=ORDER_TIMEOUT_S)
+        self._executors = executors_module.Executors()
         self._advisor = advisor_module.Advisor(process_config.advisor_address)
         self._machines = machines_module.Machines(
             process_config.machines_address,
--- a/standins/fleet_executors.py
+++ b/standins/fleet_executors.py
@@ -241,14 +241,14 @@
         lease_until_ms: int,
         acknowledged_end: int,
         wait_s: float,
-        timeout_s: float = 0.0,
+        timeout_s: float = CALL_TIMEOUT_S,
     ):
         """Answer a renewal."""
         self.renewals += 1
         found = self.executors.get(executor.executor_id)
         await asyncio.sleep(ANSWER_S)
         if found is None or found.silent:
-            await asyncio.sleep(wait_s + (timeout_s or CALL_TIMEOUT_S))
+            await asyncio.sleep(wait_s + timeout_s)
             return result.Failure(_UNKNOWN)
         if epoch < found.epoch:
             return result.Failure(_FENCED)
@@ -264,7 +264,7 @@
             except TimeoutError:
                 await found.advance()
         if found.silent:
-            await asyncio.sleep(CALL_TIMEOUT_S)
+            await asyncio.sleep(timeout_s)
             return result.Failure(_UNKNOWN)
         return result.Success(self._report(found))
 
@@ -287,18 +287,24 @@
             tuple(found.ends),
         )
 
-    async def start(self, executor: model.Executor, order: model.StartOrder):
+    async def start(
+        self,
+        executor: model.Executor,
+        order: model.StartOrder,
+        *,
+        timeout_s: float = CALL_TIMEOUT_S,
+    ):
         """Answer a start."""
         found = self.executors.get(executor.executor_id)
         await asyncio.sleep(ANSWER_S)
         if found is None or found.silent:
-            await asyncio.sleep(CALL_TIMEOUT_S)
+            await asyncio.sleep(timeout_s)
             return result.Failure(_UNKNOWN)
         if found.lose_starts:
             found.lose_starts -= 1
             task = asyncio.create_task(self._start_late(found, order))
             self._tasks.add(task)
-            await asyncio.sleep(CALL_TIMEOUT_S)
+            await asyncio.sleep(timeout_s)
             return result.Failure(_UNKNOWN)
         fault = found.start(order)
         if fault is not None:
@@ -311,13 +317,19 @@
         found.start(order)
 
     async def stop(
-        self, executor: model.Executor, *, task_id: str, run: int, epoch: int
+        self,
+        executor: model.Executor,
+        *,
+        task_id: str,
+        run: int,
+        epoch: int,
+        timeout_s: float = CALL_TIMEOUT_S,
     ):
         """Answer a stop."""
         found = self.executors.get(executor.executor_id)
         await asyncio.sleep(ANSWER_S)
         if found is None or found.silent:
-            await asyncio.sleep(CALL_TIMEOUT_S)
+            await asyncio.sleep(timeout_s)
             return result.Failure(_UNKNOWN)
         if epoch < found.epoch:
             return result.Failure(_FENCED)
@@ -334,12 +346,13 @@
         run: int,
         percent: int,
         epoch: int,
+        timeout_s: float = CALL_TIMEOUT_S,
     ):
         """Answer an order that sets a run's speed."""
         found = self.executors.get(executor.executor_id)
         await asyncio.sleep(ANSWER_S)
         if found is None or found.silent:
-            await asyncio.sleep(CALL_TIMEOUT_S)
+            await asyncio.sleep(timeout_s)
             return result.Failure(_UNKNOWN)
         if epoch < found.epoch:
             return result.Failure(_FENCED)
--- a/standins/limited_link.py
+++ b/standins/limited_link.py
@@ -75,6 +75,10 @@
         return answer
 
 
+def _nothing(_answer: typing.Any) -> int:
+    return 0
+
+
 def _report_bytes(answer: result.Result) -> int:
     report = answer.value_or(None)
     if report is None:
@@ -82,47 +86,58 @@
     return RUN_BYTES * (len(report.runs) + len(report.ends))
 
 
-def _nothing(_answer: typing.Any) -> int:
-    return 0
-
-
 class LimitedExecutors:
-    """The executors' client over a limited link."""
+    """The executors' client over a limited link.
+
+    :ivar answer_delay_s: additional time that every answer takes.
+    """
 
     def __init__(
         self, pool: fleet_executors.FakeExecutorPool, link: Link
     ) -> None:
         self._pool = pool
         self._link = link
+        self.answer_delay_s = 0.0
+
+    async def _call(
+        self,
+        work: abc.Callable[[], abc.Awaitable],
+        *,
+        timeout_s: float,
+        sent: int = 0,
+        received: abc.Callable[[typing.Any], int] = _nothing,
+    ) -> typing.Any:
+        async def delayed() -> typing.Any:
+            answer = await work()
+            await asyncio.sleep(self.answer_delay_s)
+            return answer
 
-    async def renew(self, executor, *, wait_s, timeout_s=0.0, **fields):
-        """Renew over the link."""
-        limit_s = timeout_s or fleet_executors.CALL_TIMEOUT_S
         return await self._link.call(
+            delayed, sent=sent, received=received, timeout_s=timeout_s
+        )
+
+    async def renew(self, executor, *, wait_s, timeout_s, **fields):
+        """Renew over the link."""
+        return await self._call(
             lambda: self._pool.renew(
                 executor, wait_s=wait_s, timeout_s=timeout_s, **fields
             ),
-            sent=0,
             received=_report_bytes,
-            timeout_s=wait_s + limit_s,
+            timeout_s=wait_s + timeout_s,
         )
 
-    async def start(self, executor, order, *, timeout_s=0.0):
+    async def start(self, executor, order, *, timeout_s):
         """Start over the link; the order carries its specification."""
-        return await self._link.call(
+        return await self._call(
             lambda: self._pool.start(executor, order),
             sent=len(order.specification),
-            received=_nothing,
-            timeout_s=timeout_s or fleet_executors.CALL_TIMEOUT_S,
+            timeout_s=timeout_s,
         )
 
-    async def stop(self, executor, *, timeout_s=0.0, **fields):
+    async def stop(self, executor, *, timeout_s, **fields):
         """Stop over the link."""
-        return await self._link.call(
-            lambda: self._pool.stop(executor, **fields),
-            sent=0,
-            received=_nothing,
-            timeout_s=timeout_s or fleet_executors.CALL_TIMEOUT_S,
+        return await self._call(
+            lambda: self._pool.stop(executor, **fields), timeout_s=timeout_s
         )
 
     def close(self) -> None:
--- a/testing/fleet/scene.py
+++ b/testing/fleet/scene.py
@@ -134,9 +134,10 @@
         executors = scene.pool
         link_capacity = capacity.Capacity()
         if scene.link_bytes_per_s:
-            link = limited_link.Link(scene.link_bytes_per_s)
-            self.store = limited_link.LimitedStore(scene.store, link)
-            executors = limited_link.LimitedExecutors(scene.pool, link)
+            self.link = limited_link.Link(scene.link_bytes_per_s)
+            self.store = limited_link.LimitedStore(scene.store, self.link)
+            executors = limited_link.LimitedExecutors(scene.pool, self.link)
+            self.executors = executors
             link_capacity = capacity.Capacity(
                 link_bps=8 * scene.link_bytes_per_s
             )
--- a/testing/fleet/test_slow_link.py
+++ b/testing/fleet/test_slow_link.py
@@ -130,3 +130,23 @@
         assert not late
 
     scene_module.run_on_virtual_time(main, monkeypatch)
+
+
+@pytest.mark.parametrize("delay_s", [0.6, 0.8])
+def test_answers_that_are_late_from_all_executors_lose_no_work(
+    monkeypatch, delay_s
+):
+    async def main(scene):
+        await _open(scene)
+        vm = scene.vms[0]
+        job_id, _outcome = await scene.submit(
+            vm, scene_module.step(tasks=EXECUTORS), behaviour={"run_s": 16.0}
+        )
+        await scene.until(lambda: len(scene.pool.starts) == EXECUTORS)
+        vm.executors.answer_delay_s = delay_s
+        await asyncio.sleep(14.0)
+        vm.executors.answer_delay_s = 0.0
+        await scene.until_state(job_id, workflow.COMPLETED)
+        _check_each_task_ran_once(scene, job_id, tasks=EXECUTORS)
+
+    scene_module.run_on_virtual_time(main, monkeypatch)
--- a/testing/platform/test_adapter.py
+++ b/testing/platform/test_adapter.py
@@ -167,11 +167,11 @@
 
 def test_orders_of_an_older_epoch_are_fenced():
     async def main(platform):
-        client = executors.Executors(timeout_s=2.0)
+        client = executors.Executors()
         spec = _executor(platform)
-        started = await client.start(spec, _order(epoch=3))
+        started = await client.start(spec, _order(epoch=3), timeout_s=2.0)
         assert isinstance(started, result.Success)
-        late = await client.start(spec, _order(epoch=2))
+        late = await client.start(spec, _order(epoch=2), timeout_s=2.0)
         assert isinstance(late.failure(), errors.Fenced)
         client.close()
 
@@ -180,14 +180,20 @@
 
 def test_a_renewal_brings_runs_and_ends():
     async def main(platform):
-        client = executors.Executors(timeout_s=2.0)
+        client = executors.Executors()
         spec = _executor(platform)
-        await client.start(spec, _order())
+        await client.start(spec, _order(), timeout_s=2.0)
         fields = {"epoch": 3, "lease_until_ms": 10**9, "acknowledged_end": 0}
-        seen = (await client.renew(spec, wait_s=0.0, **fields)).unwrap()
+        seen = (
+            await client.renew(spec, wait_s=0.0, timeout_s=2.0, **fields)
+        ).unwrap()
         assert [run.task_id for run in seen.runs] == ["j.0.0.0"]
-        await client.stop(spec, task_id="j.0.0.0", run=1, epoch=3)
-        seen = (await client.renew(spec, wait_s=0.0, **fields)).unwrap()
+        await client.stop(
+            spec, task_id="j.0.0.0", run=1, epoch=3, timeout_s=2.0
+        )
+        seen = (
+            await client.renew(spec, wait_s=0.0, timeout_s=2.0, **fields)
+        ).unwrap()
         assert [(e.task_id, e.outcome) for e in seen.ends] == [
             ("j.0.0.0", model.STOPPED)
         ]
@@ -198,10 +204,10 @@
 
 def test_another_incarnation_is_told_apart():
     async def main(platform):
-        client = executors.Executors(timeout_s=2.0)
+        client = executors.Executors()
         spec = _executor(platform)
         platform.pool.executors.clear()
-        answer = await client.start(spec, _order())
+        answer = await client.start(spec, _order(), timeout_s=2.0)
         assert isinstance(answer.failure(), call.IncarnationMismatch)
         client.close()
 
@@ -210,18 +216,25 @@
 
 def test_a_speed_is_set_and_a_tail_is_read():
     async def main(platform):
-        client = executors.Executors(timeout_s=2.0)
+        client = executors.Executors()
         spec = _executor(platform)
         order = model.StartOrder("j.0.0.0", 1, '{"serves": 1}', 10**9, 3)
-        await client.start(spec, order)
+        await client.start(spec, order, timeout_s=2.0)
         paced = await client.pace(
-            spec, task_id="j.0.0.0", run=1, percent=40, epoch=3
+            spec,
+            task_id="j.0.0.0",
+            run=1,
+            percent=40,
+            epoch=3,
+            timeout_s=2.0,
         )
         assert isinstance(paced, result.Success)
         (state,) = platform.pool.executors["i-1"].runs.values()
         assert state.percent == 40
         fields = {"epoch": 3, "lease_until_ms": 0, "acknowledged_end": 0}
-        seen = (await client.renew(spec, wait_s=0.0, **fields)).unwrap()
+        seen = (
+            await client.renew(spec, wait_s=0.0, timeout_s=2.0, **fields)
+        ).unwrap()
         assert [run.load for run in seen.runs] == [50]
         client.close()
 
@@ -244,17 +257,17 @@
 
 def test_a_start_carries_its_ticket():
     async def main(platform):
-        client = executors.Executors(timeout_s=2.0)
+        client = executors.Executors()
         spec = _executor(platform)
         order = model.StartOrder("j.0.0.0", 1, '{"advised": true}', 10**9, 3)
-        refused = (await client.start(spec, order)).failure()
+        refused = (await client.start(spec, order, timeout_s=2.0)).failure()
         assert refused.reason == model.NO_TICKET
         answer = await platform.pool.advisor.approve(
             "j.0.0", ["i-1"], timeout_s=1.0
         )
         ticket = answer.unwrap().tickets["i-1"]
         started = await client.start(
-            spec, dataclasses.replace(order, ticket=ticket)
+            spec, dataclasses.replace(order, ticket=ticket), timeout_s=2.0
         )
         assert isinstance(started, result.Success)
         client.close()
--- a/testing/platform/test_slow_link.py
+++ b/testing/platform/test_slow_link.py
@@ -54,11 +54,11 @@
 
 def test_a_report_that_progresses_takes_longer_than_the_time_out():
     async def main(platform):
-        client = executors.Executors(timeout_s=2.0)
+        client = executors.Executors()
         spec = _executor(platform)
         platform.parts, platform.part_interval_s = 4, 0.4
         fields = {"epoch": 3, "lease_until_ms": 10**9, "acknowledged_end": 0}
-        seen = await client.renew(spec, wait_s=0.0, **fields)
+        seen = await client.renew(spec, wait_s=0.0, timeout_s=0.7, **fields)
         assert isinstance(seen, result.Success)
         client.close()
 
@@ -67,10 +67,10 @@
 
 def test_an_order_is_bounded_in_full():
     async def main(platform):
-        client = executors.Executors(timeout_s=0.5)
+        client = executors.Executors()
         spec = _executor(platform)
         platform.parts, platform.part_interval_s = 4, 0.3
-        started = await client.start(spec, _order())
+        started = await client.start(spec, _order(), timeout_s=0.5)
         assert isinstance(started.failure(), errors.OutcomeUnknown)
         client.close()
 
