Leave guaranteed work the time that its starts take

Cause: guaranteed work preempts others 0.6 s before its bound less the stop, whatever the link does; on a slow one its starts alone take longer. Change: the time to send its starts, two answers and a transaction, as measured, come on top. What describes parts to the engine has a module of its own.

--- a/src/knapweedwharf/fleet/decider.py
+++ b/src/knapweedwharf/fleet/decider.py
@@ -12,7 +12,6 @@
 from knapweedwharf.core import decision
 from knapweedwharf.core import engine as engine_module
 from knapweedwharf.core import event
-from knapweedwharf.core import model as core_model
 from knapweedwharf.core import record as record_module
 from knapweedwharf.core import workflow
 from knapweedwharf.fleet import advice as advice_module
@@ -20,6 +19,7 @@
 from knapweedwharf.fleet import attempt as attempt_module
 from knapweedwharf.fleet import clock
 from knapweedwharf.fleet import event_times as event_times_module
+from knapweedwharf.fleet import job_specs as job_specs_module
 from knapweedwharf.fleet import metric_definitions
 from knapweedwharf.fleet import model
 from knapweedwharf.fleet import passes as passes_module
@@ -44,6 +44,7 @@
         stored.
     :param advance: called once the engine wants an attempt stopped.
     :param advice: asks the advisor about steps that need its approval.
+    :param job_specs: describes parts to the engines.
     :param executors: returns a service's executors that may get work now.
     :param may_decide: see ``passes.Passes``.
     :ivar event_times: time that the engines take, by kind of event.
@@ -55,7 +56,7 @@
         scheduling_state: scheduling_state_module.SchedulingState,
         progress_writer: progress_writer_module.ProgressWriter,
         desired,
-        bounds: model.TimeLimits,
+        job_specs: job_specs_module.JobSpecs,
         epoch: int,
         sender: metrics.Metrics,
         start: AttemptCallback,
@@ -67,7 +68,7 @@
         self._scheduling_state = scheduling_state
         self._progress_writer = progress_writer
         self._desired = desired
-        self._bounds = bounds
+        self._job_specs = job_specs
         self._epoch = epoch
         self._sender = sender
         self._start = start
@@ -179,7 +180,7 @@
         placed = [
             p for p in flow.parts.values() if p.placements and not p.done
         ]
-        for part, spec in self._job_specs(flow, placed):
+        for part, spec in self._job_specs.of_parts(flow, placed):
             attempt = self._scheduling_state.add(
                 f"{part.part_id}/{part.run}",
                 flow,
@@ -211,7 +212,7 @@
             return
         held = self._scheduling_state.parts_with_attempts(flow.job.job_id)
         opened = [part for part in released if part.part_id not in held]
-        for part, spec in self._job_specs(flow, opened):
+        for part, spec in self._job_specs.of_parts(flow, opened):
             submitted = event.JobSubmitted(spec, part.failures)
             self.tell(flow.job.service, submitted)
             self._request_advice(flow, part)
@@ -291,31 +292,6 @@
         for part_id in list(flow.parts):
             self.tell(flow.job.service, event.JobCancelled(part_id))
 
-    def _job_specs(
-        self, flow: workflow.Workflow, parts: list[workflow.Part]
-    ) -> abc.Iterator[tuple[workflow.Part, core_model.JobSpec]]:
-        """Yield parts with their engine jobs; a step's parts rank alike."""
-        priorities = {
-            number: self._scheduling_priority(flow.job, number)
-            for number in {part.step for part in parts}
-        }
-        for part in parts:
-            priority = priorities[part.step]
-            yield part, workflow.spec_of(flow, part, priority=priority)
-
-    def _scheduling_priority(
-        self, job: workflow.Job, number: int
-    ) -> workflow.SchedulingPriority:
-        desired = self._desired.current
-        account = desired.accounts.get(job.account) if desired else None
-        return policy.scheduling_priority(
-            job,
-            job.steps[number],
-            guaranteed=account.guaranteed_accelerators if account else 0,
-            claimed=self._scheduling_state.requested_accelerators(job.account),
-            bounds=self._bounds,
-        )
-
     # Decisions
 
     @functools.singledispatchmethod
--- a/src/knapweedwharf/fleet/policy.py
+++ b/src/knapweedwharf/fleet/policy.py
@@ -36,7 +36,8 @@
 """Lost work costs about as much as first-priority work gains by its start."""
 
 ORDER_MARGIN_S = 0.6
-"""Time from the decision to preempt until the start on the freed room."""
+"""Time from the decision to preempt until the start on the freed room, beside
+the stop itself and what delays starts beyond the usual."""
 
 LASTING_PATIENCE_S = 1.0
 """A third of the time for which a long-running task may have no run."""
@@ -125,12 +126,14 @@
     guaranteed: int,
     claimed: int,
     bounds: fleet_model.TimeLimits,
+    start_delay_s: float,
 ) -> workflow.SchedulingPriority:
     """Return a job's precedence by its queue and its account's guarantee.
 
     :param guaranteed: accelerators that the account may reclaim.
     :param claimed: accelerators of all its unended jobs of priority 0,
         including this one.
+    :param start_delay_s: what delays its starts beyond the usual.
     """
     if step.is_lasting:
         # All of its tasks serve users, so none of them is preempted.
@@ -144,10 +147,14 @@
         )
     if claimed > guaranteed:
         return workflow.SchedulingPriority(precedence=FIRST_PRECEDENCE)
+    preempted_by_s = (
+        bounds.reclaim_timeout_s
+        - bounds.stop_timeout_s
+        - ORDER_MARGIN_S
+        - start_delay_s
+    )
     return workflow.SchedulingPriority(
         urgency=model.URGENT,
         precedence=GUARANTEED_PRECEDENCE,
-        start_within_s=(
-            bounds.reclaim_timeout_s - bounds.stop_timeout_s - ORDER_MARGIN_S
-        ),
+        start_within_s=max(preempted_by_s, URGENT_PATIENCE_S),
     )
--- a/src/knapweedwharf/fleet/progress_writer.py
+++ b/src/knapweedwharf/fleet/progress_writer.py
@@ -42,6 +42,9 @@
 """Rate of the slowest link when reports take most of it; limits how long a
 large transaction may take."""
 
+FADING = 0.9
+"""Share of an earlier duration that remains with each later transaction."""
+
 _RECORD_KINDS = (records.SPEC, records.PROGRESS, records.CANCEL)
 
 _FIRST_RETRY_S = 0.05
@@ -85,6 +88,12 @@
         self._in_flight: frozenset[str] = frozenset()
         self._wake = asyncio.Event()
         self._timeout_s = COMMIT_TIMEOUT_S
+        self._write_s = 0.0
+
+    @property
+    def write_s(self) -> float:
+        """The longest of the recent transactions; older ones fade."""
+        return self._write_s
 
     @property
     def unstored_jobs(self) -> int:
@@ -193,8 +202,9 @@
             model.Commit(expected, tuple(writes), tuple(removes)),
             timeout_s=min(self._timeout_s, longest_s),
         )
-        took_ms = (clock.elapsed_s() - sent_s) * 1000
-        self._sender.timing(metric_definitions.STORE_WRITE_MS, took_ms)
+        took_s = clock.elapsed_s() - sent_s
+        self._write_s = max(took_s, FADING * self._write_s)
+        self._sender.timing(metric_definitions.STORE_WRITE_MS, took_s * 1000)
         if isinstance(committed, result.Success):
             for job_id, value in values.items():
                 self._revisions[job_id] = committed.unwrap()
--- a/src/knapweedwharf/fleet/tenure.py
+++ b/src/knapweedwharf/fleet/tenure.py
@@ -19,6 +19,7 @@
 from knapweedwharf.fleet import desired as desired_module
 from knapweedwharf.fleet import election as election_module
 from knapweedwharf.fleet import intake as intake_module
+from knapweedwharf.fleet import job_specs as job_specs_module
 from knapweedwharf.fleet import late_ends as late_ends_module
 from knapweedwharf.fleet import machine_order_context as context_module
 from knapweedwharf.fleet import maintenance as maintenance_module
@@ -33,6 +34,7 @@
 from knapweedwharf.fleet import reports as reports_module
 from knapweedwharf.fleet import scheduling_state as scheduling_state_module
 from knapweedwharf.fleet import session as session_module
+from knapweedwharf.fleet import start_delay as start_delay_module
 from knapweedwharf.fleet import start_window as start_window_module
 from knapweedwharf.fleet import take_over as take_over_module
 from knapweedwharf.fleet import waiting_report as waiting_report_module
@@ -109,7 +111,7 @@
             scheduling_state=self.scheduling_state,
             progress_writer=self._progress_writer,
             desired=desired,
-            bounds=self._process_config.bounds,
+            job_specs=self._job_specs(desired),
             epoch=self._ownership.epoch,
             sender=self._sender,
             start=lambda attempt: self._orders.start(attempt),
@@ -133,6 +135,20 @@
         )
         self._connect_inputs(desired)
 
+    def _job_specs(
+        self, desired: desired_module.DesiredState
+    ) -> job_specs_module.JobSpecs:
+        return job_specs_module.JobSpecs(
+            scheduling_state=self.scheduling_state,
+            desired=desired,
+            bounds=self._process_config.bounds,
+            start_delay=start_delay_module.StartDelay(
+                link_bps=self._process_config.capacity.link_bps,
+                answer_times=self.registry.answer_times,
+                progress_writer=self._progress_writer,
+            ),
+        )
+
     def _connect_inputs(self, desired: desired_module.DesiredState) -> None:
         """Create the components that process reports and submissions."""
         self._reports = reports_module.Reports(
--- a/standins/fleet_executors.py
+++ b/standins/fleet_executors.py
@@ -173,6 +173,7 @@
     :ivar ended_runs: runs that have ended, in order.
     :ivar renewals: number of renewals requested.
     :ivar refused: reasons of refused starts, in order.
+    :ivar stop_s: how long a run goes on after a stop was answered.
     :ivar starts: (time, executor id, (task, run)) of each start.
     """
 
@@ -183,6 +184,7 @@
         self.ended_runs: list[RunRecord] = []
         self.starts: list[tuple[float, str, tuple[str, int]]] = []
         self.renewals = 0
+        self.stop_s = 0.0
         self._tasks: set[asyncio.Task] = set()
 
     def add(self, spec: model.Executor) -> FakeExecutor:
@@ -335,9 +337,19 @@
             return result.Failure(_FENCED)
         found.stopped[task_id] = max(found.stopped.get(task_id, 0), run)
         if (task_id, run) in found.runs:
-            await found.finish((task_id, run), model.STOPPED)
+            work = self._finish_stopped(found, (task_id, run))
+            task = asyncio.create_task(work)
+            self._tasks.add(task)
         return result.Success(found.clock_ms())
 
+    async def _finish_stopped(
+        self, found: FakeExecutor, key: tuple[str, int]
+    ) -> None:
+        if self.stop_s:
+            await asyncio.sleep(self.stop_s)
+        if key in found.runs:
+            await found.finish(key, model.STOPPED)
+
     async def pace(
         self,
         executor: model.Executor,
--- a/testing/fleet/test_slow_link.py
+++ b/testing/fleet/test_slow_link.py
@@ -150,3 +150,38 @@
         _check_each_task_ran_once(scene, job_id, tasks=EXECUTORS)
 
     scene_module.run_on_virtual_time(main, monkeypatch)
+
+
+@pytest.mark.parametrize("padding", ["", PADDING])
+def test_guaranteed_work_starts_in_time_over_a_slow_link(monkeypatch, padding):
+    """The starts alone take a second of the link."""
+    tasks = 56
+
+    async def main(scene):
+        await _open(scene, guaranteed=64)
+        scene.pool.stop_s = scene_module.BOUNDS.stop_timeout_s
+        await scene.submit(
+            scene.vms[0],
+            scene_module.step(tasks=8 * EXECUTORS),
+            behaviour={"run_s": 30.0},
+        )
+        await scene.until(lambda: len(scene.pool.starts) == 8 * EXECUTORS)
+        await asyncio.sleep(2.0)
+        job_id, _outcome = await scene.submit(
+            scene.vms[0],
+            scene_module.step(tasks=tasks),
+            behaviour={"run_s": 1.0, "padding": padding},
+            prefix=scene_module.URGENT_PREFIX,
+        )
+        accepted_s = asyncio.get_running_loop().time()
+        await scene.until_state(job_id, workflow.COMPLETED)
+        starts = [
+            at_s
+            for at_s, _executor_id, key in scene.pool.starts
+            if key[0].startswith(job_id)
+        ]
+        assert len(starts) == tasks
+        took_s = max(starts) - accepted_s
+        assert took_s <= scene_module.BOUNDS.reclaim_timeout_s
+
+    scene_module.run_on_virtual_time(main, monkeypatch)
