Try urgent work at once when it must start

Cause: a scheduling pass may take seconds on a busy VM, and urgent work that had been tried in it waited for the next one, whenever it had to preempt others. Stops that end late delayed it further. Change: a job whose time to start comes is tried before the rest of the pass, once. What stops take beyond the time-out, as measured, is left for them like what the starts take.

--- a/src/knapweedwharf/core/scheduler.py
+++ b/src/knapweedwharf/core/scheduler.py
@@ -47,6 +47,7 @@
         self._timed_work_due = False
         self._timed_work: abc.Iterator[None] | None = None
         self._preempt_at_s: dict[str, float] = {}
+        self._must_start_s: dict[str, float] = {}
         self._has_begun = False
         self._tried: set[waiting.ClassKey] = set()
         self._heads: abc.Iterator[str] = iter(())
@@ -62,6 +63,7 @@
             or state.topology.freed
             or self._timed_work_due
             or self._timed_work is not None
+            or self._next_overdue() is not None
         )
 
     def tick(self) -> None:
@@ -102,6 +104,7 @@
         left = math.inf if tries is None else tries
         # Claimed capacity stays idle until its job starts.
         self._start_claims()
+        left = self._start_overdue(left)
         if tries is None or not self._has_begun:
             self._begin_pass()
         while self._timed_work is not None:
@@ -113,6 +116,30 @@
                 left -= 1
         self._start_jobs(left)
 
+    def _next_overdue(self) -> str | None:
+        """Return the waiting job that must have started longest ago."""
+        due = (
+            (at_s, job_id)
+            for job_id, at_s in self._must_start_s.items()
+            if at_s <= self._state.now_s
+        )
+        return min(due, default=(0.0, None))[1]
+
+    def _start_overdue(self, left: float) -> float:
+        """Try the jobs that must start by now; a long pass would delay them.
+
+        :param left: most jobs to try; returns how many are left of it.
+        """
+        while left and (job_id := self._next_overdue()) is not None:
+            del self._must_start_s[job_id]
+            # A job that was delayed meanwhile has a place in a later pass.
+            if not self._state.waiting.is_queued(job_id):
+                continue
+            left -= 1
+            self._changes_seen = -1
+            self._try_job(self._state.records[job_id])
+        return left
+
     def _begin_pass(self) -> None:
         self._has_begun = True
         self._tried.clear()
@@ -223,6 +250,16 @@
     ) -> None:
         record.note(reason)
         self._state.waiting.block(record.job.job_id, reason)
+        self._note_must_start(record.job)
+
+    def _note_must_start(self, job: model.JobSpec) -> None:
+        """Remember when to try a job again that may preempt by then.
+
+        That happens once, as overdue jobs could else take all steps.
+        """
+        at_s = job.submitted_s + job.start_within_s
+        if job.rank and job.start_within_s and at_s > self._state.now_s:
+            self._must_start_s[job.job_id] = at_s
 
     def _preempt_for_urgent(self, record: record_module.JobRecord) -> bool:
         state = self._state
--- a/src/knapweedwharf/core/waiting.py
+++ b/src/knapweedwharf/core/waiting.py
@@ -78,6 +78,10 @@
     def __contains__(self, job_id: str) -> bool:
         return job_id in self._places or job_id in self._delayed_keys
 
+    def is_queued(self, job_id: str) -> bool:
+        """Return whether a job waits and isn't delayed."""
+        return job_id in self._places
+
     @property
     def class_count(self) -> int:
         """Number of classes with jobs that may start."""
--- a/src/knapweedwharf/fleet/attempt.py
+++ b/src/knapweedwharf/fleet/attempt.py
@@ -31,6 +31,7 @@
     :ivar outcome: outcome of the ended run, or empty.
     :ivar end_reported: whether the engine was told of the end.
     :ivar stop_sent: whether a stop is being sent or was answered.
+    :ivar stop_sent_s: when the first stop was about to be sent, or 0.
     :ivar stopped_s: when a stop was answered, or 0.
     :ivar is_inherited: a former owner ordered it, or was about to.
     :ivar is_serving: it is long-running and serves its users fully.
@@ -46,6 +47,7 @@
     outcome: str = ""
     end_reported: bool = False
     stop_sent: bool = False
+    stop_sent_s: float = 0.0
     stopped_s: float = 0.0
     is_inherited: bool = False
     is_serving: bool = False
--- a/src/knapweedwharf/fleet/orders.py
+++ b/src/knapweedwharf/fleet/orders.py
@@ -18,6 +18,7 @@
 from knapweedwharf.fleet import progress_writer as progress_writer_module
 from knapweedwharf.fleet import scheduling_state as scheduling_state_module
 from knapweedwharf.fleet import session as session_module
+from knapweedwharf.fleet import start_delay as start_delay_module
 from knapweedwharf.fleet import start_window as start_window_module
 from knapweedwharf import log
 from knapweedwharf import metrics
@@ -38,6 +39,7 @@
     :param tell: passes an event to a service's engine.
     :param advice: provides the tickets of steps that need them.
     :param window: bounds the starts in flight.
+    :param start_delay: is told how long stops take.
     """
 
     def __init__(
@@ -52,6 +54,7 @@
         tell: event.EventSink,
         advice: advice_module.Advice,
         window: start_window_module.StartWindow,
+        start_delay: start_delay_module.StartDelay,
     ) -> None:
         self._scheduling_state = scheduling_state
         self._progress_writer = progress_writer
@@ -62,6 +65,7 @@
         self._tell = tell
         self._advice = advice
         self._window = window
+        self._start_delay = start_delay
         self._log = log.get("orders").bind(epoch=epoch)
         self._tasks: set[asyncio.Task] = set()
 
@@ -234,6 +238,7 @@
         if member.stop_sent:
             return
         member.stop_sent = True
+        member.stop_sent_s = clock.elapsed_s()
         wait_s = STOP_RETRY_S
         while member.phase != attempt_module.ENDED:
             may_order = await self._election.may_order()
@@ -309,6 +314,8 @@
         member.outcome = how
         if checkpoint:
             attempt.part.checkpoint = checkpoint
+        if how == model.STOPPED and member.stop_sent:
+            self._start_delay.add_stop(clock.elapsed_s() - member.stop_sent_s)
         ran_s = clock.elapsed_s() - member.since_s if member.since_s else 0.0
         if ran_s and how not in (model.DONE, model.FAILED):
             step = attempt.job.steps[attempt.part.step]
--- a/src/knapweedwharf/fleet/tenure.py
+++ b/src/knapweedwharf/fleet/tenure.py
@@ -107,6 +107,13 @@
             approved=lambda *told: self._decider.approved(*told),
             sender=self._sender,
         )
+        capacity = self._process_config.capacity
+        self._start_delay = start_delay_module.StartDelay(
+            link_bps=capacity.link_bps,
+            stop_timeout_s=self._process_config.bounds.stop_timeout_s,
+            answer_times=self.registry.answer_times,
+            progress_writer=self._progress_writer,
+        )
         self._decider = decider_module.Decider(
             scheduling_state=self.scheduling_state,
             progress_writer=self._progress_writer,
@@ -129,9 +136,8 @@
             sender=self._sender,
             tell=self._decider.tell,
             advice=self._advice,
-            window=start_window_module.StartWindow(
-                self._process_config.capacity.link_bps
-            ),
+            window=start_window_module.StartWindow(capacity.link_bps),
+            start_delay=self._start_delay,
         )
         self._connect_inputs(desired)
 
@@ -142,11 +148,7 @@
             scheduling_state=self.scheduling_state,
             desired=desired,
             bounds=self._process_config.bounds,
-            start_delay=start_delay_module.StartDelay(
-                link_bps=self._process_config.capacity.link_bps,
-                answer_times=self.registry.answer_times,
-                progress_writer=self._progress_writer,
-            ),
+            start_delay=self._start_delay,
         )
 
     def _connect_inputs(self, desired: desired_module.DesiredState) -> None:
--- a/testing/core/test_passes.py
+++ b/testing/core/test_passes.py
@@ -9,6 +9,7 @@
 from knapweedwharf.core import engine as engine_module
 from knapweedwharf.core import event
 from knapweedwharf.core import invariant
+from knapweedwharf.core import model
 from knapweedwharf.fleet import policy as fleet_policy
 from testing.core import scenario
 from testing.core import short_runs
@@ -194,3 +195,61 @@
     for _slice in range(6):
         engine.schedule(now_s=1.0, tries=1)
     assert sorted(searched) == [f"w{number:03}" for number in range(10)]
+
+
+def test_urgent_work_that_must_start_does_not_await_a_pass(monkeypatch):
+    """The pass is slow: it tries one job each time the loop lets it."""
+    engine = _full_engine(waiting=0)
+    urgent = short_runs.job(
+        "urgent",
+        submitted_s=10.0,
+        urgency=model.URGENT,
+        precedence=2,
+        start_within_s=2.0,
+        declared_run_s=1.0,
+    )
+    engine.handle(event.JobSubmitted(urgent), now_s=10.0)
+    engine.handle(event.Tick(), now_s=11.0)
+    assert engine.records["first"].state == "running"
+    for number in range(30):
+        waiting = short_runs.job(
+            f"w{number:03}",
+            submitted_s=11.0,
+            accelerators_per_task=0,
+            cores_per_task=32_000,
+            memory_mib_per_task=100 + number,
+        )
+        engine.apply(event.JobSubmitted(waiting), now_s=11.0)
+    searched = _count_searches(engine, monkeypatch)
+    now_s = 11.9
+    while engine.records["first"].state == "running" and now_s < 14.0:
+        engine.schedule(now_s=now_s, tries=1)
+        now_s += 0.05
+    assert now_s < 12.2
+    assert len(searched) < 10
+
+
+def test_urgent_work_that_cannot_start_leaves_steps_to_others():
+    """All workers hold work of the same rank, so no victim is found."""
+    engine = short_runs.engine(workers=4)
+    urgent = {"urgency": model.URGENT, "precedence": 2, "start_within_s": 2.0}
+    for number in range(4):
+        held = short_runs.job(f"h{number}", declared_run_s=900.0, **urgent)
+        short_runs.start(engine, held, now_s=0.0)
+    for number in range(20):
+        waiting = short_runs.job(
+            f"u{number:02}",
+            submitted_s=8.5,
+            memory_mib_per_task=200 + number,
+            **urgent,
+        )
+        engine.apply(event.JobSubmitted(waiting), now_s=10.0)
+    small = short_runs.job("small", submitted_s=10.0, accelerators_per_task=0)
+    engine.apply(event.JobSubmitted(small), now_s=10.0)
+    now_s = 10.0
+    while engine.records["small"].state == "queued" and now_s < 20.0:
+        engine.apply(event.Tick(), now_s=now_s)
+        if engine.needs_pass:
+            engine.schedule(now_s=now_s, tries=1)
+        now_s += 0.1
+    assert now_s < 16.0
