--- a/testing/fleet/test_progress_writer.py
+++ b/testing/fleet/test_progress_writer.py
@@ -160,3 +160,29 @@
         assert progress_writer.unstored_jobs == 0
 
     _run_with_ledger(main, _SlowStore)
+
+
+def test_a_former_owner_writes_nothing():
+    """Its process was paused while another VM took the next epoch."""
+    fenced = []
+
+    async def main():
+        store = fleet_store.FakeStore(fleet_store.StoreState())
+        store.state.put(records.EPOCH_KEY, b"{}")
+        progress_writer = progress_writer_module.ProgressWriter(
+            store=store,
+            epoch_revision=store.state.revision,
+            dump=lambda _job_id: b"{}",
+            on_fenced=lambda: fenced.append(True),
+            sender=metrics.Metrics(None),
+        )
+        await progress_writer.start()
+        await store.state.external_write(records.EPOCH_KEY, b"{}")
+        stored = []
+        progress_writer.mark_dirty("1", lambda: stored.append(True))
+        await asyncio.sleep(1.0)
+        await progress_writer.close()
+        assert fenced and not stored
+        assert records.key("1", records.PROGRESS) not in store.state.items
+
+    virtual_time.run(main())
