--- a/testing/fleet/test_restart.py
+++ b/testing/fleet/test_restart.py
@@ -76,21 +76,13 @@
 
     async def main(scene):
         await scene.open(vms=2, executors=3)
-        leaving = scene.pool.executors["e0"].spec
-        await scene.list_executor(
-            dataclasses.replace(
-                leaving, state=model.DRAINING, remaining_s=30.0
-            )
-        )
+        leaving = await _drain(scene, "e0")
         await asyncio.sleep(0.5)
         await scene.store.external_remove(
             scene_module.EXECUTORS + leaving.executor_id
         )
         vm = await _restart_all(scene)
-        job_id, _outcome = await _submit_when_ready(scene, vm, tasks=24)
-        await scene.until_state(job_id, workflow.COMPLETED, vm=vm)
-        used = {executor_id for _at_s, executor_id, _key in scene.pool.starts}
-        assert used == {"e1", "e2"}
+        await _check_only_the_others_run(scene, vm)
 
     scene_module.run_on_virtual_time(main, monkeypatch)
 
@@ -98,27 +90,32 @@
 def test_an_executor_that_drains_gets_no_work_after_a_restart(monkeypatch):
     async def main(scene):
         await scene.open(vms=2, executors=3)
-        leaving = scene.pool.executors["e0"].spec
-        await scene.list_executor(
-            dataclasses.replace(
-                leaving, state=model.DRAINING, remaining_s=30.0
-            )
-        )
+        await _drain(scene, "e0")
         vm = await _restart_all(scene)
-        job_id, _outcome = await _submit_when_ready(scene, vm, tasks=24)
-        await scene.until_state(job_id, workflow.COMPLETED, vm=vm)
-        used = {executor_id for _at_s, executor_id, _key in scene.pool.starts}
-        assert used == {"e1", "e2"}
+        await _check_only_the_others_run(scene, vm)
 
     scene_module.run_on_virtual_time(main, monkeypatch)
 
 
-async def _submit_when_ready(scene, vm, *, tasks: int):
+async def _drain(scene, executor_id: str) -> model.Executor:
+    """Let an executor drain; return its entry from before."""
+    leaving = scene.pool.executors[executor_id].spec
+    await scene.list_executor(
+        dataclasses.replace(leaving, state=model.DRAINING, remaining_s=30.0)
+    )
+    return leaving
+
+
+async def _check_only_the_others_run(scene, vm) -> None:
+    """Submit more work than two executors hold at once."""
     async with asyncio.timeout(20.0):
         while True:
             job_id, outcome = await scene.submit(
-                vm, scene_module.step(tasks=tasks)
+                vm, scene_module.step(tasks=24)
             )
             if isinstance(outcome, result.Success):
-                return job_id, outcome
+                break
             await asyncio.sleep(0.1)
+    await scene.until_state(job_id, workflow.COMPLETED, vm=vm)
+    used = {executor_id for _at_s, executor_id, _key in scene.pool.starts}
+    assert used == {"e1", "e2"}
