--- a/testing/fleet/test_slow_link.py
+++ b/testing/fleet/test_slow_link.py
@@ -132,7 +132,7 @@
     scene_module.run_on_virtual_time(main, monkeypatch)
 
 
-@pytest.mark.parametrize("delay_s", [0.6, 0.8])
+@pytest.mark.parametrize("delay_s", [0.6, 0.8, 1.2])
 def test_answers_that_are_late_from_all_executors_lose_no_work(
     monkeypatch, delay_s
 ):
