Tell how late the owner learned of a cancellation

Cause: the owner's log has a line when it takes a cancellation, but not when that was accepted; the hypotheses of the incident can't be told apart by one VM's log. Change: a cancellation's record has its time; the line job-cancelled has its age, and a metric the distribution. Ruled out: the age by the owner's watch, which is only an upper bound. Result: tests in testing/fleet/test_cancellation.py and test_records.py.

--- a/src/knapweedwharf/fleet/decider.py
+++ b/src/knapweedwharf/fleet/decider.py
@@ -273,10 +273,17 @@
             for part in flow.parts.values():
                 self._advice.forget_step(part.step_id(flow.job.job_id))
 
-    def cancel(self, flow: workflow.Workflow) -> None:
-        """Cancel a job."""
+    def cancel(self, flow: workflow.Workflow, age_s: float | None) -> None:
+        """Cancel a job.
+
+        :param age_s: time since the cancellation was accepted, if known.
+        """
         flow.cancelled = True
-        self._log.info("job-cancelled", job_id=flow.job.job_id)
+        self._log.info(
+            "job-cancelled",
+            job_id=flow.job.job_id,
+            age_s=None if age_s is None else round(age_s, 3),
+        )
         self._end_job(flow)
 
     def drop(self, flow: workflow.Workflow) -> None:
--- a/src/knapweedwharf/fleet/intake.py
+++ b/src/knapweedwharf/fleet/intake.py
@@ -163,9 +163,28 @@
                 job_id, spec, kinds.get(records.PROGRESS), max_age_s
             )
         flow = self._scheduling_state.workflows.get(job_id)
-        cancelled = records.CANCEL in kinds
-        if cancelled and flow is not None and not flow.is_final:
-            self._decider.cancel(flow)
+        cancel = kinds.get(records.CANCEL)
+        if cancel is not None and flow is not None and not flow.is_final:
+            self._cancel(flow, cancel, max_age_s)
+
+    def _cancel(
+        self, flow: workflow.Workflow, item: model.Item, max_age_s: float
+    ) -> None:
+        """Cancel a job, whatever its record says of the time."""
+        age_s = None
+        try:
+            cancelled_s = records.load_cancellation(item.value)
+        except ValueError as error:
+            self._log.error(
+                "cancellation-malformed",
+                job_id=flow.job.job_id,
+                why=str(error),
+            )
+            cancelled_s = None
+        if cancelled_s is not None:
+            age_s = _age_s(cancelled_s, max_age_s)
+            self._sender.timing(metric_definitions.CANCEL_LAG_MS, age_s * 1000)
+        self._decider.cancel(flow, age_s)
 
     def _load_job(
         self,
@@ -214,6 +233,11 @@
     The acceptance was stamped by another VM, whose time of day may be
     ahead, behind or have jumped since.
     """
-    now_s = clock.steady_s()
-    age_s = min(now_s - clock.steady_at(job.submitted_s), max_age_s)
-    return dataclasses.replace(job, submitted_s=now_s - age_s), age_s
+    age_s = _age_s(job.submitted_s, max_age_s)
+    submitted_s = clock.steady_s() - age_s
+    return dataclasses.replace(job, submitted_s=submitted_s), age_s
+
+
+def _age_s(stamped_s: float, max_age_s: float) -> float:
+    """Return how long ago another VM stamped a record with a Unix time."""
+    return min(clock.steady_s() - clock.steady_at(stamped_s), max_age_s)
--- a/src/knapweedwharf/fleet/job_api.py
+++ b/src/knapweedwharf/fleet/job_api.py
@@ -312,11 +312,13 @@
         if _state_of(kinds) in workflow.FINAL_STATES:
             return result.Success(permitted.unwrap().job_id)
 
+        value = records.dump_cancellation(round(clock.unix_s(), 3))
+
         def commit(allowed: Allowed) -> model.Commit:
             key = records.key(allowed.job_id, records.CANCEL)
             return model.Commit(
                 {self._config_key: allowed.desired.revision},
-                (model.Write(key, b"{}"),),
+                (model.Write(key, value),),
             )
 
         return await self._commit_call(call, commit, event="cancellation")
--- a/src/knapweedwharf/fleet/metric_definitions.py
+++ b/src/knapweedwharf/fleet/metric_definitions.py
@@ -123,6 +123,12 @@
     text="From a job's submission until the owner takes it; jobs with "
     "progress are left out.",
 )
+CANCEL_LAG_MS = metrics.define(
+    "fleet.cancel_lag_ms",
+    kind=metrics.TIMING,
+    unit="milliseconds",
+    text="From a job's cancellation until the owner takes it.",
+)
 LOOP_DELAY_MS = metrics.define(
     "fleet.loop_delay_ms",
     kind=metrics.TIMING,
--- a/src/knapweedwharf/fleet/records.py
+++ b/src/knapweedwharf/fleet/records.py
@@ -208,6 +208,28 @@
     return probe
 
 
+def dump_cancellation(cancelled_s: float) -> bytes:
+    """Encode a cancellation.
+
+    :param cancelled_s: Unix time by the clock of the VM that accepted it.
+    """
+    return _dump({"cancelled_s": cancelled_s})
+
+
+def load_cancellation(value: bytes) -> float | None:
+    """Return when a job was cancelled; None if the record does not say.
+
+    :raises ValueError: if the record is malformed.
+    """
+    document = json.loads(value)
+    cancelled_s = (
+        document.get("cancelled_s") if isinstance(document, dict) else ""
+    )
+    if cancelled_s is not None and not isinstance(cancelled_s, (int, float)):
+        raise ValueError("the cancellation's time is not a number")
+    return cancelled_s
+
+
 def dump_epoch(*, epoch: int, node_id: str, nonce: str) -> bytes:
     """Encode the owner's epoch, node id and nonce."""
     return _dump({"ordinal": epoch, "node_id": node_id, "nonce": nonce})
--- /dev/null
+++ b/testing/fleet/test_cancellation.py
@@ -0,0 +1,53 @@
+"""Cancelled jobs start nothing more, whatever hides the cancellation."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+import structlog
+
+from knapweedwharf.core import workflow
+from knapweedwharf.fleet import records
+from testing.fleet import scene as scene_module
+
+step = scene_module.step
+
+
+async def _cancel(scene, job_id: str) -> float:
+    """Cancel a job at a VM that is not the owner; return when."""
+    vm = scene.bystander()
+    cancelled = await vm.node.job_api.cancel(scene.call(job_id))
+    assert cancelled.unwrap() == job_id
+    return asyncio.get_running_loop().time()
+
+
+def test_the_owner_logs_how_late_it_learned_of_a_cancellation(monkeypatch):
+    async def main(scene):
+        await scene.open(vms=2, executors=1)
+        job_id, _outcome = await scene.submit(
+            scene.owner, step(), behaviour={"run_s": 20.0}
+        )
+        await scene.until_state(job_id, workflow.ACTIVE)
+        with structlog.testing.capture_logs() as lines:
+            await _cancel(scene, job_id)
+            await asyncio.sleep(0.1)
+        (line,) = [x for x in lines if x["event"] == "job-cancelled"]
+        assert 0.0 < line["age_s"] < 0.1
+
+    scene_module.run_on_virtual_time(main, monkeypatch)
+
+
+@pytest.mark.parametrize("value", [b"{}", b"{"])
+def test_a_cancellation_without_a_time_stops_the_job(monkeypatch, value):
+    async def main(scene):
+        await scene.open(vms=1, executors=1)
+        job_id, _outcome = await scene.submit(
+            scene.owner, step(), behaviour={"run_s": 20.0}
+        )
+        await scene.until_state(job_id, workflow.ACTIVE)
+        key = records.key(job_id, records.CANCEL)
+        await scene.store.external_write(key, value)
+        await scene.until(lambda: scene.runs_of(job_id), within_s=2.0)
+
+    scene_module.run_on_virtual_time(main, monkeypatch)
--- a/testing/fleet/test_records.py
+++ b/testing/fleet/test_records.py
@@ -86,3 +86,15 @@
 def test_a_malformed_record_is_a_known_error(value):
     with pytest.raises((ValueError, TypeError, LookupError)):
         records.load_progress(_wide_flow().job, value)
+
+
+def test_a_cancellation_keeps_its_time():
+    value = records.dump_cancellation(12.5)
+    assert records.load_cancellation(value) == 12.5
+    assert records.load_cancellation(b"{}") is None
+
+
+@pytest.mark.parametrize("value", [b"[]", b'{"cancelled_s": "1"}', b"{"])
+def test_a_malformed_cancellation_is_reported_as_such(value):
+    with pytest.raises(ValueError):
+        records.load_cancellation(value)
