List starts after a cancellation that a silent watch hides as known red

The test plays the same on virtual time: the owner's open calls to the store get no answer, another VM accepts a cancellation, and the owner goes on starting the job's tasks beyond the 3 s allowed.

--- a/standins/fleet_store.py
+++ b/standins/fleet_store.py
@@ -14,6 +14,9 @@
 
 ANSWER_S = 0.004
 MAX_PAGE_BYTES = 1_000_000
+WATCH_MARGIN_S = 1.0
+"""Time beyond the wait after which clients give up an unanswered watch."""
+
 _UNREACHABLE = errors.Unreachable(message="Nothing sent.", remedy="Wait.")
 _UNKNOWN = errors.OutcomeUnknown(message="No answer.", remedy="Ask again.")
 _GONE = errors.NotFound(message="Gone.", remedy="List again.")
@@ -141,6 +144,7 @@
     :ivar bytes_per_s: rate at which listings arrive; 0 is unlimited.
     :ivar cut_pages: number of next pages whose answers are cut.
     :ivar stalled: pages begin to arrive and then stop.
+    :ivar mutings: how often all open connections fell silent for good.
     """
 
     refused: bool = False
@@ -150,6 +154,11 @@
     bytes_per_s: float = 0.0
     cut_pages: int = 0
     stalled: bool = False
+    mutings: int = 0
+
+    def mute_open_connections(self) -> None:
+        """Lose the answers of all calls in progress, without a reset."""
+        self.mutings += 1
 
 
 def _sent_bytes(items: abc.Iterable[model.Item]) -> int:
@@ -274,6 +283,10 @@
             return result.Failure(fault)
         if after < self.state.compacted_revision:
             return result.Failure(_GONE)
+        mutings = self.path.mutings
+        gives_up_s = (
+            asyncio.get_running_loop().time() + wait_s + WATCH_MARGIN_S
+        )
         try:
             async with asyncio.timeout(wait_s):
                 while not self._changes(prefix, after):
@@ -281,6 +294,10 @@
                         await self.state.changed.wait()
         except TimeoutError:
             await self.state.expire()
+        if self.path.mutings > mutings:
+            left_s = gives_up_s - asyncio.get_running_loop().time()
+            await asyncio.sleep(left_s)
+            return result.Failure(_UNKNOWN)
         if self.path.refused or self.path.silent:
             return result.Failure(_UNKNOWN)
         if after < self.state.compacted_revision:
--- a/testing/fleet/test_cancellation.py
+++ b/testing/fleet/test_cancellation.py
@@ -13,6 +13,9 @@
 
 step = scene_module.step
 
+CANCEL_S = 3.0
+"""Time after a cancellation within which starts must cease."""
+
 
 async def _cancel(scene, job_id: str) -> float:
     """Cancel a job at a VM that is not the owner; return when."""
@@ -51,3 +54,25 @@
         await scene.until(lambda: scene.runs_of(job_id), within_s=2.0)
 
     scene_module.run_on_virtual_time(main, monkeypatch)
+
+
+def test_work_cancelled_while_connections_are_silent_is_not_started(
+    monkeypatch,
+):
+    async def main(scene):
+        await scene.open(vms=2, executors=1)
+        job_id, _outcome = await scene.submit(
+            scene.owner, step(tasks=80), behaviour={"run_s": 1.0}
+        )
+        await scene.until_state(job_id, workflow.ACTIVE)
+        scene.owner.store.path.mute_open_connections()
+        cancelled_s = await _cancel(scene, job_id)
+        await asyncio.sleep(10.0)
+        late = [
+            run.task_id
+            for run in scene.runs_of(job_id)
+            if run.begun_s > cancelled_s + CANCEL_S
+        ]
+        assert not late
+
+    scene_module.run_on_virtual_time(main, monkeypatch)
