Bound the age of the records that an owner places work by

What callers saw: tasks of a job began seconds after its cancellation had been acknowledged (UNASKED). Cause: the owner learns of cancellations by a watch that waits for up to 5 s and times out a second later. On a connection that falls silent without a reset, it hides them for 6 s, while new connections work and the owner goes on storing placements and sending starts. The constant knew nothing of the time within which starts must cease (3 to 5 s). Class: a bound on stale knowledge that isn't derived from the limit that it has to keep, and decisions that don't ask how old their input is. Change: the watch waits for a third of that limit, the new setting cancel_ms; no pass places work by records that were last confirmed over two thirds of it ago, whatever the reason. Ruled out: a condition on the cancellation's key in each placement's transaction; it costs an entry for each record, and starts that wait for an advisor or for the link would still follow it unseen. Both tests fail without the change, the second also with the shorter watch alone.

--- a/src/knapweedwharf/fleet/intake.py
+++ b/src/knapweedwharf/fleet/intake.py
@@ -18,8 +18,17 @@
 from knapweedwharf import log
 from knapweedwharf import metrics
 
-WATCH_WAIT_S = 5.0
-"""Longest time that a dead connection hides a submission or cancellation."""
+WATCH_WAIT_SHARE = 1 / 3
+"""Share of the time within which starts of a cancelled job must cease that a
+watch may wait. On a dead connection it hides cancellations for longer, until
+it times out."""
+
+MAX_AGE_SHARE = 2 / 3
+"""Share of that time for which the owner decides by what it has read, without
+the store's word that nothing has changed; the rest is for starts under way."""
+
+STALE_POLL_S = 0.05
+"""Time between checks of whether the records have been confirmed."""
 
 NOT_READ_INTERVAL_S = 1.0
 """Time between two lines of an owner that has not read the records yet; a
@@ -37,6 +46,8 @@
 class Intake:
     """Reads the records of all jobs, then follows changes.
 
+    :param cancel_s: time after a cancellation within which starts of the
+        job must cease.
     :param won_s: when the ownership was won, on the elapsed clock.
     :ivar loaded: set once all stored records have been read.
     :ivar applied: number of jobs whose records were applied.
@@ -50,12 +61,14 @@
         progress_writer: progress_writer_module.ProgressWriter,
         decider: decider_module.Decider,
         epoch: int,
+        cancel_s: float,
         won_s: float,
         sender: metrics.Metrics,
     ) -> None:
         self._scheduling_state = scheduling_state
         self._progress_writer = progress_writer
         self._decider = decider
+        self._max_age_s = MAX_AGE_SHARE * cancel_s
         self._won_s = won_s
         self._sender = sender
         self._log = log.get("intake").bind(epoch=epoch)
@@ -66,7 +79,7 @@
         self._watcher = watcher_module.Watcher(
             store,
             records.JOBS,
-            wait_s=WATCH_WAIT_S,
+            wait_s=WATCH_WAIT_SHARE * cancel_s,
             on_listing=self._on_listing,
             on_changes=self._on_changes,
             max_silence_factor=MAX_SILENCE_FACTOR,
@@ -84,6 +97,24 @@
             self._unread_task.cancel()
             await asyncio.gather(self._unread_task, return_exceptions=True)
 
+    async def until_confirmed(self) -> None:
+        """Wait while a cancellation may have been missed for too long."""
+        await self.loaded.wait()
+        if self._watcher.age_s <= self._max_age_s:
+            return
+        self._log.warning(
+            "records-not-confirmed",
+            age_s=round(self._watcher.age_s, 3),
+            max_age_s=round(self._max_age_s, 3),
+        )
+        stale_s = clock.elapsed_s()
+        while self._watcher.age_s > self._max_age_s:
+            await asyncio.sleep(STALE_POLL_S)
+        self._log.info(
+            "records-confirmed",
+            after_s=round(clock.elapsed_s() - stale_s, 3),
+        )
+
     async def _report_unread(self) -> None:
         """Log the time spent so far, until the records are read."""
         while not self.loaded.is_set():
--- a/src/knapweedwharf/fleet/model.py
+++ b/src/knapweedwharf/fleet/model.py
@@ -40,6 +40,7 @@
     :ivar grace_period_s: time between SIGTERM and SIGKILL.
     :ivar owner_lease_s: longest time without an owner after one is lost.
     :ivar status_retention_s: how long an ended job stays readable.
+    :ivar cancel_s: longest time for which a cancelled job is started.
     :ivar reclaim_timeout_s: longest time until guaranteed work starts.
     :ivar maintenance_s: how long a machine is down for maintenance.
     :ivar migration_s: how long a machine is down for a move.
@@ -51,6 +52,7 @@
     grace_period_s: float = 6.0
     owner_lease_s: float = 3.0
     status_retention_s: float = 120.0
+    cancel_s: float = 3.0
     reclaim_timeout_s: float = 3.4
     maintenance_s: float = 2.0
     migration_s: float = 1.5
--- a/src/knapweedwharf/fleet/tenure.py
+++ b/src/knapweedwharf/fleet/tenure.py
@@ -125,7 +125,7 @@
             advance=lambda attempt: self._orders.advance(attempt),
             advice=self._advice,
             executors=self.registry.usable,
-            may_decide=lambda: self._election.may_order(),
+            may_decide=self._may_decide,
         )
         self._orders = orders_module.Orders(
             scheduling_state=self.scheduling_state,
@@ -174,6 +174,7 @@
             progress_writer=self._progress_writer,
             decider=self._decider,
             epoch=self._ownership.epoch,
+            cancel_s=self._process_config.bounds.cancel_s,
             won_s=self._won_s,
             sender=self._sender,
         )
@@ -291,6 +292,13 @@
                 # limit would be enforced.
                 self._log.exception("tick-broken")
 
+    async def _may_decide(self) -> bool:
+        """Return whether to place work; wait while cancellations may be
+        unknown or the ownership is in doubt.
+        """
+        await self._intake.until_confirmed()
+        return await self._election.may_order()
+
     def _tick(self) -> None:
         self.registry.tick()
         for executor_id in self.registry.pop_lapsed():
--- a/src/knapweedwharf/platform/settings.py
+++ b/src/knapweedwharf/platform/settings.py
@@ -86,6 +86,7 @@
     stop_timeout_ms = _positive()
     revocation_ms = _positive()
     lease_duration_ms = _positive()
+    cancel_ms = _positive()
     reclaim_timeout_ms = _positive()
     grace_period_s = _positive()
     status_s = _positive()
@@ -98,6 +99,7 @@
     "stop_timeout_ms": "stop_timeout_s",
     "revocation_ms": "revocation_s",
     "lease_duration_ms": "owner_lease_s",
+    "cancel_ms": "cancel_s",
     "reclaim_timeout_ms": "reclaim_timeout_s",
     "grace_period_s": "grace_period_s",
     "status_s": "status_retention_s",
--- a/standins/fleet_store.py
+++ b/standins/fleet_store.py
@@ -144,6 +144,7 @@
     :ivar bytes_per_s: rate at which listings arrive; 0 is unlimited.
     :ivar cut_pages: number of next pages whose answers are cut.
     :ivar stalled: pages begin to arrive and then stop.
+    :ivar mute_watches: watches get no answer; other calls do.
     :ivar mutings: how often all open connections fell silent for good.
     """
 
@@ -154,6 +155,7 @@
     bytes_per_s: float = 0.0
     cut_pages: int = 0
     stalled: bool = False
+    mute_watches: bool = False
     mutings: int = 0
 
     def mute_open_connections(self) -> None:
@@ -294,7 +296,7 @@
                         await self.state.changed.wait()
         except TimeoutError:
             await self.state.expire()
-        if self.path.mutings > mutings:
+        if self.path.mute_watches or self.path.mutings > mutings:
             left_s = gives_up_s - asyncio.get_running_loop().time()
             await asyncio.sleep(left_s)
             return result.Failure(_UNKNOWN)
--- a/testing/fleet/test_cancellation.py
+++ b/testing/fleet/test_cancellation.py
@@ -56,6 +56,14 @@
     scene_module.run_on_virtual_time(main, monkeypatch)
 
 
+def _late_starts(scene, job_id: str, cancelled_s: float) -> list[str]:
+    return [
+        run.task_id
+        for run in scene.runs_of(job_id)
+        if run.begun_s > cancelled_s + CANCEL_S
+    ]
+
+
 def test_work_cancelled_while_connections_are_silent_is_not_started(
     monkeypatch,
 ):
@@ -68,11 +76,25 @@
         scene.owner.store.path.mute_open_connections()
         cancelled_s = await _cancel(scene, job_id)
         await asyncio.sleep(10.0)
-        late = [
-            run.task_id
-            for run in scene.runs_of(job_id)
-            if run.begun_s > cancelled_s + CANCEL_S
-        ]
-        assert not late
+        assert not _late_starts(scene, job_id, cancelled_s)
+
+    scene_module.run_on_virtual_time(main, monkeypatch)
+
+
+def test_no_work_is_started_while_cancellations_cannot_be_read(monkeypatch):
+    async def main(scene):
+        await scene.open(vms=2, executors=1)
+        owner = scene.owner
+        cancelled_id, _outcome = await scene.submit(
+            owner, step(tasks=80), behaviour={"run_s": 1.0}
+        )
+        await scene.until_state(cancelled_id, workflow.ACTIVE)
+        owner.store.path.mute_watches = True
+        cancelled_s = await _cancel(scene, cancelled_id)
+        kept_id, _outcome = await scene.submit(scene.bystander(), step())
+        await asyncio.sleep(10.0)
+        assert not _late_starts(scene, cancelled_id, cancelled_s)
+        owner.store.path.mute_watches = False
+        await scene.until_state(kept_id, workflow.COMPLETED)
 
     scene_module.run_on_virtual_time(main, monkeypatch)
--- a/testing/platform/test_settings.py
+++ b/testing/platform/test_settings.py
@@ -17,6 +17,7 @@
 platform.address=10.200.1.7:8524
 platform.min_ttl_ms=1000
 bounds.max_hold_ms=6000
+bounds.cancel_ms=4000
 bounds.status_s=120
 bounds.grace_period_s=6
 limits.cpu_share=0.7
@@ -32,6 +33,7 @@
     assert process_config.node_id == "frontend-antigua-1"
     assert process_config.store_address == "10.200.1.7:8524"
     assert process_config.bounds.max_lease_s == 6.0
+    assert process_config.bounds.cancel_s == 4.0
     assert process_config.bounds.status_retention_s == 120.0
 
 
