Don't repeat a start that is no longer wanted

What callers saw: nothing was reported; an executor was told a second time to start a task whose job the owner knew to be cancelled, or that it knew to drain. Cause: a start without an answer is sent again, and the second try left out the checks that the first one passes. They were left out so that a stop follows a start that may have been carried out. Class: a check that only the first of several tries makes. Change: both tries pass the same checks. A stop follows all the same, as it depends on whether any try may have been carried out. Ruled out: that the run is then lost sight of; it stays with its attempt until the stop is answered and a later report doesn't list it.

--- a/src/knapweedwharf/fleet/orders.py
+++ b/src/knapweedwharf/fleet/orders.py
@@ -142,9 +142,7 @@
         maybe_sent = False
         fault: errors.Fault | None = None
         for _try in range(START_TRIES):
-            answer = await self._send_start(
-                attempt, member, session, order, is_repeated=maybe_sent
-            )
+            answer = await self._send_start(attempt, member, session, order)
             if answer is None:
                 break
             if isinstance(answer, result.Success):
@@ -175,21 +173,15 @@
         member: attempt_module.Member,
         session: session_module.Session,
         order: model.StartOrder,
-        *,
-        is_repeated: bool,
     ) -> result.Result[int, errors.Fault] | None:
-        """Send a start when it is its turn; None if it is not to be sent.
-
-        :param is_repeated: it may have been sent before, so that a stop
-            has to follow if it is not confirmed.
-        """
+        """Send a start when it is its turn; None if it is not to be sent."""
         size = len(order.specification)
         async with self._window.slot(attempt.job.priority, size):
             may_order = await self._election.may_order()
             if not may_order or member.phase != attempt_module.ORDERED:
                 return None
             is_leaving = session.executor.state == model.DRAINING
-            if (attempt.must_stop or is_leaving) and not is_repeated:
+            if attempt.must_stop or is_leaving:
                 return None
             sent_s = clock.elapsed_s()
             answer = await session.start_run(order)
--- a/testing/fleet/test_cancellation.py
+++ b/testing/fleet/test_cancellation.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 
 import pytest
 import structlog
 
 from knapweedwharf.core import workflow
+from knapweedwharf.fleet import model
 from knapweedwharf.fleet import records
 from testing.fleet import scene as scene_module
 
@@ -98,3 +100,32 @@
         await scene.until_state(kept_id, workflow.COMPLETED)
 
     scene_module.run_on_virtual_time(main, monkeypatch)
+
+
+async def _drain(scene, executor_id: str) -> None:
+    executor = scene.pool.executors[executor_id]
+    await scene.list_executor(
+        dataclasses.replace(executor.spec, state=model.DRAINING)
+    )
+
+
+@pytest.mark.parametrize("what", ["cancelled", "draining"])
+def test_a_start_without_an_answer_is_not_repeated_once_unwanted(
+    monkeypatch, what
+):
+    async def main(scene):
+        await scene.open(vms=2, executors=1)
+        executor = scene.pool.executors["e0"]
+        executor.lose_starts, executor.late_s = 1, 60.0
+        job_id, _outcome = await scene.submit(
+            scene.owner, step(), behaviour={"run_s": 20.0}
+        )
+        await scene.until(lambda: not executor.lose_starts)
+        if what == "cancelled":
+            await _cancel(scene, job_id)
+        else:
+            await _drain(scene, "e0")
+        await asyncio.sleep(5.0)
+        assert not scene.pool.starts
+
+    scene_module.run_on_virtual_time(main, monkeypatch)
