Send starts only by records that were confirmed lately

What callers saw: nothing was reported; a task began over 3 s after the cancellation of its job had been acknowledged, while the owner's watch of the records got no answer. Cause: the age of the records is checked when work is placed. A start then waits for the placement to be stored, for the advisor and for the link, for seconds in all, and is sent whatever their age is by then. Change: each try of a start waits under the same condition as a pass; a line about it is logged once, not by each start that waits.

--- a/src/knapweedwharf/fleet/intake.py
+++ b/src/knapweedwharf/fleet/intake.py
@@ -76,6 +76,7 @@
         self.loaded = asyncio.Event()
         self.applied = 0
         self._applied_s = 0.0
+        self._stale_s: float | None = None
         self._watcher = watcher_module.Watcher(
             store,
             records.JOBS,
@@ -102,18 +103,19 @@
         await self.loaded.wait()
         if self._watcher.age_s <= self._max_age_s:
             return
-        self._log.warning(
-            "records-not-confirmed",
-            age_s=round(self._watcher.age_s, 3),
-            max_age_s=round(self._max_age_s, 3),
-        )
-        stale_s = clock.elapsed_s()
+        if self._stale_s is None:
+            self._stale_s = clock.elapsed_s()
+            self._log.warning(
+                "records-not-confirmed",
+                age_s=round(self._watcher.age_s, 3),
+                max_age_s=round(self._max_age_s, 3),
+            )
         while self._watcher.age_s > self._max_age_s:
             await asyncio.sleep(STALE_POLL_S)
-        self._log.info(
-            "records-confirmed",
-            after_s=round(clock.elapsed_s() - stale_s, 3),
-        )
+        if self._stale_s is not None:
+            after_s = clock.elapsed_s() - self._stale_s
+            self._stale_s = None
+            self._log.info("records-confirmed", after_s=round(after_s, 3))
 
     async def _report_unread(self) -> None:
         """Log the time spent so far, until the records are read."""
--- a/src/knapweedwharf/fleet/orders.py
+++ b/src/knapweedwharf/fleet/orders.py
@@ -40,6 +40,8 @@
     :param advice: provides the tickets of steps that need them.
     :param window: bounds the starts in flight.
     :param start_delay: is told how long stops take.
+    :param may_start: returns whether starts may be sent; waits while
+        cancellations may be unknown or the ownership is in doubt.
     """
 
     def __init__(
@@ -55,6 +57,7 @@
         advice: advice_module.Advice,
         window: start_window_module.StartWindow,
         start_delay: start_delay_module.StartDelay,
+        may_start: abc.Callable[[], abc.Awaitable[bool]],
     ) -> None:
         self._scheduling_state = scheduling_state
         self._progress_writer = progress_writer
@@ -66,6 +69,7 @@
         self._advice = advice
         self._window = window
         self._start_delay = start_delay
+        self._may_start = may_start
         self._log = log.get("orders").bind(epoch=epoch)
         self._tasks: set[asyncio.Task] = set()
 
@@ -177,8 +181,8 @@
         """Send a start when it is its turn; None if it is not to be sent."""
         size = len(order.specification)
         async with self._window.slot(attempt.job.priority, size):
-            may_order = await self._election.may_order()
-            if not may_order or member.phase != attempt_module.ORDERED:
+            may_start = await self._may_start()
+            if not may_start or member.phase != attempt_module.ORDERED:
                 return None
             is_leaving = session.executor.state == model.DRAINING
             if attempt.must_stop or is_leaving:
--- a/src/knapweedwharf/fleet/tenure.py
+++ b/src/knapweedwharf/fleet/tenure.py
@@ -125,7 +125,7 @@
             advance=lambda attempt: self._orders.advance(attempt),
             advice=self._advice,
             executors=self.registry.usable,
-            may_decide=self._may_decide,
+            may_decide=self._may_start,
         )
         self._orders = orders_module.Orders(
             scheduling_state=self.scheduling_state,
@@ -138,6 +138,7 @@
             advice=self._advice,
             window=start_window_module.StartWindow(capacity.link_bps),
             start_delay=self._start_delay,
+            may_start=self._may_start,
         )
         self._connect_inputs(desired)
 
@@ -292,9 +293,9 @@
                 # limit would be enforced.
                 self._log.exception("tick-broken")
 
-    async def _may_decide(self) -> bool:
-        """Return whether to place work; wait while cancellations may be
-        unknown or the ownership is in doubt.
+    async def _may_start(self) -> bool:
+        """Return whether to place and start work; wait while cancellations
+        may be unknown or the ownership is in doubt.
         """
         await self._intake.until_confirmed()
         return await self._election.may_order()
--- a/testing/fleet/test_cancellation.py
+++ b/testing/fleet/test_cancellation.py
@@ -14,15 +14,18 @@
 from testing.fleet import scene as scene_module
 
 step = scene_module.step
+PREFIX = scene_module.PREFIX
+ADVISED = scene_module.ADVISED_PREFIX
 
 CANCEL_S = 3.0
 """Time after a cancellation within which starts must cease."""
 
 
-async def _cancel(scene, job_id: str) -> float:
+async def _cancel(scene, job_id: str, *, prefix: str = PREFIX) -> float:
     """Cancel a job at a VM that is not the owner; return when."""
     vm = scene.bystander()
-    cancelled = await vm.node.job_api.cancel(scene.call(job_id))
+    call = scene.call(job_id, prefix=prefix)
+    cancelled = await vm.node.job_api.cancel(call)
     assert cancelled.unwrap() == job_id
     return asyncio.get_running_loop().time()
 
@@ -129,3 +132,29 @@
         assert not scene.pool.starts
 
     scene_module.run_on_virtual_time(main, monkeypatch)
+
+
+def test_a_start_that_waited_for_advice_follows_no_stale_records(monkeypatch):
+    async def main(scene):
+        advisor = scene.pool.advisor
+        advisor.validity_s = 0.5
+        await scene.open(vms=2, executors=1)
+        owner = scene.owner
+        first_id, _outcome = await scene.submit(owner, step(accelerators=8))
+        await scene.until_state(first_id, workflow.ACTIVE)
+        job_id, _outcome = await scene.submit(
+            owner,
+            step(accelerators=8),
+            behaviour={"advised": True},
+            prefix=ADVISED,
+        )
+        await scene.until(lambda: len(advisor.calls) == 1)
+        await asyncio.sleep(0.2)
+        advisor.decision_s, advisor.validity_s = 4.0, 9.0
+        owner.store.path.mute_watches = True
+        cancelled_s = await _cancel(scene, job_id, prefix=ADVISED)
+        await scene.until(lambda: len(advisor.calls) == 2)
+        await asyncio.sleep(10.0)
+        assert not _late_starts(scene, job_id, cancelled_s)
+
+    scene_module.run_on_virtual_time(main, monkeypatch)
