Repeat the stop of a run that nobody tracks

What callers saw: nothing was reported; a run without an attempt, as one of a cancelled job that a former owner started, went on for over 2 s longer when a stop was lost. Cause: the answer to such a stop was not looked at. The next one was sent after the next report, which an idle executor gives every 2 s, and which extends the run's lease besides. Class: an order without a look at its answer. Change: stops of such runs are repeated like all others, until one is answered, the executor is gone or the ownership is over; an executor that has seen a newer owner ends the ownership here too. While a run is being stopped, a report that lists it sends and logs nothing more. Evidence: in the new test, whose first stop is lost, the run is still there 1 s after that stop without the change, and gone with it.

--- a/src/knapweedwharf/fleet/orders.py
+++ b/src/knapweedwharf/fleet/orders.py
@@ -72,6 +72,7 @@
         self._may_start = may_start
         self._log = log.get("orders").bind(epoch=epoch)
         self._tasks: set[asyncio.Task] = set()
+        self._strays: set[tuple[str, str, int]] = set()
 
     async def close(self) -> None:
         """Stop sending orders."""
@@ -235,36 +236,64 @@
             return
         member.stop_sent = True
         member.stop_sent_s = clock.elapsed_s()
-        wait_s = STOP_RETRY_S
-        while member.phase != attempt_module.ENDED:
-            may_order = await self._election.may_order()
-            session = self._sessions.get(member.executor_id)
-            if session is None or not may_order:
-                return
-            answer = await session.stop_run(member.task_id, attempt.run)
-            if isinstance(answer, result.Success):
-                member.stopped_s = clock.elapsed_s()
-                return
-            if isinstance(answer.failure(), errors.Fenced):
-                self._election.give_up("fenced-by-executor")
-                return
-            await asyncio.sleep(wait_s)
-            wait_s = min(2 * wait_s, MAX_STOP_RETRY_S)
+        if await self._send_stops(
+            member.executor_id,
+            member.task_id,
+            attempt.run,
+            is_needed=lambda: member.phase != attempt_module.ENDED,
+        ):
+            member.stopped_s = clock.elapsed_s()
 
     def stop_stray(
         self, session: session_module.Session, task_id: str, run: int
     ) -> None:
         """Stop a run that belongs to no attempt."""
-        self._log.warning(
-            "stray-run", task=task_id, run=run, executor=session.executor_id
-        )
-        self._spawn(self._stop_stray(session, task_id, run))
+        executor_id = session.executor_id
+        stray = (executor_id, task_id, run)
+        if stray not in self._strays:
+            self._strays.add(stray)
+            self._log.warning(
+                "stray-run", task=task_id, run=run, executor=executor_id
+            )
+            self._spawn(self._stop_stray(session, stray))
 
     async def _stop_stray(
-        self, session: session_module.Session, task_id: str, run: int
+        self, session: session_module.Session, stray: tuple[str, str, int]
     ) -> None:
-        if await self._election.may_order():
-            await session.stop_run(task_id, run)
+        """Send stops; a run that goes on all the same is listed again."""
+
+        def is_needed() -> bool:
+            return self._sessions.get(session.executor_id) is session
+
+        try:
+            await self._send_stops(*stray, is_needed=is_needed)
+        finally:
+            self._strays.discard(stray)
+
+    async def _send_stops(
+        self,
+        executor_id: str,
+        task_id: str,
+        run: int,
+        *,
+        is_needed: abc.Callable[[], bool],
+    ) -> bool:
+        """Send stops while needed; return whether one was answered."""
+        wait_s = STOP_RETRY_S
+        while is_needed():
+            may_order = await self._election.may_order()
+            session = self._sessions.get(executor_id)
+            if session is None or not may_order:
+                return False
+            answer = await session.stop_run(task_id, run)
+            if isinstance(answer, result.Success):
+                return True
+            if isinstance(answer.failure(), errors.Fenced):
+                self._election.give_up("fenced-by-executor")
+                return False
+            await asyncio.sleep(wait_s)
+            wait_s = min(2 * wait_s, MAX_STOP_RETRY_S)
+        return False
 
     # Speeds
 
--- a/standins/fleet_executors.py
+++ b/standins/fleet_executors.py
@@ -174,6 +174,8 @@
     :ivar renewals: number of renewals requested.
     :ivar refused: reasons of refused starts, in order.
     :ivar stop_s: how long a run goes on after a stop was answered.
+    :ivar lose_stops: number of next stops that are not executed or
+        answered.
     :ivar starts: (time, executor id, (task, run)) of each start.
     """
 
@@ -185,6 +187,7 @@
         self.starts: list[tuple[float, str, tuple[str, int]]] = []
         self.renewals = 0
         self.stop_s = 0.0
+        self.lose_stops = 0
         self._tasks: set[asyncio.Task] = set()
 
     def add(self, spec: model.Executor) -> FakeExecutor:
@@ -330,7 +333,9 @@
         """Answer a stop."""
         found = self.executors.get(executor.executor_id)
         await asyncio.sleep(ANSWER_S)
-        if found is None or found.silent:
+        is_lost = self.lose_stops > 0
+        self.lose_stops -= is_lost
+        if found is None or found.silent or is_lost:
             await asyncio.sleep(timeout_s)
             return result.Failure(_UNKNOWN)
         if epoch < found.epoch:
--- a/testing/fleet/test_cancellation.py
+++ b/testing/fleet/test_cancellation.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import dataclasses
+import json
 
 import pytest
 import structlog
@@ -11,6 +12,7 @@
 from knapweedwharf.core import workflow
 from knapweedwharf.fleet import model
 from knapweedwharf.fleet import records
+from knapweedwharf.fleet import session as session_module
 from testing.fleet import scene as scene_module
 
 step = scene_module.step
@@ -158,3 +160,28 @@
         assert not _late_starts(scene, job_id, cancelled_s)
 
     scene_module.run_on_virtual_time(main, monkeypatch)
+
+
+def test_a_run_that_nobody_tracks_is_stopped_although_a_stop_is_lost(
+    monkeypatch,
+):
+    async def main(scene):
+        await scene.open(vms=1, executors=1)
+        executor = scene.pool.executors["e0"]
+        await asyncio.sleep(1.0)
+        scene.pool.lose_stops = 1
+        order = model.StartOrder(
+            task_id="00000000000000aa.0.0.0",
+            run=1,
+            specification=json.dumps({"run_s": 60.0}),
+            not_after_ms=executor.clock_ms() + 6000,
+            epoch=executor.epoch,
+        )
+        assert executor.start(order) is None
+        await scene.until(
+            lambda: not scene.pool.lose_stops,
+            within_s=session_module.IDLE_WAIT_S + 0.1,
+        )
+        await scene.until(lambda: not executor.runs, within_s=1.0)
+
+    scene_module.run_on_virtual_time(main, monkeypatch)
