Count nothing as confirmed by a lost history

What callers saw: nothing was reported. While a VM could not list the entries after the store had dropped its history, it counted them as current: an owner went on starting work by them, and keys were accepted by them, for the whole allowed age once more. Cause: a watch whose history is gone says that changes may have been missed. It was taken like a watch that found no change, so the known state counted as current from when it was asked. Class: an age that is reset by something else than a confirmation. Change: such a watch is followed by the listing as one step, and only the whole listing confirms. Evidence: in the new test, with the listing stalled, the age is 0.01 s although a change was made 0.56 s before; with the change it never falls below the time since the hidden change.

--- a/src/knapweedwharf/fleet/watcher.py
+++ b/src/knapweedwharf/fleet/watcher.py
@@ -172,7 +172,7 @@
                 return fault
             self._log.info("history-lost", revision=self._revision)
             self._revision = 0
-            return None
+            return await self._list()
         changes = changed.unwrap()
         self._revision = max(self._revision, changes.revision)
         self._note_answer(sent_s)
--- a/testing/fleet/test_reading_records.py
+++ b/testing/fleet/test_reading_records.py
@@ -103,6 +103,39 @@
     scene_module.run_on_virtual_time(main, monkeypatch)
 
 
+def test_a_lost_history_confirms_nothing_until_it_is_listed(monkeypatch):
+    async def main(scene):
+        store = fleet_store.FakeStore(scene.store)
+        scene._time = asyncio.create_task(scene.pool.run_forever())
+        listings: list[model.Listing] = []
+        watcher = watcher_module.Watcher(
+            store,
+            "p/",
+            wait_s=1.0,
+            on_listing=listings.append,
+            on_changes=lambda _changes: None,
+        )
+        await watcher.start()
+        await asyncio.sleep(0.5)
+        store.path.refused = True
+        scene.store.revision += 1
+        scene.store.put("p/00", b"x")
+        scene.store.compact_history()
+        hidden_s = asyncio.get_running_loop().time()
+        await scene.until(lambda: watcher.failures)
+        store.path.refused, store.path.stalled = False, True
+        for _check in range(200):
+            await asyncio.sleep(0.01)
+            now_s = asyncio.get_running_loop().time()
+            assert watcher.age_s >= now_s - hidden_s
+        store.path.stalled = False
+        await scene.until(lambda: len(listings) == 2)
+        assert watcher.age_s < 0.1
+        await watcher.close()
+
+    scene_module.run_on_virtual_time(main, monkeypatch)
+
+
 def test_other_work_continues_while_records_are_applied(monkeypatch):
     apply_records = intake_module.Intake._apply_records
     pieces = [0]
