Track the runs of ended jobs after a change of the owner

What callers saw: nothing was reported; a new owner started work on accelerators on which tasks of a cancelled job were still being stopped. Executors that guard their capacity refused it and went into back-off; others would have been overfilled (LIMIT). Cause: a new owner restored no attempts of a job whose record says that it was cancelled or had failed. Its runs were found in the reports as belonging to nobody and stopped as such, while their room counted as free. Class: state that an owner drops because it has no further use for it, though the executors still hold it. Change: the attempts of ended jobs are restored like all others and then stopped, as if the job had ended under the new owner.

--- a/src/knapweedwharf/fleet/decider.py
+++ b/src/knapweedwharf/fleet/decider.py
@@ -188,7 +188,8 @@
                 phase=attempt_module.ORDERED,
             )
             attempt.start_reported = True
-            self._request_advice(flow, part)
+            if not flow.is_final:
+                self._request_advice(flow, part)
             engine.restore(
                 record_module.JobRecord(
                     job=spec,
@@ -201,6 +202,15 @@
                 )
             )
 
+    def stop_remaining(self, flow: workflow.Workflow) -> None:
+        """Stop what may still run of a job that an earlier owner ended.
+
+        Until it has ended, it uses its executors' resources.
+        """
+        self.restore(flow)
+        if self._scheduling_state.parts_with_attempts(flow.job.job_id):
+            self._end_job(flow)
+
     def submit_ready_parts(self, flow: workflow.Workflow) -> None:
         """Submit the parts of a job that may start now."""
         if flow.is_final:
--- a/src/knapweedwharf/fleet/intake.py
+++ b/src/knapweedwharf/fleet/intake.py
@@ -241,6 +241,7 @@
         self._scheduling_state.workflows[job_id] = flow
         if flow.is_final:
             self._scheduling_state.mark_ended(job_id)
+            self._decider.stop_remaining(flow)
             return
         if progress is None:
             self._sender.timing(metric_definitions.INBOX_LAG_MS, age_s * 1000)
--- a/testing/fleet/test_cancellation.py
+++ b/testing/fleet/test_cancellation.py
@@ -185,3 +185,28 @@
         await scene.until(lambda: not executor.runs, within_s=1.0)
 
     scene_module.run_on_virtual_time(main, monkeypatch)
+
+
+def test_a_new_owner_places_nothing_where_cancelled_work_still_stops(
+    monkeypatch,
+):
+    async def main(scene):
+        await scene.open(vms=3, executors=1)
+        scene.pool.stop_s = 5.0
+        killed = scene.owner
+        cancelled_id, _outcome = await scene.submit(
+            killed, step(tasks=8), behaviour={"run_s": 30.0}
+        )
+        await scene.until(lambda: len(scene.pool.starts) == 8)
+        waiting_id, _outcome = await scene.submit(killed, step(tasks=8))
+        await _cancel(scene, cancelled_id)
+        await asyncio.sleep(0.5)
+        await killed.kill()
+        await scene.until(lambda: scene.owner not in (None, killed))
+        await scene.until_state(
+            waiting_id, workflow.COMPLETED, vm=scene.owner, within_s=10.0
+        )
+        assert not scene.pool.refused
+        assert len(scene.runs_of(cancelled_id)) == 8
+
+    scene_module.run_on_virtual_time(main, monkeypatch)
