Let an error end one event, not its caller

What callers saw: nothing was reported. When the engine failed on one event, the tasks of a cancelled job that came after it ran on to their end, and the ends that followed in the same report were counted as seen but never told to the engine, so that their jobs never completed. Cause: the error went through the callers, which pass several events in a row. The cancellation had been noted by then and the number of the last end moved on, so neither was taken up again. Class: an operation that breaks off half-way and counts as done. Change: the error is logged where the event is applied, with its kind and service, and the caller goes on. Open: the one event is lost, as before; a run whose own cancellation the engine fails on isn't stopped. No error of this kind is known.

--- a/src/knapweedwharf/fleet/decider.py
+++ b/src/knapweedwharf/fleet/decider.py
@@ -113,11 +113,19 @@
     def tell(self, service: str, happened: event.Event) -> None:
         """Apply an event to a service's engine and request a pass.
 
-        What follows from the event alone is carried out at once.
+        What follows from the event alone is carried out at once. An error
+        ends only this event: callers go on with the next one, such as
+        another end of the same report.
         """
         engine = self._engine(service)
-        with self._carrying_out(type(happened).__name__, service):
-            engine.apply(happened, now_s=clock.steady_s())
+        kind = type(happened).__name__
+        try:
+            with self._carrying_out(kind, service):
+                engine.apply(happened, now_s=clock.steady_s())
+        except Exception:
+            self._log.exception(
+                "event-not-applied", kind=kind, service=service
+            )
         if engine.needs_pass:
             self._passes.request()
 
--- a/testing/fleet/test_cancellation.py
+++ b/testing/fleet/test_cancellation.py
@@ -9,6 +9,8 @@
 import pytest
 import structlog
 
+from knapweedwharf.core import engine as engine_module
+from knapweedwharf.core import event
 from knapweedwharf.core import workflow
 from knapweedwharf.fleet import model
 from knapweedwharf.fleet import records
@@ -210,3 +212,58 @@
         assert len(scene.runs_of(cancelled_id)) == 8
 
     scene_module.run_on_virtual_time(main, monkeypatch)
+
+
+def _break_once(monkeypatch, kind, part_id: str) -> list[str]:
+    """Let the engine fail on the first event of a kind about a part."""
+    apply = engine_module.Engine.apply
+    failed: list[str] = []
+
+    def broken_apply(self, happened, *, now_s):
+        about = getattr(happened, "job_id", None)
+        if about is None and isinstance(happened, kind):
+            record = self.job_of_attempt(happened.attempt_id)
+            about = record.job.job_id if record else ""
+        if isinstance(happened, kind) and about == part_id and not failed:
+            failed.append(part_id)
+            raise RuntimeError("of a test")
+        return apply(self, happened, now_s=now_s)
+
+    monkeypatch.setattr(engine_module.Engine, "apply", broken_apply)
+    return failed
+
+
+def test_an_error_about_one_task_leaves_no_other_running(monkeypatch):
+    async def main(scene):
+        await scene.open(vms=2, executors=1)
+        job_id, _outcome = await scene.submit(
+            scene.owner, step(tasks=4), behaviour={"run_s": 60.0}
+        )
+        await scene.until(lambda: len(scene.pool.starts) == 4)
+        part_id = f"{job_id}.0.0.0"
+        failed = _break_once(monkeypatch, event.JobCancelled, part_id)
+        await _cancel(scene, job_id)
+        await asyncio.sleep(CANCEL_S)
+        assert failed
+        running = scene.pool.executors["e0"].runs
+        assert {task_id for task_id, _run in running} <= {part_id}
+
+    scene_module.run_on_virtual_time(main, monkeypatch)
+
+
+def test_an_error_about_one_end_hides_no_other(monkeypatch):
+    async def main(scene):
+        await scene.open(vms=2, executors=1)
+        first_id, _outcome = await scene.submit(scene.owner, step())
+        other_id, _outcome = await scene.submit(scene.owner, step(tasks=3))
+        part_id = f"{first_id}.0.0.0"
+        failed = _break_once(monkeypatch, event.TaskEnded, part_id)
+        await scene.until(lambda: len(scene.pool.starts) == 4)
+        executor = scene.pool.executors["e0"]
+        executor.silent = True
+        await scene.until(lambda: len(executor.ends) == 4)
+        executor.silent = False
+        await scene.until_state(other_id, workflow.COMPLETED, within_s=10.0)
+        assert failed
+
+    scene_module.run_on_virtual_time(main, monkeypatch)
