Notice a lost owner in time behind dead connections

What callers saw: nothing was reported. With an owner that was lost while the open connections of the other VMs had fallen silent, nothing was placed, stopped or renewed for up to 6 s, where 3 s are allowed; leases of 6 s are about to end by then. Cause: a VM learns from a watch that there is no owner. The watch may wait for 5 s and times out a second later, whatever the allowed take-over time is. Change: the watch waits for a third of the allowed take-over time (1 s). Ruled out: half of it, as with the time-out and the wait of a weak VM nothing would be left for the records; a wait of random length, which saves calls but bounds nothing. Evidence: in the new tests there is no owner for over 3 s without the change.

--- a/src/knapweedwharf/fleet/election.py
+++ b/src/knapweedwharf/fleet/election.py
@@ -43,8 +43,10 @@
 """Share of the lease for which the owner then waits for an answer; after
 that, runs are about to lapse and the records are better read anew."""
 
-WATCH_WAIT_S = 5.0
-"""The key's removal ends a wait early; this limits a dead connection."""
+WATCH_WAIT_SHARE = 1 / 3
+"""Share of the allowed take-over time that a watch may wait. The removal of
+the key ends a wait early; on a dead connection it is seen only once the watch
+has timed out, and the records have to be read after that."""
 
 MAX_CANDIDATE_DELAY_S = 0.05
 """Random spread of the candidates; a few times the store's answer time."""
@@ -123,7 +125,7 @@
         self._watcher = watcher_module.Watcher(
             store,
             records.OWNER_KEY,
-            wait_s=WATCH_WAIT_S,
+            wait_s=WATCH_WAIT_SHARE * process_config.bounds.owner_lease_s,
             on_listing=self._on_listing,
             on_changes=self._on_changes,
         )
--- a/testing/fleet/test_election.py
+++ b/testing/fleet/test_election.py
@@ -187,6 +187,25 @@
     run(main, monkeypatch)
 
 
+@pytest.mark.parametrize("after_s", [0.0, 0.5, 1.0, 2.0])
+def test_a_lost_owner_is_replaced_in_time_though_watches_are_silent(
+    monkeypatch, after_s
+):
+    async def main(fleet):
+        first = await fleet.add("first")
+        assert await fleet.until_owner(within_s=1.0) is first
+        for number in range(3):
+            await fleet.add(f"other-{number}")
+        await asyncio.sleep(0.5 + after_s)
+        for one in fleet.candidates:
+            one.store.path.mute_open_connections()
+        first.store.path.refused = True
+        await first.election.close()
+        await fleet.until_owner(within_s=BOUNDS.owner_lease_s)
+
+    run(main, monkeypatch)
+
+
 def test_a_candidate_that_sees_an_owner_does_not_compete(monkeypatch):
     async def main(fleet):
         slow = [await fleet.add(f"slow-{n}", WEAKEST) for n in range(8)]
