Confirm the desired state in time for a short revocation

What callers saw: nothing was reported; where a removed key must stop working within 2 s, calls would be refused for part of each watch, as each VM's copy of the desired state counts as too old 1.3 s after its confirmation and a watch waits for 1.5 s. Cause: the wait is a constant, chosen for a limit of 5 s. Class: a bound on stale knowledge that isn't derived from the limit that it has to keep. Change: the watch waits for 0.3 of the limit, and for 1.5 s at most. With 5 s, as on all deployments known, that is the wait of before. Evidence: the new test fails with limits of 1.5 and 2 s without the change, and passes with it.

--- a/src/knapweedwharf/fleet/desired.py
+++ b/src/knapweedwharf/fleet/desired.py
@@ -9,8 +9,12 @@
 from knapweedwharf.fleet import watcher as watcher_module
 from knapweedwharf import log
 
-WATCH_WAIT_S = 1.5
-"""Under a third of the time within which a removed key must stop working."""
+MAX_WATCH_WAIT_S = 1.5
+"""Limits for how long a dead connection hides a change."""
+
+WATCH_WAIT_SHARE = 0.3
+"""Share of the time within which a removed key must stop working that a watch
+may wait; while it waits, its copy grows older."""
 
 AGE_MARGIN_S = 0.7
 """Part of the revocation time reserved for the answer's way back."""
@@ -40,7 +44,9 @@
         self.watcher = watcher_module.Watcher(
             store,
             store_schema.operator_prefix,
-            wait_s=WATCH_WAIT_S,
+            wait_s=min(
+                MAX_WATCH_WAIT_S, WATCH_WAIT_SHARE * bounds.revocation_s
+            ),
             on_listing=lambda listing: self._apply_items(listing.items),
             on_changes=lambda changes: self._apply_items(changes.items),
         )
--- a/testing/fleet/test_job_lifecycle.py
+++ b/testing/fleet/test_job_lifecycle.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
+
+import pytest
 
 from knapweedwharf.core import workflow
 from knapweedwharf import errors
@@ -147,6 +150,24 @@
     scene_module.run_on_virtual_time(main, monkeypatch)
 
 
+@pytest.mark.parametrize("revocation_s", [1.5, 2.0, 5.0])
+def test_keys_are_accepted_all_the_time_while_the_store_answers(
+    monkeypatch, revocation_s
+):
+    bounds = dataclasses.replace(
+        scene_module.BOUNDS, revocation_s=revocation_s
+    )
+    monkeypatch.setattr(scene_module, "BOUNDS", bounds)
+
+    async def main(scene):
+        await scene.open(vms=2, executors=1)
+        for _check in range(200):
+            await asyncio.sleep(0.05)
+            assert all(vm.node.desired.is_fresh for vm in scene.vms)
+
+    scene_module.run_on_virtual_time(main, monkeypatch)
+
+
 def test_a_long_running_task_is_restarted_however_it_ends(monkeypatch):
     async def main(scene):
         await scene.open(vms=1, executors=2)
