Tell how an executor was lost and what ran on it

What operators saw: the same lines, executor-gone and run-ended with how lapsed, for an executor that crashed under a task, one that was cut off and one that had left. Cause: the owner forgot why it gave an executor up, and whether a report had ever listed a run that was lost with it. Change: executor-gone has how (reborn, lapsed, absent, left), the time since the last answer and the number of runs; run-lost has a line for each of them, with its time at work; executor-seen names the executor that its machine was before; three metrics count the same. The stand-in executors can crash, and tasks can crash them. Ruled out: to tell a crash from a cut by the kind of fault; a reset or a refused connection is also what a cut link may show.

--- a/src/knapweedwharf/fleet/attempt.py
+++ b/src/knapweedwharf/fleet/attempt.py
@@ -28,6 +28,7 @@
 
     :ivar since_s: when it was confirmed as running, or 0; a report
         requested earlier doesn't prove that the run has ended.
+    :ivar listed_s: when a report last listed it, or 0.
     :ivar outcome: outcome of the ended run, or empty.
     :ivar end_reported: whether the engine was told of the end.
     :ivar stop_sent: whether a stop is being sent or was answered.
@@ -44,6 +45,7 @@
     executor_id: str
     phase: str = INTENDED
     since_s: float = 0.0
+    listed_s: float = 0.0
     outcome: str = ""
     end_reported: bool = False
     stop_sent: bool = False
@@ -54,6 +56,11 @@
     percent: int | None = 100
     percent_at_start: bool = True
 
+    @property
+    def at_work_s(self) -> float:
+        """For how long its executor is known to have run it."""
+        return max(0.0, self.listed_s - self.since_s) if self.since_s else 0.0
+
     def absence_means_ended(self, requested_s: float) -> bool:
         """Return whether a report without the run proves that it ended.
 
--- a/src/knapweedwharf/fleet/metric_definitions.py
+++ b/src/knapweedwharf/fleet/metric_definitions.py
@@ -86,6 +86,24 @@
     unit="executors",
     text="Executors that stopped answering.",
 )
+EXECUTORS_REBORN = metrics.define(
+    "fleet.executors_reborn",
+    kind=metrics.COUNTER,
+    unit="executors",
+    text="Executors that crashed and came back under the same id.",
+)
+EXECUTORS_LAPSED = metrics.define(
+    "fleet.executors_lapsed",
+    kind=metrics.COUNTER,
+    unit="executors",
+    text="Executors that did not answer until their lease had ended.",
+)
+RUNS_LOST_UNSEEN = metrics.define(
+    "fleet.runs_lost_unseen",
+    kind=metrics.COUNTER,
+    unit="runs",
+    text="Runs lost with their executor before it ever listed them.",
+)
 OWNERSHIPS_WON = metrics.define(
     "fleet.ownerships_won",
     kind=metrics.COUNTER,
--- a/src/knapweedwharf/fleet/registry.py
+++ b/src/knapweedwharf/fleet/registry.py
@@ -11,6 +11,7 @@
 from knapweedwharf.fleet import answer_times as answer_times_module
 from knapweedwharf.fleet import clients as clients_module
 from knapweedwharf.fleet import clock
+from knapweedwharf.fleet import executor_loss
 from knapweedwharf.fleet import model
 from knapweedwharf.fleet import session as session_module
 from knapweedwharf.fleet import watcher as watcher_module
@@ -112,15 +113,17 @@
         executor_id = executor.executor_id
         self._expected.pop(executor_id, None)
         self._unlisted.pop(executor_id, None)
+        former = ""
         if executor.machine_id:
+            former = self._by_machine.get(executor.machine_id, "")
             self._by_machine[executor.machine_id] = executor_id
         session = self.sessions.get(executor_id)
         if session is not None and _has_restarted(session.executor, executor):
             self._log.warning("executor-reborn", executor=executor_id)
-            self._discard_session(session)
+            self._discard_session(session, executor_loss.REBORN)
             session = None
         if session is None:
-            self._open_session(executor, revision)
+            self._open_session(executor, revision, former=former)
             return
         was_ready = session.executor.state == model.READY
         session.executor = executor
@@ -135,7 +138,13 @@
             self._cordon(session)
             self._report_leaving(session)
 
-    def _open_session(self, executor: model.Executor, revision: int) -> None:
+    def _open_session(
+        self, executor: model.Executor, revision: int, *, former: str = ""
+    ) -> None:
+        """Open a session.
+
+        :param former: the executor that its machine was before, if known.
+        """
         session = session_module.Session(
             executor=executor,
             client=self._client,
@@ -152,6 +161,8 @@
             revision=revision,
             state=executor.state,
             rack=executor.rack,
+            incarnation_ms=executor.incarnation_ms,
+            former=former,
         )
         self._spawn(session.start())
 
@@ -196,21 +207,31 @@
             session.leaving_reported = True
             self._hooks.leaving(session)
 
-    def _discard_session(self, session: session_module.Session) -> None:
+    def _discard_session(
+        self, session: session_module.Session, how: str
+    ) -> None:
         self._announced.pop(session.executor_id, None)
         self.sessions.pop(session.executor_id, None)
         self._spawn(session.close())
         self.answer_times.forget(session.executor_id)
-        self._on_gone(session)
+        self._on_gone(session, self._how_lost(session, how))
+
+    def _how_lost(self, session: session_module.Session, how: str) -> str:
+        """Return how an executor was lost, whatever showed the loss."""
+        is_planned = (
+            session.executor.state == model.DRAINING
+            or session.executor_id in self._retired
+        )
+        return executor_loss.LEFT if is_planned else how
 
-    def _session_gone(self, session: session_module.Session) -> None:
+    def _session_gone(self, session: session_module.Session, how: str) -> None:
         """Remove a session; open another while the executor is listed."""
         if self.sessions.get(session.executor_id) is not session:
             return
         del self.sessions[session.executor_id]
         self._announced.pop(session.executor_id, None)
         self.answer_times.forget(session.executor_id)
-        self._on_gone(session)
+        self._on_gone(session, self._how_lost(session, how))
         if session.listed:
             retired = session.executor_id in self._retired
             self._open_session(session.executor, 0)
@@ -275,7 +296,7 @@
                 session.executor.state == model.DRAINING
             ):
                 del self._unlisted[executor_id]
-                self._discard_session(session)
+                self._discard_session(session, executor_loss.LEFT)
 
     def pop_lapsed(self) -> list[str]:
         """Remove and return awaited executors whose runs have surely ended."""
--- a/src/knapweedwharf/fleet/reports.py
+++ b/src/knapweedwharf/fleet/reports.py
@@ -8,7 +8,10 @@
 from knapweedwharf.core import event
 from knapweedwharf.core import workflow
 from knapweedwharf.fleet import attempt as attempt_module
+from knapweedwharf.fleet import clock
+from knapweedwharf.fleet import executor_loss
 from knapweedwharf.fleet import late_ends as late_ends_module
+from knapweedwharf.fleet import metric_definitions
 from knapweedwharf.fleet import model
 from knapweedwharf.fleet import orders as orders_module
 from knapweedwharf.fleet import pacing as pacing_module
@@ -16,9 +19,15 @@
 from knapweedwharf.fleet import scheduling_state as scheduling_state_module
 from knapweedwharf.fleet import session as session_module
 from knapweedwharf import log
+from knapweedwharf import metrics
 
 ChangedAttempts = dict[str, attempt_module.Attempt]
 
+_METRICS = {
+    executor_loss.REBORN: metric_definitions.EXECUTORS_REBORN,
+    executor_loss.LAPSED: metric_definitions.EXECUTORS_LAPSED,
+}
+
 
 class Reports:
     """Reconciles executors' reports with the scheduling state."""
@@ -30,6 +39,7 @@
         progress_writer: progress_writer_module.ProgressWriter,
         orders: orders_module.Orders,
         tell: event.EventSink,
+        sender: metrics.Metrics,
         pacing: pacing_module.Pacing,
         late_ends: late_ends_module.LateEnds,
     ) -> None:
@@ -37,6 +47,7 @@
         self._progress_writer = progress_writer
         self._orders = orders
         self._tell = tell
+        self._sender = sender
         self._pacing = pacing
         self._late_ends = late_ends
         self._log = log.get("reports")
@@ -167,18 +178,71 @@
         if member.phase == attempt_module.ORDERED and not member.stop_sent:
             self._orders.record_start(attempt, member)
             changed[attempt.attempt_id] = attempt
+        member.listed_s = clock.elapsed_s()
+
+    def executor_ended(
+        self, executor_id: str, how: str, unheard_s: float | None = None
+    ) -> None:
+        """End all runs of an executor on which nothing runs any more.
 
-    def executor_ended(self, executor_id: str) -> None:
-        """End all runs of an executor on which nothing runs any more."""
-        self._log.warning("executor-gone", executor=executor_id)
+        :param how: how it was lost; see ``executor_loss``.
+        :param unheard_s: time since it last answered, if it ever did.
+        """
+        held = list(self._scheduling_state.members_on(executor_id))
+        lost = [
+            (attempt, member)
+            for attempt, member in held
+            if member.phase != attempt_module.ENDED
+        ]
+        self._log.warning(
+            "executor-gone",
+            executor=executor_id,
+            how=how,
+            unheard_s=None if unheard_s is None else round(unheard_s, 3),
+            runs=len(lost),
+        )
+        if how in _METRICS:
+            self._sender.count(_METRICS[how])
+        for attempt, member in lost:
+            self._log_lost(attempt, member, how, beside=len(lost) - 1)
         changed: ChangedAttempts = {}
-        for attempt, member in self._scheduling_state.members_on(executor_id):
+        for attempt, member in held:
             self._mark_lost(attempt, member, changed)
         self._advance_all(changed)
 
-    def gone(self, session: session_module.Session) -> None:
+    def _log_lost(
+        self,
+        attempt: attempt_module.Attempt,
+        member: attempt_module.Member,
+        how: str,
+        *,
+        beside: int,
+    ) -> None:
+        """Log what is known of a run that was lost with its executor.
+
+        :param beside: number of other runs that were lost with it.
+        """
+        if not member.listed_s:
+            self._sender.count(metric_definitions.RUNS_LOST_UNSEEN)
+        self._log.warning(
+            "run-lost",
+            job_id=attempt.job.job_id,
+            task=member.task_id,
+            run=attempt.run,
+            executor=member.executor_id,
+            how=how,
+            phase=member.phase,
+            at_work_s=round(member.at_work_s, 3),
+            is_inherited=member.is_inherited,
+            beside=beside,
+        )
+
+    def gone(self, session: session_module.Session, how: str) -> None:
         """Remove an executor on which nothing can run any more."""
-        self.executor_ended(session.executor_id)
+        unheard_s = None
+        if session.answered_s:
+            unheard_s = clock.elapsed_s() - session.answered_s
+        self.executor_ended(session.executor_id, how, unheard_s)
         gone = event.WorkerGone(session.executor_id)
         self._tell(session.executor.service, gone)
 
--- a/src/knapweedwharf/fleet/session.py
+++ b/src/knapweedwharf/fleet/session.py
@@ -21,6 +21,7 @@
 from knapweedwharf.fleet import answer_times as answer_times_module
 from knapweedwharf.fleet import background
 from knapweedwharf.fleet import clock
+from knapweedwharf.fleet import executor_loss
 from knapweedwharf.fleet import model
 from knapweedwharf import log
 
@@ -63,7 +64,8 @@
     :ivar cordoned: called when an executor must get no new work.
     :ivar leaving: called when an executor drains and will be removed
         with what it runs.
-    :ivar gone: called when none of an executor's runs can be alive.
+    :ivar gone: called when none of an executor's runs can be alive, with
+        how it was lost; see ``executor_loss``.
     :ivar fenced: called when an executor has seen a newer epoch.
     :ivar may_order: returns whether the owner's lease is still valid;
         waits while this is in doubt.
@@ -74,7 +76,7 @@
     silent: abc.Callable[[], None]
     cordoned: abc.Callable[[Session], None]
     leaving: abc.Callable[[Session], None]
-    gone: abc.Callable[[Session], None]
+    gone: abc.Callable[[Session, str], None]
     fenced: abc.Callable[[], None]
     may_order: abc.Callable[[], abc.Awaitable[bool]]
     is_busy: abc.Callable[[str], bool]
@@ -149,6 +151,11 @@
         """The executor's id."""
         return self.executor.executor_id
 
+    @property
+    def answered_s(self) -> float:
+        """When it last answered a renewal, or 0."""
+        return self._clock_at_s
+
     def clock_ms(self, ahead_s: float = 0.0) -> int:
         """Return what the executor's clock will show ``ahead_s`` from now."""
         passed_s = clock.elapsed_s() - self._clock_at_s + ahead_s
@@ -251,7 +258,7 @@
                 return
             self._count_failure(fault)
             if self._has_lapsed():
-                self._hooks.gone(self)
+                self._hooks.gone(self, executor_loss.LAPSED)
                 return
             await asyncio.sleep(delays.next_s())
 
--- a/src/knapweedwharf/fleet/tenure.py
+++ b/src/knapweedwharf/fleet/tenure.py
@@ -18,6 +18,7 @@
 from knapweedwharf.fleet import decider as decider_module
 from knapweedwharf.fleet import desired as desired_module
 from knapweedwharf.fleet import election as election_module
+from knapweedwharf.fleet import executor_loss
 from knapweedwharf.fleet import intake as intake_module
 from knapweedwharf.fleet import job_specs as job_specs_module
 from knapweedwharf.fleet import late_ends as late_ends_module
@@ -159,6 +160,7 @@
             progress_writer=self._progress_writer,
             orders=self._orders,
             tell=self._decider.tell,
+            sender=self._sender,
             pacing=pacing_module.Pacing(
                 scheduling_state=self.scheduling_state,
                 set_speed=self._orders.pace,
@@ -214,7 +216,7 @@
             ),
             cordoned=lambda session: self._reports.cordoned(session),
             leaving=lambda session: self._reports.leaving(session),
-            gone=lambda session: self._reports.gone(session),
+            gone=lambda session, how: self._reports.gone(session, how),
             fenced=lambda: self._election.give_up("fenced-by-executor"),
             may_order=lambda: self._election.may_order(),
             is_busy=self.scheduling_state.is_busy,
@@ -303,7 +305,7 @@
     def _tick(self) -> None:
         self.registry.tick()
         for executor_id in self.registry.pop_lapsed():
-            self._reports.executor_ended(executor_id)
+            self._reports.executor_ended(executor_id, executor_loss.ABSENT)
         self._decider.tick()
         self._decider.event_times.tick()
         if clock.elapsed_s() - self._pruned_s > RETENTION_INTERVAL_S:
--- a/standins/fleet_executors.py
+++ b/standins/fleet_executors.py
@@ -1,12 +1,15 @@
 """In-memory executors with fencing, leases, gangs and answer faults.
 
 A task's specification sets its simulated behaviour: ``{"run_s": 2,
-"gang": 3, "ends": "done"}``.
+"gang": 3, "ends": "done"}``. ``"crashing": [0]`` lists tasks, by their
+number in the step, that crash their executor ``crash_after_s`` after
+each start; ``back_s`` and ``renamed`` say how it comes back.
 """
 
 from __future__ import annotations
 
 import asyncio
+from collections import abc
 import dataclasses
 import json
 
@@ -18,7 +21,15 @@
 
 ANSWER_S = 0.002
 CALL_TIMEOUT_S = 0.7
+CRASHED = "crashed"
+"""Outcome of a run whose executor crashed; no report lists it."""
+
+CRASH_AFTER_S = 0.01
+BACK_AFTER_S = 3.0
 _UNKNOWN = errors.OutcomeUnknown(message="No answer.", remedy="Ask again.")
+_REFUSED_CONNECTION = errors.Unreachable(
+    message="Connection refused.", remedy="Try another executor."
+)
 _FENCED = errors.Fenced(message="Newer epoch.", remedy="Stop.")
 
 
@@ -53,6 +64,7 @@
     """One executor.
 
     :ivar silent: no call is executed or answered.
+    :ivar crashed: nothing listens on its address any more.
     :ivar lose_starts: number of next starts that are executed without
         an answer.
     :ivar late_s: delay after which such starts are executed.
@@ -74,6 +86,7 @@
         self.number = 0
         self.stopped: dict[str, int] = {}
         self.silent = False
+        self.crashed = False
         self.lose_starts = 0
         self.late_s = 0.0
         self.stalled = False
@@ -106,6 +119,21 @@
         self.number += 1
         self.stopped[key[0]] = max(self.stopped.get(key[0], 0), key[1])
         self.ends.append(model.RunEnd(self.number, key[0], key[1], how, ""))
+        self._record(key, state, how)
+        async with self.changed:
+            self.changed.notify_all()
+
+    async def crash(self) -> None:
+        """End with all that runs here; nobody is told."""
+        self.crashed = True
+        for key, state in self.runs.items():
+            self._record(key, state, CRASHED)
+        self.runs.clear()
+        self.ends.clear()
+        async with self.changed:
+            self.changed.notify_all()
+
+    def _record(self, key: tuple[str, int], state: RunState, how: str) -> None:
         now_s = asyncio.get_running_loop().time()
         self.pool.ended_runs.append(
             RunRecord(
@@ -117,8 +145,6 @@
                 how,
             )
         )
-        async with self.changed:
-            self.changed.notify_all()
 
     def start(self, order: model.StartOrder) -> errors.Fault | None:
         """Start a run; return a fault if it is refused."""
@@ -141,6 +167,9 @@
         now_s = asyncio.get_running_loop().time()
         self.runs[key] = RunState(order, now_s, behaviour)
         self.pool.starts.append((now_s, self.spec.executor_id, key))
+        number = int(order.task_id.rsplit(".", 1)[1])
+        if number in behaviour.get("crashing", ()):
+            self.pool.crash_soon(self, behaviour)
         return None
 
     def load_ms(self, state: RunState) -> int:
@@ -167,6 +196,9 @@
     return errors.OrderRefused("Refused.", "Elsewhere.", reason)
 
 
+CrashCallback = abc.Callable[[FakeExecutor, float, bool], abc.Awaitable[None]]
+
+
 class FakeExecutorPool:
     """All executors, and the client through which the fleet calls them.
 
@@ -177,6 +209,9 @@
     :ivar lose_stops: number of next stops that are not executed or
         answered.
     :ivar starts: (time, executor id, (task, run)) of each start.
+    :ivar crashes: (time, executor id) of each crash.
+    :ivar on_crash: called with an executor that a task has crashed, after
+        how many seconds it is back, and whether under another id.
     """
 
     def __init__(self) -> None:
@@ -185,6 +220,8 @@
         self.executors: dict[str, FakeExecutor] = {}
         self.ended_runs: list[RunRecord] = []
         self.starts: list[tuple[float, str, tuple[str, int]]] = []
+        self.crashes: list[tuple[float, str]] = []
+        self.on_crash: CrashCallback | None = None
         self.renewals = 0
         self.stop_s = 0.0
         self.lose_stops = 0
@@ -196,6 +233,20 @@
         self.executors[spec.executor_id] = executor
         return executor
 
+    def crash_soon(self, executor: FakeExecutor, behaviour: dict) -> None:
+        """Let a task crash its executor."""
+        task = asyncio.create_task(self._crash(executor, behaviour))
+        self._tasks.add(task)
+
+    async def _crash(self, executor: FakeExecutor, behaviour: dict) -> None:
+        await asyncio.sleep(behaviour.get("crash_after_s", CRASH_AFTER_S))
+        if not executor.crashed:
+            await self.on_crash(
+                executor,
+                behaviour.get("back_s", BACK_AFTER_S),
+                behaviour.get("renamed", False),
+            )
+
     def share(self, key: tuple[str, int], state: RunState, now_s) -> float:
         """Return the progress of a run, from 0 to 1.
 
@@ -252,6 +303,8 @@
         self.renewals += 1
         found = self.executors.get(executor.executor_id)
         await asyncio.sleep(ANSWER_S)
+        if found is not None and found.crashed:
+            return result.Failure(_REFUSED_CONNECTION)
         if found is None or found.silent:
             await asyncio.sleep(wait_s + timeout_s)
             return result.Failure(_UNKNOWN)
@@ -271,6 +324,8 @@
         if found.silent:
             await asyncio.sleep(timeout_s)
             return result.Failure(_UNKNOWN)
+        if found.crashed:
+            return result.Failure(_UNKNOWN)
         return result.Success(self._report(found))
 
     def _report(self, found: FakeExecutor) -> model.Report:
@@ -302,6 +357,8 @@
         """Answer a start."""
         found = self.executors.get(executor.executor_id)
         await asyncio.sleep(ANSWER_S)
+        if found is not None and found.crashed:
+            return result.Failure(_REFUSED_CONNECTION)
         if found is None or found.silent:
             await asyncio.sleep(timeout_s)
             return result.Failure(_UNKNOWN)
@@ -333,6 +390,8 @@
         """Answer a stop."""
         found = self.executors.get(executor.executor_id)
         await asyncio.sleep(ANSWER_S)
+        if found is not None and found.crashed:
+            return result.Failure(_REFUSED_CONNECTION)
         is_lost = self.lose_stops > 0
         self.lose_stops -= is_lost
         if found is None or found.silent or is_lost:
@@ -368,6 +427,8 @@
         """Answer an order that sets a run's speed."""
         found = self.executors.get(executor.executor_id)
         await asyncio.sleep(ANSWER_S)
+        if found is not None and found.crashed:
+            return result.Failure(_REFUSED_CONNECTION)
         if found is None or found.silent:
             await asyncio.sleep(timeout_s)
             return result.Failure(_UNKNOWN)
--- a/testing/fleet/scene.py
+++ b/testing/fleet/scene.py
@@ -29,6 +29,9 @@
 ADVISED_PREFIX = "/a/"
 QUEUES = {PREFIX: 1, URGENT_PREFIX: 0, ADVISED_PREFIX: 1}
 UNIX_AT_START_S = 1_700_000_000.0
+UNLISTED_AFTER_S = 4.5
+"""Three missed heartbeats, after which an executor's entry is removed."""
+
 BOUNDS = model.TimeLimits()
 
 
@@ -189,6 +192,8 @@
             on_machine_up=self._start_executor,
             on_machine_down=self._end_executor,
         )
+        self.pool.on_crash = self._crashed_by_task
+        self._crash_tasks: set[asyncio.Task] = set()
         self._incarnations = 1
         self.link_bytes_per_s = 0.0
         self.clock_step_s = 0.0
@@ -212,6 +217,8 @@
         """End everything."""
         for vm in self.vms:
             await vm.node.close()
+        for task in self._crash_tasks:
+            task.cancel()
         self._time.cancel()
 
     async def add_executor(self, executor_id: str, *, rack: str, **fields):
@@ -281,6 +288,68 @@
             incarnation_ms=self._incarnations,
         )
 
+    async def crash_executor(
+        self,
+        executor_id: str,
+        *,
+        back_s: float | None = None,
+        renamed: bool = False,
+    ) -> None:
+        """Crash an executor.
+
+        :param back_s: after how many seconds it is back; None for never.
+        :param renamed: whether it is back under another id.
+        """
+        executor = self.pool.executors[executor_id]
+        now_s = asyncio.get_running_loop().time()
+        self.pool.crashes.append((now_s, executor_id))
+        await executor.crash()
+        self._spawn(self._unlist_crashed(executor))
+        if back_s is not None:
+            self._spawn(self._return_crashed(executor, back_s, renamed))
+
+    async def _crashed_by_task(
+        self,
+        executor: fleet_executors.FakeExecutor,
+        back_s: float | None,
+        renamed: bool,
+    ) -> None:
+        await self.crash_executor(
+            executor.spec.executor_id, back_s=back_s, renamed=renamed
+        )
+
+    def _spawn(self, work: abc.Coroutine) -> None:
+        task = asyncio.create_task(work)
+        self._crash_tasks.add(task)
+        task.add_done_callback(self._crash_tasks.discard)
+
+    async def _unlist_crashed(
+        self, executor: fleet_executors.FakeExecutor
+    ) -> None:
+        await asyncio.sleep(UNLISTED_AFTER_S)
+        executor_id = executor.spec.executor_id
+        if self.pool.executors.get(executor_id) is executor:
+            await self.store.external_remove(EXECUTORS + executor_id)
+
+    async def _return_crashed(
+        self,
+        executor: fleet_executors.FakeExecutor,
+        back_s: float,
+        renamed: bool,
+    ) -> None:
+        await asyncio.sleep(back_s)
+        self._incarnations += 1
+        executor_id = executor.spec.executor_id
+        if renamed:
+            executor_id = f"{executor.spec.machine_id}-{self._incarnations}"
+        spec = dataclasses.replace(
+            executor.spec,
+            executor_id=executor_id,
+            incarnation_ms=self._incarnations,
+        )
+        self.pool.add(spec)
+        await self.list_executor(spec)
+
     async def list_executor(self, spec: model.Executor) -> None:
         """Write an executor's entry."""
         value = json.dumps(dataclasses.asdict(spec)).encode()
