--- a/standins/fleet_executors.py
+++ b/standins/fleet_executors.py
@@ -3,7 +3,8 @@
 A task's specification sets its simulated behaviour: ``{"run_s": 2,
 "gang": 3, "ends": "done"}``. ``"crashing": [0]`` lists tasks, by their
 number in the step, that crash their executor ``crash_after_s`` after
-each start; ``back_s`` and ``renamed`` say how it comes back.
+each start, or before it is answered if that is 0; ``back_s`` and
+``renamed`` say how it comes back.
 """
 
 from __future__ import annotations
@@ -64,6 +65,7 @@
     """One executor.
 
     :ivar silent: no call is executed or answered.
+    :ivar is_crashing: it crashes before it answers.
     :ivar crashed: nothing listens on its address any more.
     :ivar lose_starts: number of next starts that are executed without
         an answer.
@@ -86,6 +88,7 @@
         self.number = 0
         self.stopped: dict[str, int] = {}
         self.silent = False
+        self.is_crashing = False
         self.crashed = False
         self.lose_starts = 0
         self.late_s = 0.0
@@ -235,6 +238,8 @@
 
     def crash_soon(self, executor: FakeExecutor, behaviour: dict) -> None:
         """Let a task crash its executor."""
+        if not behaviour.get("crash_after_s", CRASH_AFTER_S):
+            executor.is_crashing = True
         task = asyncio.create_task(self._crash(executor, behaviour))
         self._tasks.add(task)
 
@@ -372,6 +377,8 @@
         if fault is not None:
             self.refused.append(fault.why)
             return result.Failure(fault)
+        if found.is_crashing:
+            return result.Failure(_UNKNOWN)
         return result.Success(found.clock_ms())
 
     async def _start_late(self, found: FakeExecutor, order) -> None:
