Give up tasks under which executors crash, and keep suspects apart

What callers saw: one task is started on six and more executors, one after the other, and each crashes (BUDGET); its job stays active. Cause: a crash leaves no end of the run. The owner takes the run for lapsed, which is no failure of the task, and starts it elsewhere at once, without a limit. Class: a retry whose failure has a cause that nobody counts, as only the other side's report would count it. Change: an owner that loses an executor counts that for the tasks that may have caused it: the runs that no report had shown at work yet, or all of its runs if there are none. The counts lie in the job's record with executor and incarnation, so that a new owner goes on with them, and finds by the incarnation that an executor crashed before it took over. Ruled out: to count all runs on the executor, as one deadly task fails the sound ones beside it; to count by part, as a gang's members would add up; failures by the existing limit of attempts, as a queue may allow one.

--- a/src/knapweedwharf/core/constraint.py
+++ b/src/knapweedwharf/core/constraint.py
@@ -13,9 +13,9 @@
 RecordOf = abc.Callable[[str], record_module.JobRecord | None]
 """Returns the record of an attempt's job, by the attempt's id."""
 
-Constraint = tuple[str, str, bool, str, str, str]
+Constraint = tuple[str, str, bool, str, str, str, bool]
 """(label, data rack, prefers one rack, spread group if limited, neighbours,
-approval)"""
+approval, suspect)"""
 
 _CONFLICTS_WITH = {
     model.BEST_EFFORT: model.LATENCY_SENSITIVE,
@@ -33,6 +33,7 @@
         group,
         job.neighbours,
         job.approval,
+        job.is_suspect,
     )
 
 
--- a/src/knapweedwharf/core/engine.py
+++ b/src/knapweedwharf/core/engine.py
@@ -182,6 +182,14 @@
     def _(self, happened: event.LateFailure) -> None:
         self._lifecycle.failed_late(happened.job_id)
 
+    @_apply.register
+    def _(self, happened: event.JobSuspected) -> None:
+        self._lifecycle.suspected(happened)
+
+    @_apply.register
+    def _(self, happened: event.JobGivenUp) -> None:
+        self._lifecycle.given_up(happened)
+
     @_apply.register
     def _(self, happened: event.GangStarted) -> None:
         self._lifecycle.gang_started(happened.attempt_id)
--- a/src/knapweedwharf/core/event.py
+++ b/src/knapweedwharf/core/event.py
@@ -89,6 +89,22 @@
     job_id: str
 
 
+@dataclasses.dataclass(frozen=True)
+class JobSuspected:
+    """Workers have crashed under a job, or it is cleared of that."""
+
+    job_id: str
+    is_suspect: bool
+
+
+@dataclasses.dataclass(frozen=True)
+class JobGivenUp:
+    """A job may not start again, as workers crash under it."""
+
+    job_id: str
+    why: str
+
+
 @dataclasses.dataclass(frozen=True)
 class GangStarted:
     """Every task of the attempt is confirmed to run."""
@@ -196,6 +212,8 @@
     JobCancelled,
     LateSuccess,
     LateFailure,
+    JobSuspected,
+    JobGivenUp,
     GangStarted,
     GangAdopted,
     GangRefused,
--- a/src/knapweedwharf/core/lifecycle.py
+++ b/src/knapweedwharf/core/lifecycle.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import dataclasses
+
 from knapweedwharf.core import decision
 from knapweedwharf.core import event
 from knapweedwharf.core import feasibility
@@ -154,6 +156,36 @@
         else:
             self._state.record_change(record, reason)
 
+    def suspected(self, happened: event.JobSuspected) -> None:
+        """Keep a job apart from other suspects from now on, or no longer."""
+        record = self._unended(happened.job_id)
+        if record is None or record.job.is_suspect == happened.is_suspect:
+            return
+        is_queued = record.state == record_module.QUEUED
+        if is_queued:
+            self._unqueue(record)
+        record.job = dataclasses.replace(
+            record.job, is_suspect=happened.is_suspect
+        )
+        if is_queued:
+            self._state.enqueue(record)
+        else:
+            self._state.suspects.update(record)
+
+    def given_up(self, happened: event.JobGivenUp) -> None:
+        """End a job under which workers crash, as failed."""
+        record = self._unended(happened.job_id)
+        if record is not None:
+            reason = self._state.reason("given-up", happened.why)
+            self._end(record, "fail", reason)
+
+    def _unqueue(self, record: record_module.JobRecord) -> None:
+        """Take a waiting job out of the queue, with what it has claimed."""
+        job_id = record.job.job_id
+        self._state.waiting.discard(job_id)
+        self._state.drop_claim(job_id)
+        self._state.reservations.drop(job_id)
+
     def _unended(self, job_id: str) -> record_module.JobRecord | None:
         record = self._state.records.get(job_id)
         if record is None or record.state in self._state.chart.final:
@@ -168,11 +200,8 @@
     ) -> None:
         """End a job in whatever state it is; a running attempt is stopped."""
         state = self._state
-        job_id = record.job.job_id
         if record.state == record_module.QUEUED:
-            state.waiting.discard(job_id)
-            state.drop_claim(job_id)
-            state.reservations.drop(job_id)
+            self._unqueue(record)
             state.transition(record, chart_event, reason)
         elif record.state == record_module.STOPPING:
             record.after_stop = chart_event
--- a/src/knapweedwharf/core/model.py
+++ b/src/knapweedwharf/core/model.py
@@ -217,6 +217,8 @@
         declared run time is right; 0 for none.
     :ivar slowdown: seconds that the objective grows by for each second
         that the run takes longer than declared.
+    :ivar is_suspect: workers have crashed under it, so it is kept apart
+        from other suspects.
     :ivar after_s: expected run time of the later steps of its job.
     :ivar approval: only workers approved under this name run it; empty
         for any worker.
@@ -251,6 +253,7 @@
     objective_s: float = 0.0
     slowdown: float = 0.0
     after_s: float = 0.0
+    is_suspect: bool = False
 
     @property
     def accelerators(self) -> int:
--- a/src/knapweedwharf/core/scheduler.py
+++ b/src/knapweedwharf/core/scheduler.py
@@ -326,7 +326,7 @@
     def _start_on_probation(self, record: record_module.JobRecord) -> bool:
         state = self._state
         job = record.job
-        if job.tasks > 1 or job.urgency == model.URGENT:
+        if job.tasks > 1 or job.urgency == model.URGENT or job.is_suspect:
             return False
         need = amount.of_task(job)
         for worker_id in state.quarantine.probation:
--- a/src/knapweedwharf/core/state.py
+++ b/src/knapweedwharf/core/state.py
@@ -17,6 +17,7 @@
 from knapweedwharf.core import progress
 from knapweedwharf.core import quarantine
 from knapweedwharf.core import record as record_module
+from knapweedwharf.core import suspects
 from knapweedwharf.core import topology
 from knapweedwharf.core import waiting
 
@@ -62,6 +63,7 @@
         self.headroom = headroom.Headroom()
         self.approved: dict[str, set[str]] = {}
         self.quarantine = quarantine.Quarantine()
+        self.suspects = suspects.Suspects()
         self.used: dict[str, int] = {}
         self.holding: dict[str, dict[str, None]] = {}
         self.decisions: list[decision.Decision] = []
@@ -263,6 +265,7 @@
         :param mixing: leave out workers that run conflicting work.
         """
         found = constraint.unsuitable(self.topology, job, self.job_of_attempt)
+        found |= self.suspects.beside(job, self.job_of_attempt, self.now_s)
         if not mixing and not self._may_mix(job):
             found |= constraint.conflicting(
                 self.topology, job, self.job_of_attempt
@@ -318,7 +321,7 @@
             )
             if placement.could_ever_fit(others, job):
                 avoid = avoid.union(failed_on)
-        return self.policy.search(self.topology, job, avoid)
+        return suspects.search(self.policy.search, self.topology, job, avoid)
 
     # Attempts
 
@@ -361,6 +364,7 @@
             if place.task_index not in record.ended_tasks
         ]
         self.topology.occupy(record.attempt_id, places)
+        self.suspects.update(record)
         self.used[job.account] = (
             self.used.get(job.account, 0) + job.accelerators
         )
@@ -372,6 +376,7 @@
         """Release everything that a record's attempt holds."""
         job = record.job
         self.topology.release(record.attempt_id)
+        self.suspects.release(record.attempt_id)
         self.by_attempt.pop(record.attempt_id, None)
         self.used[job.account] -= job.accelerators
         if job.rank:
--- a/src/knapweedwharf/core/workflow.py
+++ b/src/knapweedwharf/core/workflow.py
@@ -147,6 +147,24 @@
     start_within_s: float = 0.0
 
 
+CRASHES_OF_SUSPECT = 2
+"""One executor may crash under a task that is at work, by chance."""
+
+
+class Crash(typing.NamedTuple):
+    """The crash of an executor under a task of a part.
+
+    :ivar index: the task's index in the part.
+    :ivar at_start: no report had shown the run at work.
+    """
+
+    index: int
+    executor_id: str
+    incarnation_ms: int
+    run: int
+    at_start: bool
+
+
 @dataclasses.dataclass(slots=True)
 class Part:
     """Tasks of a step that start together, and their state.
@@ -159,7 +177,9 @@
     :ivar failed_run: newest run that ``failures`` counts.
     :ivar checkpoint: newest saved progress.
     :ivar placements: where the current attempt runs or may run.
+    :ivar incarnations: of the executors in ``placements``, by their id.
     :ivar placed_s: Unix time of that attempt's placement.
+    :ivar crashes: executors that crashed under it, a few for each task.
     """
 
     part_id: str
@@ -174,6 +194,16 @@
     checkpoint: str = ""
     placements: tuple[model.Assignment, ...] = ()
     placed_s: float = 0.0
+    incarnations: dict[str, int] = dataclasses.field(default_factory=dict)
+    crashes: tuple[Crash, ...] = ()
+
+    @property
+    def is_suspect(self) -> bool:
+        """Whether executors seem to crash because of it."""
+        tasks = [crash.index for crash in self.crashes]
+        return any(crash.at_start for crash in self.crashes) or any(
+            tasks.count(index) >= CRASHES_OF_SUSPECT for index in tasks
+        )
 
     def step_id(self, job_id: str) -> str:
         """Return the id of its step in its occurrence."""
@@ -338,8 +368,7 @@
     :param priority: its priority against other work.
     :param due_s: when its occurrence was due, on the engine's clock.
     """
-    job = workflow.job
-    step = job.steps[part.step]
+    job, step = workflow.job, workflow.job.steps[part.step]
     return model.JobSpec(
         job_id=part.part_id,
         account=job.account,
@@ -368,4 +397,5 @@
         objective_s=0.0 if step.is_lasting else job.objective_s,
         slowdown=job.slowdown,
         after_s=job.chain_s(part.step) - step.expected_run_s,
+        is_suspect=part.is_suspect,
     )
--- a/src/knapweedwharf/fleet/decider.py
+++ b/src/knapweedwharf/fleet/decider.py
@@ -46,6 +46,7 @@
     :param advice: asks the advisor about steps that need its approval.
     :param job_specs: describes parts to the engines.
     :param executors: returns a service's executors that may get work now.
+    :param incarnation_of: returns an executor's incarnation, by its id.
     :param may_decide: see ``passes.Passes``.
     :ivar event_times: time that the engines take, by kind of event.
     """
@@ -63,6 +64,7 @@
         advance: AttemptCallback,
         advice: advice_module.Advice,
         executors: abc.Callable[[str], list[model.Executor]],
+        incarnation_of: abc.Callable[[str], int],
         may_decide: abc.Callable[[], abc.Awaitable[bool]],
     ) -> None:
         self._scheduling_state = scheduling_state
@@ -75,6 +77,7 @@
         self._advance_attempt = advance
         self._advice = advice
         self._executors = executors
+        self._incarnation_of = incarnation_of
         self._log = log.get("decider").bind(epoch=epoch)
         self._engines: dict[str, engine_module.Engine] = {}
         self.event_times = event_times_module.EventTimes(
@@ -402,6 +405,10 @@
         flow, part = self._scheduling_state.find_part(decided.job.job_id)
         flow.next_run(part, self._epoch)
         part.placements = decided.assignments
+        part.incarnations = {
+            place.worker_id: self._incarnation_of(place.worker_id)
+            for place in decided.assignments
+        }
         part.placed_s = clock.unix_s()
         attempt = self._scheduling_state.add(
             decided.attempt_id, flow, part, phase=attempt_module.INTENDED
--- a/src/knapweedwharf/fleet/intake.py
+++ b/src/knapweedwharf/fleet/intake.py
@@ -8,6 +8,7 @@
 
 from knapweedwharf.core import workflow
 from knapweedwharf.fleet import clock
+from knapweedwharf.fleet import crashes as crashes_module
 from knapweedwharf.fleet import decider as decider_module
 from knapweedwharf.fleet import metric_definitions
 from knapweedwharf.fleet import model
@@ -60,6 +61,7 @@
         scheduling_state: scheduling_state_module.SchedulingState,
         progress_writer: progress_writer_module.ProgressWriter,
         decider: decider_module.Decider,
+        crashes: crashes_module.Crashes,
         epoch: int,
         cancel_s: float,
         won_s: float,
@@ -68,6 +70,7 @@
         self._scheduling_state = scheduling_state
         self._progress_writer = progress_writer
         self._decider = decider
+        self._crashes = crashes
         self._max_age_s = MAX_AGE_SHARE * cancel_s
         self._won_s = won_s
         self._sender = sender
@@ -255,6 +258,7 @@
             accelerators=job.accelerators,
             age_s=round(age_s, 3),
         )
+        self._crashes.restore(flow)
         self._decider.restore(flow)
         self._decider.submit_ready_parts(flow)
 
--- a/src/knapweedwharf/fleet/metric_definitions.py
+++ b/src/knapweedwharf/fleet/metric_definitions.py
@@ -104,6 +104,12 @@
     unit="runs",
     text="Runs lost with their executor before it ever listed them.",
 )
+TASKS_GIVEN_UP = metrics.define(
+    "fleet.tasks_given_up",
+    kind=metrics.COUNTER,
+    unit="tasks",
+    text="Tasks given up, as executors crashed under them.",
+)
 OWNERSHIPS_WON = metrics.define(
     "fleet.ownerships_won",
     kind=metrics.COUNTER,
--- a/src/knapweedwharf/fleet/records.py
+++ b/src/knapweedwharf/fleet/records.py
@@ -114,7 +114,9 @@
     the placement], or [done] once it is done; a placement is [task index,
     worker, accelerators]. The record is written at every change of any
     part, so a large one is compressed.
-    ``failed_runs`` has the newest run of each part that its failures count.
+    ``failed_runs`` has the newest run of each part that its failures count,
+    ``incarnations`` those of the placements' executors in their order, and
+    ``crashes`` the fields of each crash.
     """
     document: dict[str, typing.Any] = {
         "state": progress.state,
@@ -125,16 +127,30 @@
             if with_parts and (part.done or part.run)
         },
     }
-    failed_runs = {
-        part_id: part.failed_run
-        for part_id, part in progress.parts.items()
-        if part.failed_run and not part.done
-    }
-    if with_parts and failed_runs:
-        document["failed_runs"] = failed_runs
+    if with_parts:
+        document |= _dump_extras(progress)
     return _compress(_dump(document))
 
 
+def _dump_extras(progress: workflow.Workflow) -> dict[str, dict]:
+    """Return what few parts have, by name and part, without what is empty."""
+    undone = {i: part for i, part in progress.parts.items() if not part.done}
+    extras: dict[str, dict] = {
+        "failed_runs": {
+            i: part.failed_run for i, part in undone.items() if part.failed_run
+        },
+        "incarnations": {
+            i: [part.incarnations.get(p.worker_id) for p in part.placements]
+            for i, part in undone.items()
+            if part.placements and part.incarnations
+        },
+        "crashes": {
+            i: part.crashes for i, part in undone.items() if part.crashes
+        },
+    }
+    return {name: values for name, values in extras.items() if values}
+
+
 def _dump_part(part: workflow.Part) -> list:
     if part.done:
         return [1]
@@ -166,9 +182,21 @@
     progress.failed = document["state"] == workflow.FAILED
     progress.cancelled = document["state"] == workflow.CANCELLED
     failed_runs = document.get("failed_runs", {})
+    incarnations = document.get("incarnations", {})
+    crashes = document.get("crashes", {})
     for part_id, row in document["parts"].items():
         part = _load_part(job, part_id, row)
         part.failed_run = failed_runs.get(part_id, 0)
+        part.crashes = tuple(
+            workflow.Crash(*crash) for crash in crashes.get(part_id, ())
+        )
+        part.incarnations = {
+            place.worker_id: incarnation_ms
+            for place, incarnation_ms in zip(
+                part.placements, incarnations.get(part_id, ())
+            )
+            if incarnation_ms
+        }
         progress.parts[part_id] = part
     return progress
 
--- a/src/knapweedwharf/fleet/registry.py
+++ b/src/knapweedwharf/fleet/registry.py
@@ -238,6 +238,11 @@
             if retired:
                 self._retired.add(session.executor_id)
 
+    def incarnation_of(self, executor_id: str) -> int:
+        """Return an executor's incarnation; 0 if it isn't known."""
+        session = self.sessions.get(executor_id)
+        return session.executor.incarnation_ms if session else 0
+
     # Announcements to the engine
 
     def usable(self, service: str) -> list[model.Executor]:
--- a/src/knapweedwharf/fleet/reports.py
+++ b/src/knapweedwharf/fleet/reports.py
@@ -9,6 +9,7 @@
 from knapweedwharf.core import workflow
 from knapweedwharf.fleet import attempt as attempt_module
 from knapweedwharf.fleet import clock
+from knapweedwharf.fleet import crashes as crashes_module
 from knapweedwharf.fleet import executor_loss
 from knapweedwharf.fleet import late_ends as late_ends_module
 from knapweedwharf.fleet import metric_definitions
@@ -42,6 +43,7 @@
         sender: metrics.Metrics,
         pacing: pacing_module.Pacing,
         late_ends: late_ends_module.LateEnds,
+        crashes: crashes_module.Crashes,
     ) -> None:
         self._scheduling_state = scheduling_state
         self._progress_writer = progress_writer
@@ -50,6 +52,7 @@
         self._sender = sender
         self._pacing = pacing
         self._late_ends = late_ends
+        self._crashes = crashes
         self._log = log.get("reports")
 
     def apply(
@@ -63,16 +66,28 @@
         :param requested_s: when it was requested.
         """
         changed: ChangedAttempts = {}
+        self._crashes.executor_answered(
+            session.executor_id, session.executor.incarnation_ms
+        )
         self._apply_ends(session, report, changed)
         present = {(run.task_id, run.run) for run in report.runs}
         for run in report.runs:
             self._apply_run(session, run, changed)
-        for attempt, member in self._scheduling_state.members_on(
-            session.executor_id
-        ):
-            listed = (member.task_id, attempt.run) in present
-            if not listed and member.absence_means_ended(requested_s):
-                self._mark_lost(attempt, member, changed)
+        absent = [
+            (attempt, member)
+            for attempt, member in self._scheduling_state.members_on(
+                session.executor_id
+            )
+            if (member.task_id, attempt.run) not in present
+            and member.absence_means_ended(requested_s)
+        ]
+        self._crashes.executor_lost(
+            session.executor_id,
+            executor_loss.REBORN,
+            [held for held in absent if _was_on_former(session, held)],
+        )
+        for attempt, member in absent:
+            self._mark_lost(attempt, member, changed)
         self._advance_all(changed)
         self._report_progress(session, report)
         self._pacing.adjust(session.executor_id, report.runs)
@@ -179,6 +194,7 @@
             self._orders.record_start(attempt, member)
             changed[attempt.attempt_id] = attempt
         member.listed_s = clock.elapsed_s()
+        self._crashes.run_listed(attempt, member)
 
     def executor_ended(
         self, executor_id: str, how: str, unheard_s: float | None = None
@@ -205,6 +221,7 @@
             self._sender.count(_METRICS[how])
         for attempt, member in lost:
             self._log_lost(attempt, member, how, beside=len(lost) - 1)
+        self._crashes.executor_lost(executor_id, how, lost)
         changed: ChangedAttempts = {}
         for attempt, member in held:
             self._mark_lost(attempt, member, changed)
@@ -264,3 +281,16 @@
     def _advance_all(self, changed: ChangedAttempts) -> None:
         for attempt in list(changed.values()):
             self._orders.advance(attempt)
+
+
+def _was_on_former(
+    session: session_module.Session, held: crashes_module.Held
+) -> bool:
+    """Return whether a former owner placed a run on a former incarnation."""
+    attempt, member = held
+    placed_on = attempt.part.incarnations.get(session.executor_id, 0)
+    return (
+        member.is_inherited
+        and placed_on != 0
+        and placed_on != session.executor.incarnation_ms
+    )
--- a/src/knapweedwharf/fleet/tenure.py
+++ b/src/knapweedwharf/fleet/tenure.py
@@ -15,6 +15,7 @@
 from knapweedwharf.fleet import advice as advice_module
 from knapweedwharf.fleet import clients as clients_module
 from knapweedwharf.fleet import clock
+from knapweedwharf.fleet import crashes as crashes_module
 from knapweedwharf.fleet import decider as decider_module
 from knapweedwharf.fleet import desired as desired_module
 from knapweedwharf.fleet import election as election_module
@@ -126,6 +127,7 @@
             advance=lambda attempt: self._orders.advance(attempt),
             advice=self._advice,
             executors=self.registry.usable,
+            incarnation_of=self.registry.incarnation_of,
             may_decide=self._may_start,
         )
         self._orders = orders_module.Orders(
@@ -155,6 +157,12 @@
 
     def _connect_inputs(self, desired: desired_module.DesiredState) -> None:
         """Create the components that process reports and submissions."""
+        crashes = crashes_module.Crashes(
+            scheduling_state=self.scheduling_state,
+            progress_writer=self._progress_writer,
+            tell=self._decider.tell,
+            sender=self._sender,
+        )
         self._reports = reports_module.Reports(
             scheduling_state=self.scheduling_state,
             progress_writer=self._progress_writer,
@@ -170,12 +178,14 @@
                 decider=self._decider,
                 progress_writer=self._progress_writer,
             ),
+            crashes=crashes,
         )
         self._intake = intake_module.Intake(
             store=self._clients.store,
             scheduling_state=self.scheduling_state,
             progress_writer=self._progress_writer,
             decider=self._decider,
+            crashes=crashes,
             epoch=self._ownership.epoch,
             cancel_s=self._process_config.bounds.cancel_s,
             won_s=self._won_s,
--- a/src/knapweedwharf/request_trace.py
+++ b/src/knapweedwharf/request_trace.py
@@ -18,6 +18,7 @@
     "part-stopping": "Its run was stopped: {why}",
     "job-cancelled": "The caller cancelled it",
     "job-failed": "A part failed {failures} of {max_attempts} times",
+    "task-given-up": "Executors crashed under {task}: {executors}",
     "job-completed": "It completed {after_s} s after it was stored",
 }
 """Log event to the sentence that explains it; later ones take precedence."""
@@ -162,7 +163,11 @@
         return fields.get("how") != "done"
     if line.event == "part-placed":
         return _to_number(fields.get("waited_s", "")) >= LONG_WAIT_S
-    return line.event in ("part-stopping", "start-not-confirmed")
+    return line.event in (
+        "part-stopping",
+        "start-not-confirmed",
+        "task-given-up",
+    )
 
 
 def _to_number(text: str) -> float:
--- a/testing/fleet/test_records.py
+++ b/testing/fleet/test_records.py
@@ -33,10 +33,14 @@
         part.failed_run = 2 * part.failures
         part.checkpoint = f"{number * 7919:016x}"
         part.placed_s = 1_788_000_000 + number / 7
+        worker_id = f"i-{number * 104_729:010x}"
+        part.incarnations = {worker_id: 1_788_000_000_000 + 7 * number}
+        if number == 1:
+            part.crashes = (workflow.Crash(0, "i-1", 1_788, 2, at_start=True),)
         part.placements = (
             core_model.Assignment(
                 task_index=0,
-                worker_id=f"i-{number * 104_729:010x}",
+                worker_id=worker_id,
                 accelerators=(),
                 cores=1000,
                 memory_mib=1000,
@@ -67,6 +71,8 @@
         assert found.checkpoint == part.checkpoint
         assert found.placements == part.placements
         assert found.placed_s == round(part.placed_s, 3)
+        assert found.incarnations == part.incarnations
+        assert found.crashes == part.crashes
 
 
 def test_a_record_of_an_earlier_release_loads():
@@ -80,6 +86,7 @@
     value = json.dumps(document).encode()
     loaded = records.load_progress(job, value)
     assert loaded.parts[part_id].done
+    assert loaded.parts[part_id].crashes == ()
 
 
 @pytest.mark.parametrize("value", [b"", b"\x78\x01broken", b"{", b"[]"])
