Place suspects where a crash would lose least

Change: a suspect goes to the executor with the fewest accelerators taken. Gangs that need one rack are placed as before. Evidence: test_a_suspect_goes_where_least_would_be_lost fails without it.

--- a/src/knapweedwharf/core/suspects.py
+++ b/src/knapweedwharf/core/suspects.py
@@ -59,16 +59,19 @@
     find: placement.Search,
     topology: topology_module.Topology,
     job: model.JobSpec,
-    avoid: abc.Set[str],
+    avoid: abc.Container[str],
 ) -> placement.Share | None:
-    """Search workers for a job; a suspect takes idle ones if there are any."""
-    if job.is_suspect:
-        busy = {
-            worker_id
-            for worker_id, room in topology.workers.items()
-            if room.occupants
-        }
-        share = find(topology, job, busy.union(avoid))
-        if share is not None:
-            return share
-    return find(topology, job, avoid)
+    """Search workers for a job; a suspect goes where least would be lost."""
+    if not job.is_suspect or job.within != model.WITHIN_DATA_CENTRE:
+        return find(topology, job, avoid)
+    rooms = (
+        room
+        for worker_id, room in topology.workers.items()
+        if worker_id not in avoid
+    )
+    return placement.fill(sorted(rooms, key=_occupied), job)
+
+
+def _occupied(room: topology_module.WorkerRoom) -> tuple[int, int]:
+    taken = room.spec.accelerators - len(room.accelerators)
+    return taken, len(room.occupants)
--- a/testing/core/test_suspects.py
+++ b/testing/core/test_suspects.py
@@ -43,6 +43,14 @@
     assert _start(site, "suspect", is_suspect=True) != used
 
 
+def test_a_suspect_goes_where_least_would_be_lost():
+    site = _site(2)
+    busy = _start(site, "wide", accelerators_per_task=6)
+    less_busy = _start(site, "other", accelerators_per_task=4)
+    assert busy != less_busy
+    assert _start(site, "suspect", is_suspect=True) == less_busy
+
+
 def test_a_suspect_shares_a_worker_if_none_is_idle():
     site = _site(1)
     used = _start(site, "sound")
