Count a crash once across a take-over

Cause: a crash and the places of the lost attempt lie in one record while the rest of a gang is being stopped. A new owner found the executor gone and counted it again; two crashes were enough to give a task up. Class: an operation that isn't idempotent across a take-over. Change: a crash of the same executor under the same run counts once. Evidence: test_a_crash_counts_once_across_a_take_over fails without it; the other new test shows that a new owner withdraws the loss of an executor that answers.

--- a/src/knapweedwharf/core/workflow.py
+++ b/src/knapweedwharf/core/workflow.py
@@ -164,6 +164,14 @@
     run: int
     at_start: bool
 
+    def is_same(self, other: Crash) -> bool:
+        """Return whether this is the same crash, perhaps seen twice."""
+        return (self.index, self.executor_id, self.run) == (
+            other.index,
+            other.executor_id,
+            other.run,
+        )
+
 
 @dataclasses.dataclass(slots=True)
 class Part:
--- a/src/knapweedwharf/fleet/crashes.py
+++ b/src/knapweedwharf/fleet/crashes.py
@@ -101,6 +101,8 @@
         found = self._scheduling_state.find_part(part.part_id)
         if found is None or found[0].is_final or part.done:
             return
+        if any(crash.is_same(known) for known in part.crashes):
+            return
         part.crashes = (*part.crashes, crash)
         self._presume(part, crash)
         self._progress_writer.mark_dirty(attempt.job.job_id)
--- a/testing/fleet/test_crashing_tasks.py
+++ b/testing/fleet/test_crashing_tasks.py
@@ -106,10 +106,7 @@
         )
         for crashes in (1, 2):
             await scene.until(lambda: len(scene.pool.crashes) == crashes)
-            owner = scene.owner
-            await owner.kill()
-            scene.vms.remove(owner)
-            await scene.until(lambda: scene.owner is not None)
+            await _replace_owner(scene)
         await _check_given_up(scene, job_id)
 
     scene_module.run_on_virtual_time(main, monkeypatch)
@@ -238,3 +235,60 @@
         assert await scene.state(job_id) == workflow.ACTIVE
 
     scene_module.run_on_virtual_time(main, monkeypatch)
+
+
+async def _replace_owner(scene) -> None:
+    owner = scene.owner
+    await owner.kill()
+    scene.vms.remove(owner)
+    await scene.until(lambda: scene.owner is not None)
+
+
+def test_a_crash_counts_once_across_a_take_over(monkeypatch):
+    async def main(scene):
+        await scene.open(vms=2, executors=8)
+        job_id, _outcome = await scene.submit(
+            scene.vms[-1],
+            scene_module.step(tasks=2, is_gang=True, accelerators=8),
+            behaviour={**CRASHING, "gang": 2, "renamed": True},
+        )
+        await scene.until(lambda: len(scene.pool.crashes) == 1)
+        crashed_id = scene.pool.crashes[0][1]
+        (other_id,) = {at[1] for at in scene.pool.starts} - {crashed_id}
+        await asyncio.sleep(LAPSE_S / 2)
+        # The gang's stop waits for this one, and the record keeps its places.
+        scene.pool.executors[other_id].silent = True
+        await asyncio.sleep(LAPSE_S / 2 + 1.0)
+        await _replace_owner(scene)
+        await asyncio.sleep(LAPSE_S + 1.0)
+        scene.pool.executors[other_id].silent = False
+        await _check_given_up(scene, job_id)
+        assert len(scene.pool.crashes) == CRASHES_COUNTED
+
+    scene_module.run_on_virtual_time(main, monkeypatch)
+
+
+def test_a_new_owner_withdraws_the_loss_of_an_executor_that_answers(
+    monkeypatch,
+):
+    async def main(scene):
+        await scene.open(vms=2, executors=8)
+        job_id, _outcome = await scene.submit(
+            scene.vms[-1],
+            scene_module.step(expected_run_s=30.0),
+            behaviour={"run_s": 30.0},
+        )
+        await scene.until(lambda: scene.pool.starts)
+        await asyncio.sleep(2.0)
+        cut_off = scene.pool.executors[scene.pool.starts[0][1]]
+        cut_off.silent = True
+        await scene.until(lambda: len(scene.pool.starts) == 2)
+        await _replace_owner(scene)
+        cut_off.silent = False
+        for number in (2, 3):
+            await asyncio.sleep(3.0)
+            await _kill(scene, scene.pool.starts[-1][1])
+            await scene.until(lambda: len(scene.pool.starts) == number + 1)
+        await scene.until_state(job_id, workflow.COMPLETED, within_s=60.0)
+
+    scene_module.run_on_virtual_time(main, monkeypatch)
