--- a/testing/fleet/test_crashing_tasks.py
+++ b/testing/fleet/test_crashing_tasks.py
@@ -292,3 +292,32 @@
         await scene.until_state(job_id, workflow.COMPLETED, within_s=60.0)
 
     scene_module.run_on_virtual_time(main, monkeypatch)
+
+
+def test_work_that_went_well_is_not_blamed_for_what_has_just_started(
+    monkeypatch,
+):
+    async def main(scene):
+        await scene.open(vms=1, executors=2)
+        sound_id, _outcome = await scene.submit(
+            scene.vms[0],
+            scene_module.step(is_lasting=True),
+            behaviour={"lasts": True},
+        )
+        for _number in range(CRASHES_COUNTED + 1):
+            await asyncio.sleep(3.0)
+            await scene.until(
+                lambda: any(
+                    workflow.job_id_of(task_id) == sound_id
+                    for executor in scene.pool.executors.values()
+                    for task_id, _run in executor.runs
+                )
+            )
+            await asyncio.sleep(3.0)
+            job_id, _outcome = await scene.submit(
+                scene.vms[0], scene_module.step(), behaviour=CRASHING
+            )
+            await _check_given_up(scene, job_id)
+        assert await scene.state(sound_id) == workflow.ACTIVE
+
+    scene_module.run_on_virtual_time(main, monkeypatch)
