Take the places of cancelled parts out of the records

What callers saw: nothing. The record of a cancelled job kept the places of parts whose starts were refused or given up, for as long as the record was kept. Cause: the places were taken out of a part only when it was queued again or had failed, and the record was written again only after an end that an executor had listed. Class: state that outlives what it describes. Change: a part that ends as cancelled loses its places, and its record is written again. Evidence: the test of cancellations in every state now looks at the record as well; three of its seventeen states fail without the change.

--- a/src/knapweedwharf/fleet/decider.py
+++ b/src/knapweedwharf/fleet/decider.py
@@ -35,6 +35,9 @@
 _START_REASONS = ("accepted", "placed", "started")
 """Reason codes that every started part has."""
 
+_NOT_PLACED_STATES = (record_module.QUEUED, workflow.CANCELLED)
+"""States of a part none of whose runs is left."""
+
 
 class Decider:
     """Keeps one engine per service; turns jobs into attempts.
@@ -117,8 +120,7 @@
         """Apply an event to a service's engine and request a pass.
 
         What follows from the event alone is carried out at once. An error
-        ends only this event: callers go on with the next one, such as
-        another end of the same report.
+        ends only this event, as callers pass several in a row.
         """
         engine = self._engine(service)
         kind = type(happened).__name__
@@ -214,10 +216,7 @@
             )
 
     def stop_remaining(self, flow: workflow.Workflow) -> None:
-        """Stop what may still run of a job that an earlier owner ended.
-
-        Until it has ended, it uses its executors' resources.
-        """
+        """Stop what may still run of a job that an earlier owner ended."""
         self.restore(flow)
         if self._scheduling_state.parts_with_attempts(flow.job.job_id):
             self._end_job(flow)
@@ -358,7 +357,7 @@
                 self.part_done(flow, part)
         elif decided.state == "failed":
             self._part_failed(flow, part)
-        elif decided.state == record_module.QUEUED and part.placements:
+        elif decided.state in _NOT_PLACED_STATES and part.placements:
             part.placements = ()
             self._progress_writer.mark_dirty(flow.job.job_id)
 
--- a/testing/fleet/test_cancelled_states.py
+++ b/testing/fleet/test_cancelled_states.py
@@ -255,14 +255,26 @@
             and start[2][0].startswith(job_id)
         ]
         assert not late
-        key = records.key(job_id, records.PROGRESS)
-        if key in scene.store.items:
-            progress = records.load_state(scene.store.items[key].value)
-            assert progress == workflow.CANCELLED
+        shown = await vm.node.job_api.state(scene.call(job_id, prefix=prefix))
+        assert shown.unwrap() == workflow.CANCELLED
+        assert not _stored_places(scene, job_id)
 
     scene_module.run_on_virtual_time(main, monkeypatch)
 
 
+def _stored_places(scene, job_id: str) -> dict[str, tuple]:
+    """Return where the record says that the job's parts may run."""
+    items = scene.store.items
+    spec = items[records.key(job_id, records.SPEC)]
+    progress = items[records.key(job_id, records.PROGRESS)]
+    flow = records.load_progress(records.load_job(spec.value), progress.value)
+    return {
+        part_id: part.placements
+        for part_id, part in flow.parts.items()
+        if part.placements
+    }
+
+
 def _alive(scene, job_id: str) -> list[str]:
     return [
         task_id
