Keep suspects apart also where one has claimed room

Cause: a claim is made while its room is being freed, and started later without another look at who runs there by then; two suspects could meet. Change: a claim whose worker a suspect has joined meanwhile is given up, and its job waits again. Evidence: test_a_suspect_that_claimed_room_joins_no_other_suspect fails without it.

--- a/src/knapweedwharf/core/scheduler.py
+++ b/src/knapweedwharf/core/scheduler.py
@@ -203,8 +203,12 @@
             record = state.records[job_id]
             need = amount.of_task(claim.job)
             rooms = state.topology.workers
+            avoid = state.suspects.beside(
+                claim.job, state.job_of_attempt, state.now_s
+            )
             if all(
                 worker_id in rooms
+                and worker_id not in avoid
                 and rooms[worker_id].usable
                 and rooms[worker_id].free.covers(need.times(count))
                 for worker_id, count in claim.tasks.items()
--- a/testing/core/test_suspects.py
+++ b/testing/core/test_suspects.py
@@ -5,6 +5,7 @@
 import pytest
 
 from knapweedwharf.core import event
+from knapweedwharf.core import model
 from knapweedwharf.core import suspects
 from testing.core import scenario
 
@@ -95,3 +96,27 @@
     assert not _start(site, "waiting", is_suspect=True)
     site.tell(event.JobGivenUp("waiting", "Workers crash under it."))
     assert site.engine.records["waiting"].state == "failed"
+
+
+def test_a_suspect_that_claimed_room_joins_no_other_suspect():
+    site = _site(1)
+    _start(site, "victim", cores_per_task=10)
+    site.submit(
+        "claiming",
+        "a",
+        cores_per_task=30,
+        urgency=model.URGENT,
+        precedence=1,
+        is_suspect=True,
+    )
+    site.now_s += 10.0
+    site.tell(event.Tick())
+    assert site.engine.records["victim"].state == "stopping"
+    _start(site, "other", cores_per_task=0, is_suspect=True)
+    site.confirm_stops()
+    holding = [
+        job_id
+        for job_id in ("claiming", "other")
+        if site.engine.records[job_id].assignments
+    ]
+    assert len(holding) == 1
