Bound every value decoded from other writers

Seen: an executor's entry with "remaining_ms" of 401 digits raised OverflowError and one with "labels": 5 TypeError, which the readers of the list don't catch; ports 70000, -1 and "abc", 1e999, NaN and amounts of 301 digits were accepted. A caller's job with a count of 10**9 was stored for the owner to split into as many parts. A report with one odd row was refused as a whole, so that the executor counted as silent and its runs lapsed; one odd row hid all machines and all approvals.

Cause: the decoders checked types but not ranges, and some only what the usual documents hold. Class: every decoder of what other programs write. In lists of rows an odd row is left out and counted in a log line at each change of the count. A run in an unreadable row of a report isn't taken for ended; a readable run or end keeps its name when the rest of its row is odd.

Ruled out: refusing NaN while parsing, as it would also refuse it in fields that are not used.

--- a/src/knapweedwharf/fleet/advice.py
+++ b/src/knapweedwharf/fleet/advice.py
@@ -252,6 +252,7 @@
             job_id=step_id.partition(".")[0],
             approved=len(approved),
             denied=len(denied),
+            odd_rows=approval.odd_rows,
             validity_s=validity_s,
         )
         self._release_waiters(step_id)
--- a/src/knapweedwharf/fleet/model.py
+++ b/src/knapweedwharf/fleet/model.py
@@ -112,10 +112,12 @@
 
     :ivar tickets: by the id of each executor that may run the step.
     :ivar validity_s: how long they may be used; 0 if not stated.
+    :ivar odd_rows: number of rows that could not be decoded.
     """
 
     tickets: dict[str, str]
     validity_s: float = 0.0
+    odd_rows: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -290,12 +292,16 @@
     """An executor's answer to a renewal.
 
     :ivar clock_ms: its monotonic clock when it answered.
+    :ivar has_all_runs: whether a run that it doesn't name is not there.
+    :ivar odd_rows: number of rows that could not be decoded.
     """
 
     clock_ms: int
     incarnation_ms: int
     runs: tuple[RunStatus, ...]
     ends: tuple[RunEnd, ...]
+    has_all_runs: bool = True
+    odd_rows: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/knapweedwharf/fleet/reports.py
+++ b/src/knapweedwharf/fleet/reports.py
@@ -78,7 +78,8 @@
             for attempt, member in self._scheduling_state.members_on(
                 session.executor_id
             )
-            if (member.task_id, attempt.run) not in present
+            if report.has_all_runs
+            and (member.task_id, attempt.run) not in present
             and member.absence_means_ended(requested_s)
         ]
         self._crashes.executor_lost(
--- a/src/knapweedwharf/fleet/session.py
+++ b/src/knapweedwharf/fleet/session.py
@@ -143,6 +143,7 @@
         self._clock_ms = 0
         self._clock_at_s = 0.0
         self._failures = 0
+        self._odd_rows = 0
         # A former owner may have extended the lease up to now.
         self._lease_sent_s = clock.elapsed_s()
 
@@ -315,12 +316,18 @@
             self._log.info("executor-regained")
         self.is_silent = False
         self.sealed = True
+        self._take_report(report, sent_s)
+        return None
+
+    def _take_report(self, report: model.Report, sent_s: float) -> None:
+        if report.odd_rows != self._odd_rows:
+            self._log.warning("report-rows-odd", rows=report.odd_rows)
+        self._odd_rows = report.odd_rows
         try:
             self._hooks.reported(self, report, sent_s)
         except Exception:
             # Continue, as the runs need their lease.
             self._log.exception("report-not-taken")
-        return None
 
     def _count_failure(self, fault: errors.Fault) -> None:
         self._failures += 1
--- a/src/knapweedwharf/platform/machines.py
+++ b/src/knapweedwharf/platform/machines.py
@@ -7,6 +7,7 @@
 from knapweedwharf.adapters import transport as transport_module
 from knapweedwharf import errors
 from knapweedwharf.fleet import model
+from knapweedwharf import log
 from knapweedwharf.platform import call
 from knapweedwharf.platform import decode
 
@@ -27,6 +28,8 @@
         self._address = address
         self._holder = holder
         self._timeout_s = timeout_s
+        self._log = log.get("machines")
+        self._odd_rows = 0
         self._transport = transport_module.HttpTransport(
             max_body_bytes=MAX_ANSWER_BYTES, reuse=True
         )
@@ -38,9 +41,11 @@
     async def list(
         self,
     ) -> result.Result[tuple[model.Machine, ...], errors.Fault]:
-        """Return all machines of all pools."""
-        found: list[model.Machine] = []
+        """Return all machines of all pools; odd rows are left out."""
+        found: dict[str, model.Machine] = {}
+        odd_rows = 0
         query: dict[str, str] = {}
+        tokens: set[str] = set()
         while True:
             answer = await self._call(
                 "GET", "/machines", query=query, silence_s=self._timeout_s
@@ -49,18 +54,22 @@
                 return answer
             document = answer.unwrap()
             try:
-                found.extend(decode.machines(document))
+                machines, odd = decode.machines(document)
+                token = decode.next_token(document)
             except decode.Malformed as error:
-                return result.Failure(
-                    errors.OutcomeUnknown(
-                        message=f"The list of machines is malformed: {error}.",
-                        remedy="List the machines again.",
-                    )
-                )
-            token = document.get("next_token")
+                return _malformed(str(error))
+            found.update((m.machine_id, m) for m in machines)
+            odd_rows += odd
             if not token:
-                return result.Success(tuple(found))
-            query = {"page_token": str(token)}
+                break
+            if token in tokens:
+                return _malformed("a page follows itself")
+            tokens.add(token)
+            query = {"page_token": token}
+        if odd_rows != self._odd_rows:
+            self._log.warning("machine-rows-odd", rows=odd_rows)
+        self._odd_rows = odd_rows
+        return result.Success(tuple(found.values()))
 
     async def move(
         self, machine_id: str, pool: str, *, epoch: int
@@ -116,3 +125,12 @@
             timeout_s=self._timeout_s,
             silence_s=silence_s,
         )
+
+
+def _malformed(why: str) -> result.Failure:
+    return result.Failure(
+        errors.OutcomeUnknown(
+            message=f"The list of machines is malformed: {why}.",
+            remedy="List the machines again.",
+        )
+    )
