Give no new work to an executor whose entry turns odd

Seen: an executor's entry that another writer replaced by an odd one changed nothing: the executor kept getting work by what the entry said before. A new listing told of the same odd entry again.

Cause: an entry that couldn't be decoded was skipped. Class: entries that were good and turn odd. Change: such an executor counts as not listed for new work. Its session goes on, as an entry of another writer says nothing of the executor at the known address: its runs keep their lease and end as usual. It hasn't left, so a draining one that is cut off isn't given up before its lease has lapsed. It is used again with the next good entry. One line for each revision of an odd entry.

--- a/src/knapweedwharf/fleet/registry.py
+++ b/src/knapweedwharf/fleet/registry.py
@@ -47,6 +47,8 @@
         self._announced: dict[str, model.Executor] = {}
         self._expected: dict[str, float] = {}
         self._unlisted: dict[str, None] = {}
+        self._malformed: dict[str, int] = {}
+        """Revision of each entry that could not be decoded."""
         self._retired: set[str] = set()
         self._by_machine: dict[str, str] = {}
         self._tasks: set[asyncio.Task] = set()
@@ -80,7 +82,7 @@
     def _on_listing(self, listing: model.Listing) -> None:
         self._apply_items(listing.items)
         present = {self._id_of(item.key) for item in listing.items}
-        for executor_id in self.sessions:
+        for executor_id in {*self.sessions, *self._malformed}:
             if executor_id not in present:
                 self._remove(executor_id)
 
@@ -100,15 +102,32 @@
                     executor_id, item.value
                 )
             except ValueError as error:
-                self._log.warning(
-                    "executor-entry-malformed",
-                    executor=executor_id,
-                    revision=item.revision,
-                    why=str(error),
-                )
+                self._take_malformed(executor_id, item.revision, str(error))
                 continue
+            self._malformed.pop(executor_id, None)
             self._apply_entry(executor, item.revision)
 
+    def _take_malformed(
+        self, executor_id: str, revision: int, why: str
+    ) -> None:
+        """Give an executor no new work; it hasn't left.
+
+        Its runs keep their lease, as the entry of another writer says
+        nothing of the executor at the known address.
+        """
+        if self._malformed.get(executor_id) == revision:
+            return
+        self._log.warning(
+            "executor-entry-malformed",
+            executor=executor_id,
+            revision=revision,
+            why=why,
+        )
+        self._malformed[executor_id] = revision
+        session = self.sessions.get(executor_id)
+        if session is not None:
+            self._unlist(session)
+
     def _apply_entry(self, executor: model.Executor, revision: int) -> None:
         executor_id = executor.executor_id
         self._expected.pop(executor_id, None)
@@ -172,12 +191,17 @@
         task.add_done_callback(self._tasks.discard)
 
     def _remove(self, executor_id: str) -> None:
+        self._malformed.pop(executor_id, None)
         session = self.sessions.get(executor_id)
-        if session is None or not session.listed:
+        if session is not None:
+            self._unlisted[executor_id] = None
+            self._unlist(session)
+
+    def _unlist(self, session: session_module.Session) -> None:
+        if not session.listed:
             return
         session.listed = False
-        self._unlisted[executor_id] = None
-        self._log.info("executor-unlisted", executor=executor_id)
+        self._log.info("executor-unlisted", executor=session.executor_id)
         self._cordon(session)
 
     def _cordon(self, session: session_module.Session) -> None:
