Take an odd answer of the store as a failure of its call

Seen: an answer that is no JSON object, is nested deeply or lacks "items", "events", "at", "revision" or "lease" raised an error out of the client; so did one item without a key or with base64 that can't be decoded. A revision of another type was taken as it was. What followed the store then listed again, and the task that writes progress ended. An address with an impossible port, and a header that can't be encoded, raised ValueError out of any call.

Cause: the client read the fields of answers without a check. Class: answers of the store and of other services; addresses and ids that are used in calls. Change: such an answer is OutcomeUnknown. An item without a key is left out, one whose value can't be decoded is empty, so that its reader tells of it, and a revision that is none is 0; one log line when their number changes. Pages of items or machines that don't advance are a failure. A call that can't be sent is Unreachable.

--- a/src/knapweedwharf/adapters/channel.py
+++ b/src/knapweedwharf/adapters/channel.py
@@ -152,9 +152,14 @@
         length = {"Content-Length": str(len(body))}
         start_line = httputil.RequestStartLine(method, path, "HTTP/1.1")
         self.may_have_sent = True
-        connection.write_headers(
-            start_line, httputil.HTTPHeaders({**headers, **length}), body
-        )
+        try:
+            connection.write_headers(
+                start_line, httputil.HTTPHeaders({**headers, **length}), body
+            )
+        except ValueError as error:
+            # It is raised before anything is written.
+            self.may_have_sent = False
+            raise Broken("the request can't be encoded") from error
         connection.finish()
         await connection.read_response(reader)
         if not reader.finished:
--- a/src/knapweedwharf/adapters/transport.py
+++ b/src/knapweedwharf/adapters/transport.py
@@ -99,7 +99,9 @@
             takes any time on a slow link.
         :param new_connection: don't reuse an idle connection.
         """
-        parts = urllib.parse.urlsplit(url)
+        parts = _split(url)
+        if parts is None:
+            return result.Failure(_unreachable(url))
         channel = None
         try:
             async with asyncio.timeout(timeout_s) as timeout:
@@ -109,10 +111,7 @@
                 reply = await channel.exchange(
                     method=method,
                     path=_request_target(parts),
-                    headers={
-                        **self._default_headers(parts),
-                        **(headers or {}),
-                    },
+                    headers=self._headers(parts) | (headers or {}),
                     body=body or b"",
                     on_chunk=on_chunk,
                     on_progress=_extension(timeout, silence_s),
@@ -123,9 +122,7 @@
             self._release(parts.netloc, channel)
         return result.Success(reply)
 
-    def _default_headers(
-        self, parts: urllib.parse.SplitResult
-    ) -> dict[str, str]:
+    def _headers(self, parts: urllib.parse.SplitResult) -> dict[str, str]:
         headers = {"Host": parts.netloc}
         if not self._reuse:
             headers["Connection"] = "close"
@@ -167,7 +164,7 @@
         try:
             return await channel_module.connect(
                 parts.hostname or "",
-                parts.port or (443 if secure else 80),
+                _port_of(parts),
                 timeout_s=min(_CONNECT_TIMEOUT_S, timeout_s),
                 max_body_bytes=self._max_body_bytes,
                 tls=ssl.create_default_context() if secure else None,
@@ -238,7 +235,7 @@
         )
     try:
         return result.Success(json.loads(reply.body))
-    except ValueError:
+    except (ValueError, RecursionError):
         return result.Failure(
             _outcome_unknown("the server", "the body is not JSON")
         )
@@ -248,15 +245,33 @@
     error: BaseException, url: str, channel: channel_module.Channel | None
 ) -> errors.Fault:
     if channel is None or not channel.may_have_sent:
-        return errors.Unreachable(
-            message=f"No connection to {_host(url)}.",
-            remedy="Check that the server runs and can be reached.",
-        )
+        return _unreachable(url)
     if isinstance(error, TimeoutError):
         return _outcome_unknown(url, "the request timed out")
     return _outcome_unknown(url, str(error) or type(error).__name__)
 
 
+def _unreachable(url: str) -> errors.Unreachable:
+    return errors.Unreachable(
+        message=f"No connection to {_host(url)}.",
+        remedy="Check that the server runs and can be reached.",
+    )
+
+
+def _split(url: str) -> urllib.parse.SplitResult | None:
+    """Split a URL; None if there can't be such a host or port."""
+    try:
+        parts = urllib.parse.urlsplit(url)
+        _port_of(parts)
+    except ValueError:
+        return None
+    return parts
+
+
+def _port_of(parts: urllib.parse.SplitResult) -> int:
+    return parts.port or (443 if parts.scheme == "https" else 80)
+
+
 def _outcome_unknown(url: str, text: str) -> errors.OutcomeUnknown:
     return errors.OutcomeUnknown(
         message=f"No complete response from {_host(url)}: {text}.",
--- a/src/knapweedwharf/platform/store.py
+++ b/src/knapweedwharf/platform/store.py
@@ -5,12 +5,17 @@
 ``NotFound`` (the lease has ended or the history was compacted),
 ``Conflict`` (a transaction's condition did not hold; carries the
 current entries).
+
+An odd item hides no other. One without a key is left out; a value that
+can't be decoded is empty, and a revision that is none is 0.
 """
 
 from __future__ import annotations
 
 import base64
+from collections import abc
 import dataclasses
+import functools
 import json
 import typing
 import urllib.parse
@@ -20,6 +25,8 @@
 from knapweedwharf.adapters import transport as transport_module
 from knapweedwharf import errors
 from knapweedwharf.fleet import model
+from knapweedwharf import log
+from knapweedwharf.platform import field
 
 REFUSED_STATUSES = frozenset({429, 503})
 """Statuses which guarantee that nothing was done."""
@@ -43,6 +50,19 @@
     code = "condition-failed"
 
 
+def _decoded(decoder: abc.Callable) -> abc.Callable:
+    """Decorate a decoder to return a result; it may raise ``Malformed``."""
+
+    @functools.wraps(decoder)
+    def decode(*arguments: typing.Any) -> result.Result:
+        try:
+            return result.Success(decoder(*arguments))
+        except field.Malformed as error:
+            return _outcome_unknown(f"The store's answer is odd: {error}.")
+
+    return decode
+
+
 class Store:
     """Client of the platform's key-value store.
 
@@ -52,6 +72,9 @@
     def __init__(self, address: str, *, timeout_s: float) -> None:
         self._base = f"http://{address}"
         self._timeout_s = timeout_s
+        self._log = log.get("store")
+        self._odd_items: dict[str, int] = {}
+        """Number of odd items in the newest answer, by prefix."""
         self._transport = transport_module.HttpTransport(
             max_body_bytes=MAX_ANSWER_BYTES, reuse=True
         )
@@ -71,7 +94,11 @@
             if isinstance(answer.failure(), errors.NotFound):
                 return result.Success(None)
             return answer
-        return result.Success(_decode_item(answer.unwrap()))
+        items, odd = _decode_items([answer.unwrap()])
+        self._note_odd_items(key, odd)
+        if not items:
+            return _outcome_unknown("The store's item has no key.")
+        return result.Success(items[0])
 
     async def list(
         self, prefix: str, *, timeout_s: float = 0.0
@@ -125,12 +152,29 @@
             timeout_s=timeout_s or silence_s,
             silence_s=None if timeout_s else silence_s,
         )
-        if isinstance(answer, result.Failure):
-            return answer
-        page = answer.unwrap()
-        items = tuple(map(_decode_item, page["items"]))
-        has_more = bool(page.get("has_more") and items)
-        return result.Success(model.Listing(items, page["at"], has_more))
+        return answer.bind(
+            lambda document: self._decode_page(document, prefix, after)
+        )
+
+    @_decoded
+    def _decode_page(
+        self, document: field.Document, prefix: str, after: str
+    ) -> model.Listing:
+        rows = _required_rows(document, "items")
+        items, odd = _decode_items(rows)
+        self._note_odd_items(prefix, odd)
+        has_more = bool(document.get("has_more") and rows)
+        if has_more and (not items or items[-1].key == after):
+            raise field.Malformed("a page does not advance")
+        return model.Listing(items, _required(document, "at"), has_more)
+
+    def _note_odd_items(self, prefix: str, odd: int) -> None:
+        """Log a change in the number of odd items under a prefix."""
+        known = self._odd_items.pop(prefix, 0)
+        if odd:
+            self._odd_items[prefix] = odd
+        if odd != known:
+            self._log.warning("store-items-odd", prefix=prefix, items=odd)
 
     async def watch(
         self, prefix: str, *, after: int, wait_s: float
@@ -152,18 +196,25 @@
             timeout_s=wait_s + _WATCH_MARGIN_S,
             silence_s=_WATCH_MARGIN_S,
         )
-        if isinstance(answer, result.Failure):
-            return answer
-        document = answer.unwrap()
-        events = document["events"]
-        return result.Success(
-            model.Changes(
-                items=tuple(
-                    _decode_item(e) for e in events if not e.get("deleted")
-                ),
-                removed=tuple(e["key"] for e in events if e.get("deleted")),
-                revision=document["at"],
-            )
+        return answer.bind(
+            lambda document: self._decode_changes(document, prefix)
+        )
+
+    @_decoded
+    def _decode_changes(
+        self, document: field.Document, prefix: str
+    ) -> model.Changes:
+        events = _required_rows(document, "events")
+        deletions = [e for e in events if _is_deletion(e)]
+        items, odd = _decode_items([e for e in events if not _is_deletion(e)])
+        removed = tuple(
+            e["key"] for e in deletions if isinstance(e.get("key"), str)
+        )
+        self._note_odd_items(prefix, odd + len(deletions) - len(removed))
+        return model.Changes(
+            items=items,
+            removed=removed,
+            revision=_required(document, "at"),
         )
 
     async def commit(
@@ -181,14 +232,14 @@
         answer = await self._call(
             "POST", "/kv-txn", {}, document, timeout_s=timeout_s
         )
-        return answer.map(lambda body: body["revision"])
+        return answer.bind(_decode_revision)
 
     async def grant(self, ttl_s: float) -> result.Result[int, errors.Fault]:
         """Create a lease and return its id."""
         answer = await self._call(
             "POST", "/kv-lease", {}, {"ttl_ms": int(ttl_s * 1000)}
         )
-        return answer.map(lambda body: body["lease"])
+        return answer.bind(_decode_lease)
 
     async def renew(
         self, lease_id: int, *, timeout_s: float = 0.0
@@ -236,8 +287,8 @@
 
 def _interpret(reply: transport_module.Reply) -> Answer:
     try:
-        document = json.loads(reply.body) if reply.body else {}
-    except ValueError:
+        document = field.parse(reply.body or b"{}")
+    except field.Malformed:
         return _outcome_unknown(
             f"The store's response with status {reply.status} is not JSON."
         )
@@ -273,7 +324,8 @@
 
 
 def _condition_failed(document: dict) -> ConditionFailed:
-    items = (_decode_item(one) for one in document.get("items") or () if one)
+    rows = document.get("items")
+    items, _odd = _decode_items(rows if isinstance(rows, list) else [])
     return ConditionFailed(
         message="Another writer has changed an expected key.",
         remedy="Decide again with the current entries.",
@@ -281,13 +333,53 @@
     )
 
 
-def _decode_item(document: dict) -> model.Item:
-    value = document.get("value")
-    return model.Item(
-        key=document["key"],
-        value=base64.b64decode(value) if value else b"",
-        revision=document.get("revision", 0),
-    )
+def _required(document: field.Document, name: str) -> int:
+    return field.whole_of(document.get(name))
+
+
+def _required_rows(document: field.Document, name: str) -> list:
+    if document.get(name) is None:
+        raise field.Malformed(f"field {name} is missing")
+    return field.rows(document, name)
+
+
+@_decoded
+def _decode_revision(document: field.Document) -> int:
+    return _required(document, "revision")
+
+
+@_decoded
+def _decode_lease(document: field.Document) -> int:
+    return _required(document, "lease")
+
+
+def _is_deletion(event: object) -> bool:
+    return isinstance(event, dict) and bool(event.get("deleted"))
+
+
+def _decode_items(rows: list) -> tuple[tuple[model.Item, ...], int]:
+    """Decode items; return those with a key, and how many rows are odd."""
+    found = []
+    odd = 0
+    for row in rows:
+        key = row.get("key") if isinstance(row, dict) else None
+        if not isinstance(key, str):
+            odd += 1
+            continue
+        try:
+            value = base64.b64decode(row.get("value") or "")
+        except (TypeError, ValueError):
+            # Its reader tells that nothing can be decoded.
+            value = b""
+            odd += 1
+        try:
+            revision = field.whole_of(row.get("revision", 0))
+        except field.Malformed:
+            # Counts as older than all that is known of the key.
+            revision = 0
+            odd += 1
+        found.append(model.Item(key, value, revision))
+    return tuple(found), odd
 
 
 def _encode_write(write: model.Write) -> dict[str, object]:
