Keep background tasks running after an unexpected error

Seen: an error that is no failure of a call, raised once while progress was written or a lease renewed, ended that task without a line: no progress was stored and no end acknowledged any more, or the runs of the executor lapsed and it was never used nor given up.

Cause: Background started the task bare; only some subclasses caught errors in their loops. The progress writer dropped the records and callbacks of the batch that it was writing. Class: tasks that run until their owner closes them. The writer puts its batch back. An error while renewing counts as no answer, so that the executor is given up in time.

--- a/src/knapweedwharf/fleet/election.py
+++ b/src/knapweedwharf/fleet/election.py
@@ -16,6 +16,7 @@
 from returns import result
 
 from knapweedwharf import errors
+from knapweedwharf.fleet import background
 from knapweedwharf.fleet import clock
 from knapweedwharf.fleet import model
 from knapweedwharf.fleet import records
@@ -133,7 +134,9 @@
     async def start(self) -> None:
         """Start competing."""
         await self._watcher.start()
-        self._task = asyncio.create_task(self._run())
+        self._task = asyncio.create_task(
+            background.keep_running(self._run, type(self).__name__)
+        )
 
     async def close(self) -> None:
         """Stop competing and give up the ownership."""
--- a/src/knapweedwharf/fleet/passes.py
+++ b/src/knapweedwharf/fleet/passes.py
@@ -10,6 +10,7 @@
 import asyncio
 from collections import abc
 
+from knapweedwharf.fleet import background
 from knapweedwharf import log
 
 SLICE_S = 0.005
@@ -50,7 +51,9 @@
 
     async def start(self) -> None:
         """Start running passes."""
-        self._task = asyncio.create_task(self._run_forever())
+        self._task = asyncio.create_task(
+            background.keep_running(self._run_forever, type(self).__name__)
+        )
 
     async def close(self) -> None:
         """Stop between two slices."""
--- a/src/knapweedwharf/fleet/progress_writer.py
+++ b/src/knapweedwharf/fleet/progress_writer.py
@@ -130,18 +130,25 @@
                 continue
             thens = {job_id: self._dirty.pop(job_id) for job_id in values}
             self._in_flight = frozenset(values)
-            written = await self._write(values, ended)
-            self._in_flight = frozenset()
+            written = False
+            try:
+                written = await self._write(values, ended)
+            finally:
+                self._in_flight = frozenset()
+                if not written:
+                    self._mark_dirty_again(thens)
             if written:
                 delays.reset()
                 for then in itertools.chain.from_iterable(thens.values()):
                     self._run_callback(then)
                 continue
-            for job_id, waiting in thens.items():
-                later = self._dirty.pop(job_id, [])
-                self._dirty[job_id] = [*waiting, *later]
             await asyncio.sleep(delays.next_s())
 
+    def _mark_dirty_again(self, thens: dict[str, list[Callback]]) -> None:
+        for job_id, waiting in thens.items():
+            later = self._dirty.pop(job_id, [])
+            self._dirty[job_id] = [*waiting, *later]
+
     def _next_batch(
         self,
     ) -> tuple[dict[str, bytes | None], dict[str, bytes]]:
--- a/src/knapweedwharf/fleet/session.py
+++ b/src/knapweedwharf/fleet/session.py
@@ -144,6 +144,7 @@
         self._clock_at_s = 0.0
         self._failures = 0
         self._odd_rows = 0
+        self._error = ""
         # A former owner may have extended the lease up to now.
         self._lease_sent_s = clock.elapsed_s()
 
@@ -249,7 +250,7 @@
         while True:
             if not await self._hooks.may_order():
                 return
-            fault = await self._renew()
+            fault = await self._try_to_renew()
             if fault is None:
                 delays.reset()
                 await self._wait_for_acknowledgements()
@@ -277,6 +278,21 @@
                 # The store is unreachable; the lease must be renewed anyway.
                 return
 
+    async def _try_to_renew(self) -> errors.Fault | None:
+        """Renew the lease; an unexpected error counts as no answer."""
+        try:
+            fault = await self._renew()
+        except Exception as error:
+            if repr(error) != self._error:
+                self._log.exception("renewal-broken")
+            self._error = repr(error)
+            return errors.OutcomeUnknown(
+                message=f"The renewal was not processed: {error!r}.",
+                remedy="See the log line renewal-broken.",
+            )
+        self._error = ""
+        return fault
+
     async def _renew(self) -> errors.Fault | None:
         sent_s = clock.elapsed_s()
         until_ms = 0
--- a/src/knapweedwharf/fleet/tenure.py
+++ b/src/knapweedwharf/fleet/tenure.py
@@ -13,6 +13,7 @@
 from returns import result
 
 from knapweedwharf.fleet import advice as advice_module
+from knapweedwharf.fleet import background
 from knapweedwharf.fleet import clients as clients_module
 from knapweedwharf.fleet import clock
 from knapweedwharf.fleet import crashes as crashes_module
@@ -241,7 +242,7 @@
         for work in (
             self._bound_reading(),
             self._schedule_forever(),
-            self._publish_forever(),
+            background.keep_running(self._publish_forever, "publication"),
         ):
             self._tasks.append(asyncio.create_task(work))
 
@@ -296,6 +297,9 @@
         await self.registry.start()
         await self._maintenance.start()
         await self._pools.start()
+        await background.keep_running(self._tick_forever, "ticks")
+
+    async def _tick_forever(self) -> None:
         while await self._election.may_order():
             await asyncio.sleep(TICK_S)
             try:
