Let stand-in executors leave their capacity unguarded and change it

Executors of a service with enforces_capacity false start whatever they are told. In the scene they do so too now, every start is recorded with what the executor's runs take together, and each test fails if a start brings an executor over the capacity that it has, or had less than contact_ms and one beat before. Capacities can change while work runs; a VM's watches of one prefix can fall silent; stops can be lost. Tests that pass on the present code land with it: filling an executor, capacities that shrink below what runs, late starts on an executor that was given up, capacities that keep changing.

--- a/standins/fleet_executors.py
+++ b/standins/fleet_executors.py
@@ -16,8 +16,10 @@
 
 from returns import result
 
+from knapweedwharf.core import amount
 from knapweedwharf import errors
 from knapweedwharf.fleet import model
+from standins import capacity_record
 from standins import fleet_advisor
 
 ANSWER_S = 0.002
@@ -67,6 +69,7 @@
     :ivar silent: no call is executed or answered.
     :ivar is_crashing: it crashes before it answers.
     :ivar crashed: nothing listens on its address any more.
+    :ivar lose_stops: number of next stops that are lost.
     :ivar lose_starts: number of next starts that are executed without
         an answer.
     :ivar late_s: delay after which such starts are executed.
@@ -90,12 +93,28 @@
         self.silent = False
         self.is_crashing = False
         self.crashed = False
+        self.lose_stops = 0
         self.lose_starts = 0
         self.late_s = 0.0
         self.stalled = False
         self.lose_acknowledgements = False
         self.advanced_s = 0.0
         self.changed = asyncio.Condition()
+        self._note_capacity()
+
+    def resize(self, **fields) -> None:
+        """Change the capacity, as given by fields of the entry."""
+        self.spec = dataclasses.replace(self.spec, **fields)
+        self._note_capacity()
+
+    def _note_capacity(self) -> None:
+        spec = self.spec
+        capacity = amount.Amount(
+            spec.accelerators, spec.cores_milli, spec.memory_mib
+        )
+        now_s = asyncio.get_running_loop().time()
+        record = self.pool.capacity_record
+        record.set_capacity(spec.executor_id, capacity, now_s)
 
     def clock_ms(self) -> int:
         """Return the executor's clock, 5 s ahead of the event loop's."""
@@ -164,8 +183,9 @@
         behaviour = json.loads(order.specification)
         if behaviour.get("advised") and not self._has_ticket(order):
             return _refused(model.NO_TICKET)
-        if len(self.runs) >= behaviour.get("slots", 8):
-            return _refused("room")
+        if self.pool.enforces_capacity:
+            if len(self.runs) >= behaviour.get("slots", 8):
+                return _refused("room")
         self.lease_until_ms = max(self.lease_until_ms, order.not_after_ms)
         now_s = asyncio.get_running_loop().time()
         self.runs[key] = RunState(order, now_s, behaviour)
@@ -173,8 +193,18 @@
         number = int(order.task_id.rsplit(".", 1)[1])
         if number in behaviour.get("crashing", ()):
             self.pool.crash_soon(self, behaviour)
+        if not self.pool.enforces_capacity:
+            self._note_start(order.task_id, now_s)
         return None
 
+    def _note_start(self, task_id: str, now_s: float) -> None:
+        record = self.pool.capacity_record
+        used = record.used(task for task, _run in self.runs)
+        started = capacity_record.Start(
+            now_s, self.spec.executor_id, task_id, used
+        )
+        record.starts.append(started)
+
     def load_ms(self, state: RunState) -> int:
         """Return the simulated tail latency of a serving run.
 
@@ -209,15 +239,16 @@
     :ivar renewals: number of renewals requested.
     :ivar refused: reasons of refused starts, in order.
     :ivar stop_s: how long a run goes on after a stop was answered.
-    :ivar lose_stops: number of next stops that are not executed or
-        answered.
     :ivar starts: (time, executor id, (task, run)) of each start.
     :ivar crashes: (time, executor id) of each crash.
     :ivar on_crash: called with an executor that a task has crashed, after
         how many seconds it is back, and whether under another id.
+    :ivar enforces_capacity: executors refuse what doesn't fit.
     """
 
     def __init__(self) -> None:
+        self.enforces_capacity = True
+        self.capacity_record = capacity_record.CapacityRecord()
         self.advisor = fleet_advisor.FakeAdvisor()
         self.refused: list[str] = []
         self.executors: dict[str, FakeExecutor] = {}
@@ -227,7 +258,6 @@
         self.on_crash: CrashCallback | None = None
         self.renewals = 0
         self.stop_s = 0.0
-        self.lose_stops = 0
         self._tasks: set[asyncio.Task] = set()
 
     def add(self, spec: model.Executor) -> FakeExecutor:
@@ -399,9 +429,11 @@
         await asyncio.sleep(ANSWER_S)
         if found is not None and found.crashed:
             return result.Failure(_REFUSED_CONNECTION)
-        is_lost = self.lose_stops > 0
-        self.lose_stops -= is_lost
-        if found is None or found.silent or is_lost:
+        if found is None or found.silent:
+            await asyncio.sleep(timeout_s)
+            return result.Failure(_UNKNOWN)
+        if found.lose_stops:
+            found.lose_stops -= 1
             await asyncio.sleep(timeout_s)
             return result.Failure(_UNKNOWN)
         if epoch < found.epoch:
--- a/standins/fleet_store.py
+++ b/standins/fleet_store.py
@@ -145,6 +145,7 @@
     :ivar cut_pages: number of next pages whose answers are cut.
     :ivar stalled: pages begin to arrive and then stop.
     :ivar mute_watches: watches get no answer; other calls do.
+    :ivar mute_prefix: the same for watches of this prefix; empty for none.
     :ivar mutings: how often all open connections fell silent for good.
     """
 
@@ -156,12 +157,17 @@
     cut_pages: int = 0
     stalled: bool = False
     mute_watches: bool = False
+    mute_prefix: str = ""
     mutings: int = 0
 
     def mute_open_connections(self) -> None:
         """Lose the answers of all calls in progress, without a reset."""
         self.mutings += 1
 
+    def mutes(self, prefix: str) -> bool:
+        """Return whether watches of a prefix get no answer."""
+        return self.mute_watches or prefix == self.mute_prefix
+
 
 def _sent_bytes(items: abc.Iterable[model.Item]) -> int:
     """Return the size of entries in a response, with base64 values."""
@@ -296,7 +302,7 @@
                         await self.state.changed.wait()
         except TimeoutError:
             await self.state.expire()
-        if self.path.mute_watches or self.path.mutings > mutings:
+        if self.path.mutes(prefix) or self.path.mutings > mutings:
             left_s = gives_up_s - asyncio.get_running_loop().time()
             await asyncio.sleep(left_s)
             return result.Failure(_UNKNOWN)
--- a/testing/fleet/scene.py
+++ b/testing/fleet/scene.py
@@ -33,6 +33,10 @@
 """Three missed heartbeats, after which an executor's entry is removed."""
 
 BOUNDS = model.TimeLimits()
+CONTACT_S = 3.0
+BEAT_S = 1.5
+SHRUNK_GRACE_S = CONTACT_S + BEAT_S
+"""Time for which a start may still fit the capacity from before it shrank."""
 
 
 def desired(
@@ -41,10 +45,12 @@
     guaranteed: int = 0,
     attempts: int = 3,
     standby: abc.Iterable[str] = (),
+    enforces_capacity: bool = True,
 ) -> bytes:
     """Return a desired state with one account and a queue of each kind.
 
     :param standby: names of standby pools, whose machines are off.
+    :param enforces_capacity: executors refuse what doesn't fit.
     """
     return json.dumps(
         {
@@ -52,6 +58,7 @@
             "guaranteed": guaranteed,
             "attempts": attempts,
             "standby": list(standby),
+            "enforces_capacity": enforces_capacity,
         }
     ).encode()
 
@@ -78,7 +85,9 @@
             for prefix, priority in QUEUES.items()
         ),
         services={
-            "pool": model.Service("pool"),
+            "pool": model.Service(
+                "pool", enforces_capacity=document["enforces_capacity"]
+            ),
             **{
                 name: model.Service(name, is_standby=True)
                 for name in document.get("standby", ())
@@ -202,6 +211,7 @@
 
     async def open(self, *, vms: int, executors: int, **fields) -> None:
         """Start everything and wait for an owner."""
+        self.pool.enforces_capacity = fields.get("enforces_capacity", True)
         self._time = asyncio.create_task(self.pool.run_forever())
         await self.store.external_write(CONFIG_KEY, desired(**fields))
         for number in range(executors):
@@ -355,6 +365,15 @@
         value = json.dumps(dataclasses.asdict(spec)).encode()
         await self.store.external_write(EXECUTORS + spec.executor_id, value)
 
+    async def resize(
+        self, executor_id: str, *, listed_after_s: float = 0.0, **fields
+    ) -> None:
+        """Change an executor's capacity, and then its entry."""
+        executor = self.pool.executors[executor_id]
+        executor.resize(**fields)
+        await asyncio.sleep(listed_after_s)
+        await self.list_executor(executor.spec)
+
     @property
     def owner(self) -> Vm | None:
         """The VM that is the owner, if there is one."""
@@ -385,6 +404,7 @@
         """Submit a job; return its id and the outcome."""
         self._next_id += 1
         job_id = f"{self._next_id:016x}"
+        self.pool.capacity_record.add_job(job_id, steps)
         outcome = await vm.node.job_api.submit(
             self.call(job_id, prefix=prefix),
             specification=json.dumps(behaviour or {}),
@@ -429,6 +449,11 @@
                 assert first.ended_s <= second.begun_s, task_id
                 assert first.outcome != model.DONE, task_id
 
+    def check_capacity(self) -> None:
+        """Fail if a start brought an executor over its capacity."""
+        found = self.pool.capacity_record.overruns(SHRUNK_GRACE_S)
+        assert not found, found
+
 
 def run_on_virtual_time(main, monkeypatch) -> None:
     """Run a test on virtual time, with all clocks patched to it."""
@@ -450,5 +475,6 @@
         finally:
             await scene.close()
         scene.check_single_execution()
+        scene.check_capacity()
 
     virtual_time.run(whole())
--- a/testing/fleet/test_cancellation.py
+++ b/testing/fleet/test_cancellation.py
@@ -171,7 +171,7 @@
         await scene.open(vms=1, executors=1)
         executor = scene.pool.executors["e0"]
         await asyncio.sleep(1.0)
-        scene.pool.lose_stops = 1
+        executor.lose_stops = 1
         order = model.StartOrder(
             task_id="00000000000000aa.0.0.0",
             run=1,
@@ -181,7 +181,7 @@
         )
         assert executor.start(order) is None
         await scene.until(
-            lambda: not scene.pool.lose_stops,
+            lambda: not executor.lose_stops,
             within_s=session_module.IDLE_WAIT_S + 0.1,
         )
         await scene.until(lambda: not executor.runs, within_s=1.0)
--- /dev/null
+++ b/testing/fleet/test_capacity.py
@@ -0,0 +1,183 @@
+"""Executors that don't enforce their capacity are never brought over it.
+
+Each test also ends with ``Scene.check_capacity``.
+"""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from knapweedwharf.core import workflow
+from knapweedwharf.fleet import model
+from testing.fleet import scene as scene_module
+
+step = scene_module.step
+
+LONG = {"run_s": 30.0}
+NEWS_S = 0.1
+"""Time for a change to reach the owner and for a start to be sent."""
+
+
+async def _open(scene, **fields) -> None:
+    fields = {"vms": 2, "executors": 1, **fields}
+    await scene.open(enforces_capacity=False, **fields)
+
+
+def _running(scene, job_id: str = "") -> int:
+    """Return how many runs go on, of one job or of all."""
+    return sum(
+        task_id.startswith(job_id)
+        for executor in scene.pool.executors.values()
+        for task_id, _run in executor.runs
+    )
+
+
+def _starts_since(scene, since_s: float) -> int:
+    return sum(start[0] >= since_s for start in scene.pool.starts)
+
+
+def _now_s() -> float:
+    return asyncio.get_running_loop().time()
+
+
+def test_a_full_executor_is_filled_up_to_its_capacity(monkeypatch):
+    async def main(scene):
+        await _open(scene)
+        await scene.submit(scene.owner, step(tasks=12), behaviour=LONG)
+        await asyncio.sleep(5.0)
+        assert _running(scene) == 8
+        assert scene.pool.capacity_record.peak("e0").accelerators == 8
+
+    scene_module.run_on_virtual_time(main, monkeypatch)
+
+
+def test_work_goes_on_once_the_watch_of_executors_is_heard_again(monkeypatch):
+    async def main(scene):
+        await _open(scene)
+        await asyncio.sleep(2.0)
+        scene.owner.store.path.mute_prefix = scene_module.EXECUTORS
+        await asyncio.sleep(8.0)
+        job_id, _outcome = await scene.submit(scene.owner, step())
+        await asyncio.sleep(1.0)
+        scene.owner.store.path.mute_prefix = ""
+        await scene.until_state(job_id, workflow.COMPLETED, within_s=5.0)
+
+    scene_module.run_on_virtual_time(main, monkeypatch)
+
+
+@pytest.mark.parametrize("cut", ["cores_milli", "memory_mib", "accelerators"])
+def test_a_shrinking_below_what_runs_stops_nothing_and_starts_nothing(
+    monkeypatch, cut
+):
+    async def main(scene):
+        await _open(scene)
+        job_id, _outcome = await scene.submit(
+            scene.owner,
+            step(tasks=6, cores_milli=4000, memory_mib=8000),
+            behaviour={"run_s": 12.0},
+        )
+        await asyncio.sleep(1.0)
+        smaller = {"cores_milli": 8000, "memory_mib": 16000, "accelerators": 2}
+        await scene.resize("e0", **{cut: smaller[cut]})
+        shrunk_s = _now_s()
+        sizes = {"cores_milli": 1, "memory_mib": 1, "accelerators": 0}
+        for fields in (sizes, {**sizes, "fills_spare": True}):
+            await scene.submit(
+                scene.owner, step(tasks=2, **fields), behaviour=LONG
+            )
+        await asyncio.sleep(8.0)
+        assert _running(scene, job_id) == 6
+        assert not _starts_since(scene, shrunk_s + NEWS_S)
+        await scene.until_state(job_id, workflow.COMPLETED)
+        assert {run.outcome for run in scene.runs_of(job_id)} == {model.DONE}
+        await asyncio.sleep(2.0)
+        assert _running(scene) == 4
+
+    scene_module.run_on_virtual_time(main, monkeypatch)
+
+
+def test_a_job_that_fits_only_the_larger_capacity_stays_queued(monkeypatch):
+    async def main(scene):
+        await _open(scene)
+        await scene.resize("e0", accelerators=2)
+        await asyncio.sleep(3.0)
+        job_id, _outcome = await scene.submit(
+            scene.owner, step(accelerators=6)
+        )
+        await asyncio.sleep(20.0)
+        assert await scene.state(job_id) == workflow.QUEUED
+        await scene.resize("e0", accelerators=8)
+        await scene.until_state(job_id, workflow.COMPLETED, within_s=5.0)
+
+    scene_module.run_on_virtual_time(main, monkeypatch)
+
+
+async def _cancel(scene, job_id: str) -> None:
+    cancelled = await scene.bystander().node.job_api.cancel(scene.call(job_id))
+    assert cancelled.unwrap() == job_id
+
+
+def test_a_late_start_counts_on_an_executor_that_was_given_up(monkeypatch):
+    async def main(scene):
+        await _open(scene, executors=2)
+        executor = scene.pool.executors["e0"]
+        executor.lose_starts = 16
+        executor.late_s = 5.9
+        await scene.submit(
+            scene.owner, step(tasks=16), behaviour={"run_s": 2.5}
+        )
+        await asyncio.sleep(1.0)
+        executor.silent = True
+        await asyncio.sleep(5.5)
+        executor.silent = False
+        for _number in range(20):
+            await scene.submit(
+                scene.owner, step(tasks=4), behaviour={"run_s": 2.0}
+            )
+            await asyncio.sleep(0.3)
+        await asyncio.sleep(20.0)
+
+    scene_module.run_on_virtual_time(main, monkeypatch)
+
+
+def test_capacities_that_keep_changing_are_never_exceeded(monkeypatch):
+    async def main(scene):
+        await _open(scene, executors=3, guaranteed=2)
+        scene.pool.stop_s = 0.5
+        jobs = []
+        for number in range(60):
+            urgent = number % 5 == 0
+            job_id, _outcome = await scene.submit(
+                scene.owner,
+                step(
+                    tasks=1 + number % 4,
+                    accelerators=number % 3,
+                    cores_milli=1000 + 500 * (number % 7),
+                ),
+                behaviour={"run_s": 0.4 + number % 6},
+                prefix=(
+                    scene_module.URGENT_PREFIX
+                    if urgent
+                    else scene_module.PREFIX
+                ),
+            )
+            jobs.append(job_id)
+            await scene.resize(
+                f"e{number % 3}",
+                accelerators=number * 5 % 9,
+                cores_milli=4000 * (number * 3 % 9),
+            )
+            await asyncio.sleep(0.3)
+            if number % 11 == 10:
+                await _cancel(scene, jobs[number - 3])
+        for number in range(3):
+            await scene.resize(
+                f"e{number}", accelerators=8, cores_milli=32_000
+            )
+        kept = [j for n, j in enumerate(jobs) if (n + 3) % 11 != 10]
+        for job_id in kept:
+            await scene.until_state(job_id, workflow.COMPLETED, within_s=90.0)
+
+    scene_module.run_on_virtual_time(main, monkeypatch)
