Log a change of an executor's capacity with what is in use

The owner's log said nothing of such a change, so it could not be told whether a start followed it, how late the owner learned of it, or what the engine took to be free. executor-resized gives the capacity before and after, what attempts take, the entry's revision and how long ago it was written at most.

--- a/src/knapweedwharf/core/topology.py
+++ b/src/knapweedwharf/core/topology.py
@@ -214,6 +214,14 @@
             return list(room.occupants)
         return list(self._orphans.get(worker_id, ()))
 
+    def used_on(self, worker_id: str) -> amount.Amount:
+        """Return what attempts take on a worker."""
+        taken = (
+            self.taken_by(attempt_id).get(worker_id, amount.NOTHING)
+            for attempt_id in self.attempts_on(worker_id)
+        )
+        return sum(taken, amount.NOTHING)
+
     def places_of(self, attempt_id: str) -> list[model.Assignment]:
         """Return the places that an attempt occupies now."""
         return self._occupied.get(attempt_id, [])
--- a/src/knapweedwharf/fleet/decider.py
+++ b/src/knapweedwharf/fleet/decider.py
@@ -237,6 +237,11 @@
             self.tell(flow.job.service, submitted)
             self._request_advice(flow, part)
 
+    def used_on(self, executor: model.Executor) -> amount.Amount:
+        """Return what attempts take on an executor."""
+        topology = self._engine(executor.service).topology
+        return topology.used_on(executor.executor_id)
+
     def waiting_need(self, service: str) -> amount.Amount:
         """Return the needs of work that has waited for ``GROW_AFTER_S``."""
         engine = self._engines.get(service)
--- a/src/knapweedwharf/fleet/registry.py
+++ b/src/knapweedwharf/fleet/registry.py
@@ -5,7 +5,9 @@
 import asyncio
 from collections import abc
 import dataclasses
+import math
 
+from knapweedwharf.core import amount
 from knapweedwharf.core import event
 from knapweedwharf.core import model as core_model
 from knapweedwharf.fleet import answer_times as answer_times_module
@@ -25,6 +27,7 @@
     """Follows the executors' entries and keeps a session with each.
 
     :param hooks: callbacks for the sessions' events.
+    :param used_on: returns what attempts take on an executor.
     :ivar sessions: by executor id.
     :ivar answer_times: how long the executors take to answer.
     """
@@ -36,6 +39,7 @@
         clients: clients_module.PlatformClients,
         epoch: int,
         hooks: session_module.Hooks,
+        used_on: abc.Callable[[model.Executor], amount.Amount],
     ) -> None:
         self._process_config = process_config
         self._client = clients.executors
@@ -43,6 +47,7 @@
         self._epoch = epoch
         self._hooks = dataclasses.replace(hooks, gone=self._session_gone)
         self._on_gone = hooks.gone
+        self._used_on = used_on
         self._log = log.get("registry")
         self._announced: dict[str, model.Executor] = {}
         self._expected: dict[str, float] = {}
@@ -145,8 +150,11 @@
             self._open_session(executor, revision, former=former)
             return
         was_ready = session.executor.state == model.READY
+        before = _capacity_of(session.executor)
         session.executor = executor
         session.listed = True
+        if _capacity_of(executor) != before:
+            self._report_resized(executor, before, revision)
         if was_ready and executor.state == model.DRAINING:
             self._log.info(
                 "executor-draining",
@@ -157,6 +165,20 @@
             self._cordon(session)
             self._report_leaving(session)
 
+    def _report_resized(
+        self, executor: model.Executor, before: amount.Amount, revision: int
+    ) -> None:
+        age_s = self._watcher.max_change_age_s
+        self._log.info(
+            "executor-resized",
+            executor=executor.executor_id,
+            revision=revision,
+            before=dataclasses.asdict(before),
+            after=dataclasses.asdict(_capacity_of(executor)),
+            used=dataclasses.asdict(self._used_on(executor)),
+            age_s=round(age_s, 3) if age_s < math.inf else None,
+        )
+
     def _open_session(
         self, executor: model.Executor, revision: int, *, former: str = ""
     ) -> None:
@@ -339,6 +361,12 @@
         return gone
 
 
+def _capacity_of(executor: model.Executor) -> amount.Amount:
+    return amount.Amount(
+        executor.accelerators, executor.cores_milli, executor.memory_mib
+    )
+
+
 def _has_restarted(known: model.Executor, seen: model.Executor) -> bool:
     return (
         known.incarnation_ms != seen.incarnation_ms
--- a/src/knapweedwharf/fleet/tenure.py
+++ b/src/knapweedwharf/fleet/tenure.py
@@ -99,6 +99,7 @@
             clients=clients,
             epoch=ownership.epoch,
             hooks=self._hooks(),
+            used_on=lambda executor: self._decider.used_on(executor),
         )
         self._connect(desired)
 
--- a/testing/fleet/test_capacity.py
+++ b/testing/fleet/test_capacity.py
@@ -8,6 +8,7 @@
 import asyncio
 
 import pytest
+import structlog
 
 from knapweedwharf.core import workflow
 from knapweedwharf.fleet import model
@@ -53,6 +54,25 @@
     scene_module.run_on_virtual_time(main, monkeypatch)
 
 
+def test_a_change_of_capacity_is_logged_with_what_is_used(monkeypatch):
+    async def main(scene):
+        await _open(scene)
+        await scene.submit(scene.owner, step(tasks=6), behaviour=LONG)
+        await asyncio.sleep(1.0)
+        with structlog.testing.capture_logs() as lines:
+            await scene.resize("e0", accelerators=4)
+            await asyncio.sleep(NEWS_S)
+        (line,) = [x for x in lines if x["event"] == "executor-resized"]
+        assert line["executor"] == "e0"
+        assert line["before"]["accelerators"] == 8
+        assert line["after"]["accelerators"] == 4
+        assert line["used"]["accelerators"] == 6
+        assert line["age_s"] <= 0.25
+        assert line["revision"] == scene.store.revision
+
+    scene_module.run_on_virtual_time(main, monkeypatch)
+
+
 def test_work_goes_on_once_the_watch_of_executors_is_heard_again(monkeypatch):
     async def main(scene):
         await _open(scene)
