List starts over an executor's capacity as known red

Five faults, each shown on virtual time by tests that fail on the present code: a changed capacity takes effect with the next report only; indexes beyond a smaller capacity count as nothing; starts under way are not checked again; nothing bounds the age of what the owner knows of executors; runs that no attempt tracks are not counted.

--- a/testing/fleet/test_capacity.py
+++ b/testing/fleet/test_capacity.py
@@ -73,6 +73,42 @@
     scene_module.run_on_virtual_time(main, monkeypatch)
 
 
+@pytest.mark.parametrize("idle", [True, False])
+def test_a_smaller_capacity_is_in_force_as_soon_as_it_is_listed(
+    monkeypatch, idle
+):
+    async def main(scene):
+        await _open(scene)
+        if not idle:
+            await scene.submit(scene.owner, step(), behaviour=LONG)
+        await asyncio.sleep(3.3)
+        await scene.resize("e0", accelerators=3)
+        await asyncio.sleep(NEWS_S)
+        await scene.submit(scene.owner, step(tasks=6), behaviour=LONG)
+        await asyncio.sleep(3.0)
+        assert _running(scene) == 3
+
+    scene_module.run_on_virtual_time(main, monkeypatch)
+
+
+def test_no_start_counts_on_a_capacity_behind_a_silent_watch(monkeypatch):
+    async def main(scene):
+        await _open(scene)
+        await asyncio.sleep(2.0)
+        scene.owner.store.path.mute_prefix = scene_module.EXECUTORS
+        await scene.resize(
+            "e0", accelerators=2, listed_after_s=scene_module.BEAT_S
+        )
+        await asyncio.sleep(scene_module.CONTACT_S)
+        await scene.submit(scene.owner, step(tasks=6), behaviour=LONG)
+        await asyncio.sleep(3.0)
+        scene.owner.store.path.mute_prefix = ""
+        await asyncio.sleep(3.0)
+        assert _running(scene) == 2
+
+    scene_module.run_on_virtual_time(main, monkeypatch)
+
+
 def test_work_goes_on_once_the_watch_of_executors_is_heard_again(monkeypatch):
     async def main(scene):
         await _open(scene)
@@ -87,6 +123,74 @@
     scene_module.run_on_virtual_time(main, monkeypatch)
 
 
+def test_starts_that_wait_for_a_ticket_fit_the_capacity_when_sent(
+    monkeypatch,
+):
+    async def main(scene):
+        await _open(scene)
+        advisor = scene.pool.advisor
+        advisor.validity_s = 0.5
+        await scene.submit(
+            scene.owner, step(tasks=8), behaviour={"run_s": 4.0}
+        )
+        await asyncio.sleep(0.5)
+        await scene.submit(
+            scene.owner,
+            step(tasks=6),
+            behaviour={**LONG, "advised": True},
+            prefix=scene_module.ADVISED_PREFIX,
+        )
+        await asyncio.sleep(3.0)
+        advisor.decision_s = 6.0
+        advisor.validity_s = 30.0
+        await scene.until(lambda: not _running(scene))
+        await asyncio.sleep(NEWS_S)
+        await scene.resize("e0", accelerators=2)
+        await asyncio.sleep(30.0)
+        assert _running(scene) == 2
+
+    scene_module.run_on_virtual_time(main, monkeypatch)
+
+
+def test_starts_that_wait_for_the_link_fit_the_capacity_when_sent(monkeypatch):
+    async def main(scene):
+        scene.link_bytes_per_s = 3_000.0
+        await _open(scene, vms=1)
+        await scene.submit(
+            scene.owner,
+            step(tasks=8),
+            behaviour={**LONG, "padding": "x" * 3000},
+        )
+        await scene.until(lambda: scene.pool.starts)
+        await scene.resize("e0", accelerators=2)
+        await asyncio.sleep(20.0)
+        assert _running(scene) == 2
+
+    scene_module.run_on_virtual_time(main, monkeypatch)
+
+
+def test_accelerators_left_by_a_shrinking_are_counted_whatever_their_index(
+    monkeypatch,
+):
+    """Those with the lowest indexes end first."""
+
+    async def main(scene):
+        await _open(scene)
+        await scene.submit(
+            scene.owner, step(tasks=6), behaviour={"run_s": 3.0}
+        )
+        await asyncio.sleep(0.5)
+        await scene.submit(scene.owner, step(tasks=2), behaviour=LONG)
+        await asyncio.sleep(0.5)
+        assert _running(scene) == 8
+        await scene.resize("e0", accelerators=3)
+        await scene.submit(scene.owner, step(tasks=4), behaviour=LONG)
+        await asyncio.sleep(10.0)
+        assert _running(scene) == 3
+
+    scene_module.run_on_virtual_time(main, monkeypatch)
+
+
 @pytest.mark.parametrize("cut", ["cores_milli", "memory_mib", "accelerators"])
 def test_a_shrinking_below_what_runs_stops_nothing_and_starts_nothing(
     monkeypatch, cut
@@ -118,6 +222,23 @@
     scene_module.run_on_virtual_time(main, monkeypatch)
 
 
+def test_capacity_that_grows_again_is_used_at_once(monkeypatch):
+    async def main(scene):
+        await _open(scene)
+        await scene.resize("e0", accelerators=0, cores_milli=0, memory_mib=0)
+        await asyncio.sleep(3.3)
+        await scene.submit(scene.owner, step(tasks=8), behaviour=LONG)
+        await asyncio.sleep(10.0)
+        assert not _running(scene)
+        await scene.resize(
+            "e0", accelerators=8, cores_milli=32_000, memory_mib=64_000
+        )
+        await asyncio.sleep(NEWS_S)
+        assert _running(scene) == 8
+
+    scene_module.run_on_virtual_time(main, monkeypatch)
+
+
 def test_a_job_that_fits_only_the_larger_capacity_stays_queued(monkeypatch):
     async def main(scene):
         await _open(scene)
@@ -134,11 +255,58 @@
     scene_module.run_on_virtual_time(main, monkeypatch)
 
 
+def test_what_is_being_stopped_for_urgent_work_counts_on_a_shrunk_executor(
+    monkeypatch,
+):
+    async def main(scene):
+        await _open(scene, guaranteed=4)
+        scene.pool.stop_s = scene_module.BOUNDS.stop_timeout_s
+        await scene.submit(scene.owner, step(tasks=8), behaviour=LONG)
+        await asyncio.sleep(1.0)
+        await scene.resize("e0", accelerators=4)
+        await asyncio.sleep(6.0)
+        urgent_id, _outcome = await scene.submit(
+            scene.owner,
+            step(tasks=4),
+            behaviour=LONG,
+            prefix=scene_module.URGENT_PREFIX,
+        )
+        await asyncio.sleep(10.0)
+        assert _running(scene, urgent_id) == 4
+
+    scene_module.run_on_virtual_time(main, monkeypatch)
+
+
 async def _cancel(scene, job_id: str) -> None:
     cancelled = await scene.bystander().node.job_api.cancel(scene.call(job_id))
     assert cancelled.unwrap() == job_id
 
 
+def test_runs_that_a_former_owner_was_stopping_count_after_a_take_over(
+    monkeypatch,
+):
+    async def main(scene):
+        await _open(scene, vms=3)
+        scene.pool.stop_s = scene_module.BOUNDS.stop_timeout_s
+        job_id, _outcome = await scene.submit(
+            scene.owner, step(tasks=8), behaviour=LONG
+        )
+        await asyncio.sleep(1.0)
+        waiting_id, _outcome = await scene.submit(
+            scene.owner, step(tasks=8), behaviour=LONG
+        )
+        scene.pool.executors["e0"].lose_stops = 100
+        await _cancel(scene, job_id)
+        await asyncio.sleep(0.5)
+        killed = scene.owner
+        await killed.kill()
+        scene.vms.remove(killed)
+        scene.pool.executors["e0"].lose_stops = 0
+        await scene.until(lambda: _running(scene, waiting_id) == 8)
+
+    scene_module.run_on_virtual_time(main, monkeypatch)
+
+
 def test_a_late_start_counts_on_an_executor_that_was_given_up(monkeypatch):
     async def main(scene):
         await _open(scene, executors=2)
