Count accelerators that are in use beyond a smaller capacity

What callers saw: nothing reported; on virtual time an executor that shrank from 8 to 4 accelerators under eight runs was brought to 6 by an urgent job (LIMIT). Cause: free accelerators were counted by their indexes, so occupants of indexes beyond the smaller capacity took nothing of it. And an amount with a negative part still held work that needs none of that part. Class: a count derived from the names of things instead of the things. Change: accelerators that are left are counted by number; a negative amount holds nothing, as it covers nothing. Units of a guarantee in use keep their cells on a worker that shrank, and a cell that has no room any more moves once its unit is free.

--- a/src/knapweedwharf/core/amount.py
+++ b/src/knapweedwharf/core/amount.py
@@ -47,8 +47,26 @@
             and self.memory_mib >= need.memory_mib
         )
 
+    def shortfall(self) -> Amount:
+        """Return what is missing where this amount is negative."""
+        return Amount(
+            max(-self.accelerators, 0),
+            max(-self.cores, 0),
+            max(-self.memory_mib, 0),
+        )
+
+    def least(self, other: Amount) -> Amount:
+        """Return the smaller of each of the two amounts' parts."""
+        return Amount(
+            min(self.accelerators, other.accelerators),
+            min(self.cores, other.cores),
+            min(self.memory_mib, other.memory_mib),
+        )
+
     def holds(self, need: Amount) -> int:
         """Return how often ``need`` fits into this amount."""
+        if not self.covers(NOTHING):
+            return 0
         count = sys.maxsize
         if need.accelerators:
             count = self.accelerators // need.accelerators
@@ -56,7 +74,7 @@
             count = min(count, self.cores // need.cores)
         if need.memory_mib:
             count = min(count, self.memory_mib // need.memory_mib)
-        return max(count, 0)
+        return count
 
 
 NOTHING = Amount()
--- a/src/knapweedwharf/core/ledger.py
+++ b/src/knapweedwharf/core/ledger.py
@@ -58,11 +58,14 @@
     """Units of one data centre and the capacity that none of them holds.
 
     :ivar changed: units suspended or restored since the last report.
+    :ivar excess: by worker, by how much the cells of units in use exceeded
+        its capacity when that last changed.
     """
 
     def __init__(self, topology: topology_module.Topology) -> None:
         self.units: dict[UnitKey, Unit] = {}
         self.changed: dict[UnitKey, None] = {}
+        self.excess: dict[str, amount.Amount] = {}
         self.packing = packing.Packing()
         self._topology = topology
         self._by_account: dict[str, list[Unit]] = {}
@@ -128,6 +131,17 @@
         self.packing.remove(worker_id)
         self.repair()
 
+    def worker_resized(self, spec: model.WorkerSpec) -> None:
+        """Note a new capacity of a worker whose cells were moved away.
+
+        Units in use keep their cells, also beyond the capacity.
+        """
+        left = amount.of_worker(spec)
+        for unit in self._by_worker.get(spec.worker_id, {}).values():
+            count = unit.cell[spec.worker_id]
+            left = left - amount.of_part(unit.guarantee, count)
+        self.excess[spec.worker_id] = left.shortfall()
+
     def repair(self, *, repack: bool = True) -> None:
         """Give suspended units a cell where there is capacity.
 
@@ -161,8 +175,7 @@
         if unit is None:
             return None
         del unit.users[job_id]
-        gone = [w for w in unit.cell if w not in self.packing.specs]
-        if not unit.users and gone:
+        if not unit.users and not self.packing.has_room(unit.cell):
             self._set_cell(unit, {})
         if any(not other.cell for other in self.units.values()):
             self.repair()
--- a/src/knapweedwharf/core/packing.py
+++ b/src/knapweedwharf/core/packing.py
@@ -134,6 +134,14 @@
                 return True
         return False
 
+    def has_room(self, cell: Cell) -> bool:
+        """Tell whether the workers of an allocated cell hold all cells."""
+        return all(
+            worker_id in self.spare
+            and self.spare[worker_id].covers(amount.NOTHING)
+            for worker_id in cell
+        )
+
     def covers(self, guarantee: model.GuaranteeSpec, cell: Cell) -> bool:
         """Tell whether a cell fits the spare capacity."""
         return all(
--- a/src/knapweedwharf/core/topology.py
+++ b/src/knapweedwharf/core/topology.py
@@ -35,9 +35,15 @@
 class WorkerRoom:
     """Free capacity of one worker.
 
-    :ivar accelerators: indexes of the free accelerators.
+    :ivar accelerators: indexes of the free accelerators; not all of them
+        can be used if occupants hold indexes beyond a smaller capacity.
+    :ivar accelerators_left: number of accelerators that are free;
+        negative, as are cores and memory, while a capacity that has
+        shrunk is exceeded.
     :ivar cores: free cores.
     :ivar memory_mib: free memory.
+    :ivar excess: what exceeded the capacity when it last changed, less
+        what was released since.
     :ivar exclusions: reasons why no new work may be placed here.
     :ivar occupants: places by attempt id.
     :ivar held: held by claims whose victims are being stopped.
@@ -55,6 +61,8 @@
     accelerators: set[int]
     cores: int
     memory_mib: int
+    accelerators_left: int = 0
+    excess: amount.Amount = amount.NOTHING
     exclusions: set[str] = dataclasses.field(default_factory=set)
     occupants: dict[str, list[model.Assignment]] = dataclasses.field(
         default_factory=dict
@@ -80,18 +88,20 @@
     def free(self) -> amount.Amount:
         """What no attempt occupies."""
         return amount.Amount(
-            len(self.accelerators), self.cores, self.memory_mib
+            self.accelerators_left, self.cores, self.memory_mib
         )
 
     def recount(self) -> None:
         """Recompute the free capacity from the occupants."""
         self.taken_below.clear()
         self.accelerators = set(range(self.spec.accelerators))
+        self.accelerators_left = self.spec.accelerators
         self.cores = self.spec.cores
         self.memory_mib = self.spec.memory_mib
         for places in self.occupants.values():
             for place in places:
                 self.accelerators.difference_update(place.accelerators)
+                self.accelerators_left -= len(place.accelerators)
                 self.cores -= place.cores
                 self.memory_mib -= place.memory_mib
 
@@ -142,6 +152,7 @@
         else:
             room.occupants = self._orphans.pop(spec.worker_id, {})
         room.recount()
+        room.excess = room.free.shortfall()
         self.workers[spec.worker_id] = room
         rack = self.racks.setdefault(spec.rack, RackRoom(spec.rack))
         rack.workers[spec.worker_id] = room
@@ -361,6 +372,7 @@
         room = self.workers.get(worker_id)
         if room is not None:
             room.recount()
+            room.excess = room.excess.least(room.free.shortfall())
             self.refresh(room)
         elif not places:
             del self._orphans[worker_id]
