Answer odd calls, and take any chain of steps in linear time

Seen: X-Deadline-Ms of 5,000 digits was answered with 500. A job whose steps follow all earlier ones took exponential time in the owner: with 100 steps, a body of 20 KB, the test didn't end in 10 s; a chain of 5,000 steps raised RecursionError. Each later owner reads the same job.

Cause: int() refuses so many digits; the longest chain was computed anew for each step that follows, by recursion. Class: bodies and headers of callers that are decoded without a fault and are used later. Change: a deadline with over nine digits is the longest one. The longest chains of all steps are computed once, from the last step to the first.

Evidence: test_a_long_chain_of_steps_does_not_exhaust_the_stack raised RecursionError before; test_steps_that_follow_all_earlier_ones_take_no_ exponential_time was ended after 10 s.

--- a/src/knapweedwharf/core/workflow.py
+++ b/src/knapweedwharf/core/workflow.py
@@ -10,6 +10,7 @@
 
 from collections import abc
 import dataclasses
+import functools
 import typing
 
 from knapweedwharf.core import model
@@ -111,12 +112,19 @@
 
     def chain_s(self, number: int) -> float:
         """Return the expected time of the longest chain from a step on."""
-        later = [
-            self.chain_s(index)
-            for index, step in enumerate(self.steps)
-            if number in step.after
-        ]
-        return self.steps[number].expected_run_s + max(later, default=0.0)
+        return self._chains_s[number]
+
+    @functools.cached_property
+    def _chains_s(self) -> list[float]:
+        """The same for each step; a step only follows earlier ones."""
+        later_s = [0.0] * len(self.steps)
+        chains_s = [0.0] * len(self.steps)
+        for number in reversed(range(len(self.steps))):
+            step = self.steps[number]
+            chains_s[number] = step.expected_run_s + later_s[number]
+            for earlier in step.after:
+                later_s[earlier] = max(later_s[earlier], chains_s[number])
+        return chains_s
 
     @property
     def objective_s(self) -> float:
@@ -128,7 +136,7 @@
     @property
     def declared_s(self) -> float:
         """Declared run time of the longest chain of steps."""
-        return max(map(self.chain_s, range(len(self.steps))))
+        return max(self._chains_s)
 
     def due_s(self, occurrence: int) -> float:
         """Return the Unix time at which an occurrence is due."""
--- a/src/knapweedwharf/platform/ingress.py
+++ b/src/knapweedwharf/platform/ingress.py
@@ -31,6 +31,9 @@
 
 MAX_WAIT_S = 30.0
 
+_MAX_DEADLINE_DIGITS = 9
+"""A deadline with more, in milliseconds, is over ``MAX_WAIT_S``."""
+
 _JOB_ID = re.compile(r"^[0-9a-f]{16}$")
 
 
@@ -147,7 +150,9 @@
         header = self.request.headers.get("X-Deadline-Ms", "")
         wait_s = DEFAULT_WAIT_S
         if header.isascii() and header.isdigit():
-            wait_s = min(int(header) / 1000.0, MAX_WAIT_S)
+            wait_s = MAX_WAIT_S
+            if len(header) <= _MAX_DEADLINE_DIGITS:
+                wait_s = min(int(header) / 1000.0, MAX_WAIT_S)
         return job_api_module.Call(
             host=self.request.host.partition(":")[0],
             path=self.request.path,
--- a/testing/core/test_workflow.py
+++ b/testing/core/test_workflow.py
@@ -116,3 +116,23 @@
     assert not flow.completed
     assert flow.release_ready_parts(10.0) == []
     assert flow.completed
+
+
+def _job_of(steps):
+    return workflow.Job("j", "r", "s", "a", "", tuple(steps), submitted_s=0.0)
+
+
+def _step_after(*after):
+    return workflow.Step(1, 1000, 100, 0, 1.0, after=tuple(after))
+
+
+def test_a_long_chain_of_steps_does_not_exhaust_the_stack():
+    job = _job_of(_step_after(*range(n - 1, n)[n == 0 :]) for n in range(5000))
+    assert job.declared_s == 5000.0
+    assert job.chain_s(4999) == 1.0
+
+
+def test_steps_that_follow_all_earlier_ones_take_no_exponential_time():
+    job = _job_of(_step_after(*range(n)) for n in range(100))
+    assert job.declared_s == 100.0
+    assert job.chain_s(40) == 60.0
