Let a record in another form hold up no other job

Seen: a job's record of "null", nested deeply or with a wrong "steps" raised AttributeError or RecursionError out of the reader of the records, which listed all records again and again; a call for its state raised as well. The tests wrote one odd record after the other, so that none stayed.

Cause: only three kinds of errors counted as a malformed record. Change: records.UNREADABLE names all that decoding raises. A call for such a job is refused with 503; nothing is known of the job.

Evidence: the 11 cases of test_an_odd_record_that_stays_keeps_no_other_ job_back fail on the old code.

--- a/src/knapweedwharf/fleet/intake.py
+++ b/src/knapweedwharf/fleet/intake.py
@@ -210,7 +210,7 @@
         age_s = None
         try:
             cancelled_s = records.load_cancellation(item.value)
-        except ValueError as error:
+        except records.UNREADABLE as error:
             self._log.error(
                 "cancellation-malformed",
                 job_id=flow.job.job_id,
@@ -236,7 +236,7 @@
             flow = workflow.Workflow(job)
             if progress is not None:
                 flow = records.load_progress(job, progress.value)
-        except (ValueError, TypeError, LookupError) as error:
+        except records.UNREADABLE as error:
             self._log.error("job-malformed", job_id=job_id, why=str(error))
             return
         if progress is not None:
--- a/src/knapweedwharf/fleet/job_api.py
+++ b/src/knapweedwharf/fleet/job_api.py
@@ -289,9 +289,17 @@
             for item in listed.unwrap().items
         }
         spec = kinds.get(records.SPEC)
-        if spec is None or not _same_account(
-            records.load_job(spec.value).account, allowed.account
-        ):
+        try:
+            is_there = spec is not None and _same_account(
+                records.load_job(spec.value).account, allowed.account
+            )
+            _state_of(kinds)
+        except records.UNREADABLE as error:
+            self._log.error(
+                "job-malformed", job_id=allowed.job_id, why=str(error)
+            )
+            return self._refuse("record-malformed")
+        if not is_there:
             return result.Failure(
                 Gone(
                     message="There is no such job.",
--- a/testing/fleet/test_malformed.py
+++ b/testing/fleet/test_malformed.py
@@ -163,3 +163,30 @@
         )
 
     scene_module.run_on_virtual_time(main, monkeypatch)
+
+
+ODD_RECORDS = [
+    *GARBAGE,
+    b'{"steps": [], "a": 1}',
+    b"[" * 100_000,
+    b'{"steps": [' + b"[" * 100_000,
+]
+
+
+@pytest.mark.parametrize("value", ODD_RECORDS, ids=lambda v: repr(v[:12]))
+def test_an_odd_record_that_stays_keeps_no_other_job_back(monkeypatch, value):
+    async def main(scene):
+        await scene.open(vms=2, executors=2)
+        for kind in (records.SPEC, records.PROGRESS, records.CANCEL):
+            await scene.store.external_write(records.key(JOB_ID, kind), value)
+        await _check_still_serving(scene)
+        call = scene.call(JOB_ID, wait_s=0.5)
+        shown = await scene.vms[0].node.job_api.state(call)
+        assert isinstance(shown.failure(), errors.DidNotRun)
+        survivor = scene.bystander()
+        await scene.owner.kill()
+        await scene.until(lambda: survivor.is_owner)
+        scene.vms[:] = [survivor]
+        await _check_still_serving(scene)
+
+    scene_module.run_on_virtual_time(main, monkeypatch)
