Refuse settings with numbers that no time-out can take

Seen: "inf", "nan" or 1e300 as a bound or limit and port 70000 or address 10.0.0.999 were accepted; the process would fail while it binds, connects or waits. Cause: ranges had no upper end, and addresses were checked by a pattern. Change: the bounds of platform/field.py hold for settings too.

--- a/src/knapweedwharf/platform/settings.py
+++ b/src/knapweedwharf/platform/settings.py
@@ -13,6 +13,7 @@
 from knapweedwharf import errors
 from knapweedwharf.fleet import capacity
 from knapweedwharf.fleet import model
+from knapweedwharf.platform import field
 
 PATH_VARIABLE = "KNAPWEEDWHARF_SETTINGS"
 DEFAULT_PATH = "/etc/knapweedwharf/node.conf"
@@ -22,18 +23,25 @@
 _BYTES_PER_MB = 1e6
 _DEFAULT_CAPACITY = capacity.Capacity()
 
-_ADDRESS_RULE = validate.Regexp(
-    r"^[0-9.]+:[0-9]{1,5}$", error="Not an IP:port address."
-)
 
-_OPTIONAL_ADDRESS_RULE = validate.Regexp(
-    r"^$|^[0-9.]+:[0-9]{1,5}$", error="Not an IP:port address."
-)
+def _check_address(value: str) -> None:
+    try:
+        field.address_of(value)
+    except field.Malformed as error:
+        raise marshmallow.ValidationError("Not an IP:port address.") from error
+
+
+def _check_optional_address(value: str) -> None:
+    if value:
+        _check_address(value)
 
 
 def _positive(**options: typing.Any) -> fields.Float:
     return fields.Float(
-        validate=validate.Range(min=0, min_inclusive=False), **options
+        validate=validate.Range(
+            min=0, max=field.MAX_DURATION_MS, min_inclusive=False
+        ),
+        **options,
     )
 
 
@@ -51,24 +59,26 @@
     frontend = fields.Str(
         required=True,
         data_key="listen_addresses.frontend",
-        validate=_ADDRESS_RULE,
+        validate=_check_address,
     )
     ready = fields.Str(
         required=True,
         data_key="listen_addresses.ready",
-        validate=_ADDRESS_RULE,
+        validate=_check_address,
     )
     platform = fields.Str(
-        required=True, data_key="platform.address", validate=_ADDRESS_RULE
+        required=True, data_key="platform.address", validate=_check_address
     )
-    advisor = fields.Str(load_default="", validate=_OPTIONAL_ADDRESS_RULE)
+    advisor = fields.Str(load_default="", validate=_check_optional_address)
     cloud_api = fields.Str(
         load_default="",
         data_key="cloud_api.address",
-        validate=_OPTIONAL_ADDRESS_RULE,
+        validate=_check_optional_address,
     )
     min_ttl_ms = fields.Float(
-        load_default=1000.0, data_key="platform.min_ttl_ms"
+        load_default=1000.0,
+        data_key="platform.min_ttl_ms",
+        validate=validate.Range(min=0, max=field.MAX_DURATION_MS),
     )
     cpu_share = _positive(
         load_default=_DEFAULT_CAPACITY.cores, data_key="limits.cpu_share"
--- a/testing/platform/test_settings.py
+++ b/testing/platform/test_settings.py
@@ -77,3 +77,35 @@
     faults = settings.parse(broken, source="test").failure()
     named = {fault.field for fault in faults}
     assert named == {"platform.address", f"limits.{name}"}
+
+
+@pytest.mark.parametrize("value", ["inf", "-inf", "nan", "1e999", "1e300"])
+@pytest.mark.parametrize(
+    "name",
+    [
+        "bounds.max_hold_ms",
+        "bounds.status_s",
+        "platform.min_ttl_ms",
+        "limits.cpu_share",
+        "limits.link_mbps",
+    ],
+)
+def test_a_number_that_no_time_out_can_take_is_refused(name, value):
+    faults = settings.parse(f"{TEXT}\n{name}={value}", source="test").failure()
+    assert [fault.field for fault in faults] == [name.removeprefix("bounds.")]
+
+
+@pytest.mark.parametrize("port", ["0", "65536", "70000", "99999"])
+@pytest.mark.parametrize(
+    "name", ["platform.address", "listen_addresses.ready", "advisor"]
+)
+def test_a_port_out_of_range_is_refused(name, port):
+    text = f"{TEXT}\n{name}=10.0.0.1:{port}"
+    faults = settings.parse(text, source="test").failure()
+    assert [fault.field for fault in faults] == [name]
+
+
+def test_an_address_that_is_no_ip_is_refused():
+    text = f"{TEXT}\nplatform.address=10.0.0.999:80"
+    faults = settings.parse(text, source="test").failure()
+    assert [fault.field for fault in faults] == ["platform.address"]
