Put a change of an executor's capacity in force when its entry is seen

What callers saw: nothing reported; on virtual time six tasks were placed on an idle executor 0.1 s after the owner had seen that it holds three, and an executor that had grown stayed empty while eight tasks waited. Cause: the engine is told of an executor with its reports only, and those of an idle one come every 2 s. Class: knowledge that is at hand and waits for an unrelated event. Change: an executor that may get work is announced again as soon as its entry gives another capacity. One that doesn't answer, or drains, still waits for its report. Ruled out: shorter waits for reports; each is a priced probe.

--- a/src/knapweedwharf/fleet/registry.py
+++ b/src/knapweedwharf/fleet/registry.py
@@ -28,6 +28,8 @@
 
     :param hooks: callbacks for the sessions' events.
     :param used_on: returns what attempts take on an executor.
+    :param resized: called when an executor that may get work has another
+        capacity.
     :ivar sessions: by executor id.
     :ivar answer_times: how long the executors take to answer.
     """
@@ -40,6 +42,7 @@
         epoch: int,
         hooks: session_module.Hooks,
         used_on: abc.Callable[[model.Executor], amount.Amount],
+        resized: abc.Callable[[session_module.Session], None],
     ) -> None:
         self._process_config = process_config
         self._client = clients.executors
@@ -48,6 +51,7 @@
         self._hooks = dataclasses.replace(hooks, gone=self._session_gone)
         self._on_gone = hooks.gone
         self._used_on = used_on
+        self._on_resized = resized
         self._log = log.get("registry")
         self._announced: dict[str, model.Executor] = {}
         self._expected: dict[str, float] = {}
@@ -151,10 +155,13 @@
             return
         was_ready = session.executor.state == model.READY
         before = _capacity_of(session.executor)
+        is_ready = executor.state == model.READY
         session.executor = executor
         session.listed = True
         if _capacity_of(executor) != before:
-            self._report_resized(executor, before, revision)
+            self._log_resized(executor, before, revision)
+            if executor_id in self._announced and is_ready:
+                self._on_resized(session)
         if was_ready and executor.state == model.DRAINING:
             self._log.info(
                 "executor-draining",
@@ -165,7 +172,7 @@
             self._cordon(session)
             self._report_leaving(session)
 
-    def _report_resized(
+    def _log_resized(
         self, executor: model.Executor, before: amount.Amount, revision: int
     ) -> None:
         age_s = self._watcher.max_change_age_s
--- a/src/knapweedwharf/fleet/tenure.py
+++ b/src/knapweedwharf/fleet/tenure.py
@@ -100,6 +100,7 @@
             epoch=ownership.epoch,
             hooks=self._hooks(),
             used_on=lambda executor: self._decider.used_on(executor),
+            resized=self._announce,
         )
         self._connect(desired)
 
@@ -343,6 +344,9 @@
         requested_s: float,
     ) -> None:
         self._reports.apply(session, report, requested_s)
+        self._announce(session)
+
+    def _announce(self, session: session_module.Session) -> None:
         if self.registry.announce(session, self._decider.tell):
             self._advice.executors_changed()
 
