Don't count executors that are cut off but listed as crashed

What callers saw: nothing was reported; a sound job would be shown as failed after the links to three of its executors had failed, one after the other, though all three lived on. Cause: a lapsed lease counted as a crash until the same incarnation answered, also while the executor went on renewing its entry. Class: a loss taken for its worst cause although another source says otherwise. Change: such a loss waits for the entry to end or for another incarnation; an answer of the same one withdraws it. Ruled out: not to count lapses at all; a crashed executor that returns under another id shows nothing else.

--- a/src/knapweedwharf/fleet/crashes.py
+++ b/src/knapweedwharf/fleet/crashes.py
@@ -6,7 +6,8 @@
 
 When an executor crashes, the runs that no report has shown at work yet
 are blamed, and all of its runs if there are none. An executor whose
-lease has lapsed counts as crashed until the same incarnation answers.
+lease has lapsed counts as crashed until the same incarnation answers; while
+it is still listed, it is taken for cut off and doesn't count yet.
 """
 
 from __future__ import annotations
@@ -37,6 +38,8 @@
 
 Held = tuple[attempt_module.Attempt, attempt_module.Member]
 
+_Blame = tuple[attempt_module.Attempt, attempt_module.Member, workflow.Crash]
+
 
 class Crashes:
     """Counts crashes in the tasks' parts, whose records keep them."""
@@ -56,6 +59,8 @@
         self._log = log.get("crashes")
         self._presumed: dict[tuple[str, int], dict[str, None]] = {}
         """Parts by the executor's id and incarnation."""
+        self._cut_off: dict[str, list[_Blame]] = {}
+        """What counts by an executor's id once it turns out to be lost."""
 
     def restore(self, flow: workflow.Workflow) -> None:
         """Take over what a former owner has counted for a job."""
@@ -69,25 +74,27 @@
             self._presumed.setdefault(lost, {})[part.part_id] = None
 
     def executor_lost(
-        self, executor_id: str, how: str, lost: abc.Iterable[Held]
+        self,
+        executor_id: str,
+        how: str,
+        lost: abc.Iterable[Held],
+        *,
+        is_listed: bool = False,
     ) -> None:
         """Count the loss of an executor for the tasks that may have caused it.
 
         :param how: how it was lost; see ``executor_loss``.
         :param lost: the attempts and members that had not ended there.
+        :param is_listed: the same incarnation is still listed in the store.
         """
+        blames = self._cut_off.pop(executor_id, [])
         if how == executor_loss.LEFT:
             return
-        begun = [held for held in lost if _may_have_run(held[1])]
-        new = [held for held in begun if _is_new(held[1])]
-        for attempt, member in new or begun:
-            crash = workflow.Crash(
-                member.index,
-                executor_id,
-                attempt.part.incarnations.get(executor_id, 0),
-                attempt.run,
-                at_start=bool(new) and not member.is_inherited,
-            )
+        blames.extend(_blames(executor_id, lost))
+        if how == executor_loss.LAPSED and is_listed:
+            self._cut_off[executor_id] = blames
+            return
+        for attempt, member, crash in blames:
             self._count(attempt, member, crash, how)
 
     def _count(
@@ -146,6 +153,7 @@
 
     def executor_answered(self, executor_id: str, incarnation_ms: int) -> None:
         """Withdraw the crash of an executor that was only cut off."""
+        self._cut_off.pop(executor_id, None)
         lost = (executor_id, incarnation_ms)
         for part_id in self._presumed.pop(lost, ()):
             found = self._scheduling_state.find_part(part_id)
@@ -197,6 +205,26 @@
         self._tell_suspicion(job.service, part)
 
 
+def _blames(executor_id: str, lost: abc.Iterable[Held]) -> list[_Blame]:
+    """Return the runs that may have crashed an executor."""
+    begun = [held for held in lost if _may_have_run(held[1])]
+    new = [held for held in begun if _is_new(held[1])]
+    return [
+        (
+            attempt,
+            member,
+            workflow.Crash(
+                member.index,
+                executor_id,
+                attempt.part.incarnations.get(executor_id, 0),
+                attempt.run,
+                at_start=bool(new) and not member.is_inherited,
+            ),
+        )
+        for attempt, member in new or begun
+    ]
+
+
 def _may_have_run(member: attempt_module.Member) -> bool:
     """Return whether a member's run may have been alive at the loss."""
     is_sent = member.phase in (attempt_module.ORDERED, attempt_module.RUNNING)
--- a/src/knapweedwharf/fleet/reports.py
+++ b/src/knapweedwharf/fleet/reports.py
@@ -198,12 +198,18 @@
         self._crashes.run_listed(attempt, member)
 
     def executor_ended(
-        self, executor_id: str, how: str, unheard_s: float | None = None
+        self,
+        executor_id: str,
+        how: str,
+        unheard_s: float | None = None,
+        *,
+        is_listed: bool = False,
     ) -> None:
         """End all runs of an executor on which nothing runs any more.
 
         :param how: how it was lost; see ``executor_loss``.
         :param unheard_s: time since it last answered, if it ever did.
+        :param is_listed: the same incarnation is still listed in the store.
         """
         held = list(self._scheduling_state.members_on(executor_id))
         lost = [
@@ -222,7 +228,9 @@
             self._sender.count(_METRICS[how])
         for attempt, member in lost:
             self._log_lost(attempt, member, how, beside=len(lost) - 1)
-        self._crashes.executor_lost(executor_id, how, lost)
+        self._crashes.executor_lost(
+            executor_id, how, lost, is_listed=is_listed
+        )
         changed: ChangedAttempts = {}
         for attempt, member in held:
             self._mark_lost(attempt, member, changed)
@@ -260,7 +268,9 @@
         unheard_s = None
         if session.answered_s:
             unheard_s = clock.elapsed_s() - session.answered_s
-        self.executor_ended(session.executor_id, how, unheard_s)
+        self.executor_ended(
+            session.executor_id, how, unheard_s, is_listed=session.listed
+        )
         gone = event.WorkerGone(session.executor_id)
         self._tell(session.executor.service, gone)
 
--- a/testing/fleet/test_crashing_tasks.py
+++ b/testing/fleet/test_crashing_tasks.py
@@ -26,7 +26,7 @@
 CRASHING = {"crashing": [0], "run_s": 2.0}
 
 
-def _check_starts(scene, job_ids) -> None:
+def check_starts(scene, job_ids) -> None:
     """Fail if a task of these jobs was started too often."""
     starts = collections.Counter(
         task_id for _at_s, _executor, (task_id, _run) in scene.pool.starts
@@ -44,7 +44,7 @@
     started = len(scene.pool.starts)
     await asyncio.sleep(2 * LAPSE_S)
     assert len(scene.pool.starts) == started
-    _check_starts(scene, [job_id])
+    check_starts(scene, [job_id])
 
 
 @pytest.mark.parametrize("renamed", [True, False])
@@ -138,7 +138,7 @@
             await scene.until_state(job_id, workflow.COMPLETED, within_s=180.0)
         for job_id in crashing:
             await scene.until_state(job_id, workflow.FAILED, within_s=180.0)
-        _check_starts(scene, crashing)
+        check_starts(scene, crashing)
 
     scene_module.run_on_virtual_time(main, monkeypatch)
 
@@ -179,7 +179,7 @@
             await scene.crash_executor(executor_id, back_s=3.0)
 
 
-async def _drain(scene, executor_id: str) -> None:
+async def drain(scene, executor_id: str) -> None:
     draining = dataclasses.replace(
         scene.pool.executors[executor_id].spec,
         state=model.DRAINING,
@@ -196,7 +196,7 @@
         (_lose_for_good, 2),
         (_crash_all, 2),
         (_cut_off, 5),
-        (_drain, 5),
+        (drain, 5),
     ],
 )
 def test_executors_lost_for_another_cause_fail_no_sound_job(
