Note the capacity of a worker that returns smaller than it left

The count of the cells that exceed a smaller capacity left out workers that were removed, while units in use kept cells on them, and came back smaller; testing/core/test_passes.py::test_invariants_hold_between_slices failed on ("cells on r0-w1 overlap"), and passes now.

--- a/src/knapweedwharf/core/hardware.py
+++ b/src/knapweedwharf/core/hardware.py
@@ -69,6 +69,7 @@
         known = state.topology.workers.get(spec.worker_id)
         if known is not None and known.spec != spec:
             self._withdraw(spec.worker_id)
+        if known is None or known.spec != spec:
             state.ledger.worker_resized(spec)
         state.topology.add(spec)
         self._sync_cells(spec.worker_id)
