Place starts again that no longer fit an executor that shrank

What callers saw: nothing reported; on virtual time six starts that waited for a ticket were sent 5.9 s after their executor had shrunk from 8 to 2 (LIMIT), and starts behind a slow link up to 6.9 s after it. Cause: a placement was checked against the capacity when it was made only; tickets, the store and the link hold starts up for seconds. Class: a decision that is carried out later than its input is checked. Change: when a worker shrinks, the engine stops the newest attempts that are starting on it until the rest fits, and queues them again. Attempts that run, and those that take nothing of what is missing, stay. Ruled out: stopping what runs; the rule asks about starts only. Evidence: the ticket test, the link test and the core's test of the order failed before. The link test had also claimed that two tasks run in the end; that part stays listed as known red, as it is not traced.

--- a/src/knapweedwharf/core/hardware.py
+++ b/src/knapweedwharf/core/hardware.py
@@ -4,6 +4,7 @@
 
 from collections import abc
 
+from knapweedwharf.core import amount
 from knapweedwharf.core import decision
 from knapweedwharf.core import event
 from knapweedwharf.core import ledger
@@ -72,11 +73,31 @@
         if known is None or known.spec != spec:
             state.ledger.worker_resized(spec)
         state.topology.add(spec)
+        self._requeue_excess(spec.worker_id)
         self._sync_cells(spec.worker_id)
         self._lifecycle.restore_guarantees()
         if known is None or known.spec != spec:
             self._lifecycle.feasibility.hardware_changed()
 
+    def _requeue_excess(self, worker_id: str) -> None:
+        """Stop starts that no longer fit a worker, the newest first.
+
+        What runs already stays.
+        """
+        state = self._state
+        free = state.topology.workers[worker_id].free
+        text = f"Worker {worker_id} has less capacity now."
+        for attempt_id in reversed(state.topology.attempts_on(worker_id)):
+            missing = free.shortfall()
+            record = state.job_of_attempt(attempt_id)
+            if record is None or record.state != record_module.STARTING:
+                continue
+            taken = state.topology.taken_by(attempt_id)[worker_id]
+            if missing.least(taken) != amount.NOTHING:
+                free = free + taken
+                reason = state.reason("worker-shrunk", text)
+                state.stop(record, "requeue", reason)
+
     def exclude(self, worker_id: str, why: str) -> None:
         """Place no new work on a worker."""
         self._state.topology.exclude(worker_id, why)
--- a/testing/fleet/test_capacity.py
+++ b/testing/fleet/test_capacity.py
@@ -152,18 +152,26 @@
     scene_module.run_on_virtual_time(main, monkeypatch)
 
 
+async def _shrink_behind_a_slow_link(scene) -> None:
+    scene.link_bytes_per_s = 3_000.0
+    await _open(scene, vms=1)
+    await scene.submit(
+        scene.owner,
+        step(tasks=8),
+        behaviour={**LONG, "padding": "x" * 3000},
+    )
+    await scene.until(lambda: scene.pool.starts)
+    await scene.resize("e0", accelerators=2)
+    await asyncio.sleep(20.0)
+
+
+def test_starts_that_wait_for_the_link_bring_no_executor_over(monkeypatch):
+    scene_module.run_on_virtual_time(_shrink_behind_a_slow_link, monkeypatch)
+
+
 def test_starts_that_wait_for_the_link_fit_the_capacity_when_sent(monkeypatch):
     async def main(scene):
-        scene.link_bytes_per_s = 3_000.0
-        await _open(scene, vms=1)
-        await scene.submit(
-            scene.owner,
-            step(tasks=8),
-            behaviour={**LONG, "padding": "x" * 3000},
-        )
-        await scene.until(lambda: scene.pool.starts)
-        await scene.resize("e0", accelerators=2)
-        await asyncio.sleep(20.0)
+        await _shrink_behind_a_slow_link(scene)
         assert _running(scene) == 2
 
     scene_module.run_on_virtual_time(main, monkeypatch)
