--- a/src/knapweedwharf/core/record.py
+++ b/src/knapweedwharf/core/record.py
@@ -14,6 +14,9 @@
 
 MAX_REASONS = 20
 
+_START_REASONS = ("accepted", "placed", "started")
+"""Reason codes that every started job has."""
+
 
 @dataclasses.dataclass
 class JobRecord:
@@ -50,3 +53,9 @@
         if earlier and earlier[-1].code == reason.code:
             earlier = earlier[:-1]
         self.reasons = (*earlier, reason)[-MAX_REASONS:]
+
+    @property
+    def waited_for(self) -> list[str]:
+        """Reason codes for which it did not start earlier, newest last."""
+        codes = [reason.code for reason in self.reasons]
+        return [code for code in codes if code not in _START_REASONS]
--- a/src/knapweedwharf/fleet/decider.py
+++ b/src/knapweedwharf/fleet/decider.py
@@ -32,9 +32,6 @@
 AttemptCallback = abc.Callable[[attempt_module.Attempt], None]
 
 
-_START_REASONS = ("accepted", "placed", "started")
-"""Reason codes that every started part has."""
-
 _NOT_PLACED_STATES = (record_module.QUEUED, workflow.CANCELLED)
 """States of a part none of whose runs is left."""
 
@@ -263,13 +260,8 @@
         job = flow.job
         if job.is_advised:
             step_id = part.step_id(job.job_id)
-            self._advice.enqueue_step(step_id, job.service, self._terms(job))
-
-    def _terms(self, job: workflow.Job) -> model.AdvisorTerms:
-        desired = self._desired.current
-        routes = desired.routes if desired else ()
-        terms = (r.advice for r in routes if r.name == job.route and r.advice)
-        return next(terms, model.AdvisorTerms())
+            terms = self._desired.advisor_terms(job.route)
+            self._advice.enqueue_step(step_id, job.service, terms)
 
     def candidates(self, service: str, step_id: str) -> list[model.Executor]:
         """Return the executors that a waiting step could use now."""
@@ -417,6 +409,7 @@
         attempt = self._scheduling_state.add(
             decided.attempt_id, flow, part, phase=attempt_module.INTENDED
         )
+        records = self._engine(service).records
         waited_s = clock.steady_s() - decided.job.submitted_s
         self._sender.count(metric_definitions.PARTS_PLACED)
         self._sender.timing(metric_definitions.PART_WAIT_MS, waited_s * 1000)
@@ -429,19 +422,13 @@
             reason=decided.reason.code,
             urgency=decided.job.urgency,
             waited_s=round(waited_s, 3),
-            waited_for=self._waited_for(service, decided.job.job_id),
+            waited_for=records[decided.job.job_id].waited_for,
             declared_s=decided.job.declared_run_s,
         )
         self._progress_writer.mark_dirty(
             flow.job.job_id, functools.partial(self._start, attempt)
         )
 
-    def _waited_for(self, service: str, part_id: str) -> list[str]:
-        """Return why a part did not start earlier, newest last."""
-        record = self._engine(service).records[part_id]
-        codes = [reason.code for reason in record.reasons]
-        return [code for code in codes if code not in _START_REASONS]
-
     @_carry_out.register
     def _(self, decided: decision.StopGang, service: str) -> None:
         attempt = self._scheduling_state.attempts.get(decided.attempt_id)
--- a/src/knapweedwharf/fleet/desired.py
+++ b/src/knapweedwharf/fleet/desired.py
@@ -72,6 +72,12 @@
         """Whether the state is recent enough to accept keys by it."""
         return self.current is not None and self.age_s < self._max_age_s
 
+    def advisor_terms(self, route_name: str) -> model.AdvisorTerms:
+        """Return the terms of a queue's advisor; zeros if it has none."""
+        routes = self.current.routes if self.current else ()
+        terms = (r.advice for r in routes if r.name == route_name)
+        return next(filter(None, terms), model.AdvisorTerms())
+
     def mark_confirmed(self, sent_s: float) -> None:
         """Record that a transaction found the current state unchanged.
 
--- a/standins/fleet_executors.py
+++ b/standins/fleet_executors.py
@@ -21,6 +21,8 @@
 from knapweedwharf.fleet import model
 from standins import capacity_record
 from standins import fleet_advisor
+from standins import fleet_faults
+from standins import fleet_runs
 
 ANSWER_S = 0.002
 CALL_TIMEOUT_S = 0.7
@@ -29,38 +31,6 @@
 
 CRASH_AFTER_S = 0.01
 BACK_AFTER_S = 3.0
-_UNKNOWN = errors.OutcomeUnknown(message="No answer.", remedy="Ask again.")
-_REFUSED_CONNECTION = errors.Unreachable(
-    message="Connection refused.", remedy="Try another executor."
-)
-_FENCED = errors.Fenced(message="Newer epoch.", remedy="Stop.")
-
-
-@dataclasses.dataclass
-class RunState:
-    """A run that is executing.
-
-    :ivar stalled_s: total time without progress, in seconds.
-    :ivar percent: speed limit, in percent of full speed.
-    """
-
-    order: model.StartOrder
-    begun_s: float
-    behaviour: dict
-    stalled_s: float = 0.0
-    percent: int = 100
-
-
-@dataclasses.dataclass(frozen=True)
-class RunRecord:
-    """Record of an ended run, for assertions."""
-
-    task_id: str
-    run: int
-    executor_id: str
-    begun_s: float
-    ended_s: float
-    outcome: str
 
 
 class FakeExecutor:
@@ -86,7 +56,7 @@
         self.pool = pool
         self.epoch = 0
         self.lease_until_ms = 0
-        self.runs: dict[tuple[str, int], RunState] = {}
+        self.runs: dict[tuple[str, int], fleet_runs.RunState] = {}
         self.ends: list[model.RunEnd] = []
         self.number = 0
         self.stopped: dict[str, int] = {}
@@ -155,10 +125,12 @@
         async with self.changed:
             self.changed.notify_all()
 
-    def _record(self, key: tuple[str, int], state: RunState, how: str) -> None:
+    def _record(
+        self, key: tuple[str, int], state: fleet_runs.RunState, how: str
+    ) -> None:
         now_s = asyncio.get_running_loop().time()
         self.pool.ended_runs.append(
-            RunRecord(
+            fleet_runs.RunRecord(
                 key[0],
                 key[1],
                 self.spec.executor_id,
@@ -171,24 +143,24 @@
     def start(self, order: model.StartOrder) -> errors.Fault | None:
         """Start a run; return a fault if it is refused."""
         if order.epoch < self.epoch:
-            return _FENCED
+            return fleet_faults.FENCED
         self.epoch = order.epoch
         key = (order.task_id, order.run)
         if key in self.runs:
             return None
         if order.not_after_ms < self.clock_ms():
-            return _refused("late")
+            return fleet_faults.refused("late")
         if order.run <= self.stopped.get(order.task_id, 0):
-            return _refused("old")
+            return fleet_faults.refused("old")
         behaviour = json.loads(order.specification)
         if behaviour.get("advised") and not self._has_ticket(order):
-            return _refused(model.NO_TICKET)
+            return fleet_faults.refused(model.NO_TICKET)
         if self.pool.enforces_capacity:
             if len(self.runs) >= behaviour.get("slots", 8):
-                return _refused("room")
+                return fleet_faults.refused("room")
         self.lease_until_ms = max(self.lease_until_ms, order.not_after_ms)
         now_s = asyncio.get_running_loop().time()
-        self.runs[key] = RunState(order, now_s, behaviour)
+        self.runs[key] = fleet_runs.RunState(order, now_s, behaviour)
         self.pool.starts.append((now_s, self.spec.executor_id, key))
         number = int(order.task_id.rsplit(".", 1)[1])
         if number in behaviour.get("crashing", ()):
@@ -205,19 +177,6 @@
         )
         record.starts.append(started)
 
-    def load_ms(self, state: RunState) -> int:
-        """Return the simulated tail latency of a serving run.
-
-        It is 50 ms, plus the ``disturbs`` value of each filler run on
-        the same executor, scaled by that run's speed.
-        """
-        if "serves" not in state.behaviour:
-            return 0
-        return 50 + sum(
-            int(other.behaviour.get("disturbs", 0) * other.percent / 100)
-            for other in self.runs.values()
-        )
-
     def _has_ticket(self, order: model.StartOrder) -> bool:
         step_id = order.task_id.rsplit(".", 1)[0]
         return self.pool.advisor.is_valid(
@@ -225,10 +184,6 @@
         )
 
 
-def _refused(reason: str) -> errors.Fault:
-    return errors.OrderRefused("Refused.", "Elsewhere.", reason)
-
-
 CrashCallback = abc.Callable[[FakeExecutor, float, bool], abc.Awaitable[None]]
 
 
@@ -252,7 +207,7 @@
         self.advisor = fleet_advisor.FakeAdvisor()
         self.refused: list[str] = []
         self.executors: dict[str, FakeExecutor] = {}
-        self.ended_runs: list[RunRecord] = []
+        self.ended_runs: list[fleet_runs.RunRecord] = []
         self.starts: list[tuple[float, str, tuple[str, int]]] = []
         self.crashes: list[tuple[float, str]] = []
         self.on_crash: CrashCallback | None = None
@@ -282,7 +237,9 @@
                 behaviour.get("renamed", False),
             )
 
-    def share(self, key: tuple[str, int], state: RunState, now_s) -> float:
+    def share(
+        self, key: tuple[str, int], state: fleet_runs.RunState, now_s
+    ) -> float:
         """Return the progress of a run, from 0 to 1.
 
         A gang makes progress only while all its members run, counted
@@ -312,7 +269,9 @@
         worked_s = now_s - begun_s - state.stalled_s
         return min(1.0, worked_s / state.behaviour.get("run_s", 1.0))
 
-    def _percent(self, key: tuple[str, int], state: RunState, now_s) -> int:
+    def _percent(
+        self, key: tuple[str, int], state: fleet_runs.RunState, now_s
+    ) -> int:
         return int(100 * max(0.0, self.share(key, state, now_s)))
 
     async def run_forever(self) -> None:
@@ -339,12 +298,12 @@
         found = self.executors.get(executor.executor_id)
         await asyncio.sleep(ANSWER_S)
         if found is not None and found.crashed:
-            return result.Failure(_REFUSED_CONNECTION)
+            return result.Failure(fleet_faults.REFUSED_CONNECTION)
         if found is None or found.silent:
             await asyncio.sleep(wait_s + timeout_s)
-            return result.Failure(_UNKNOWN)
+            return result.Failure(fleet_faults.UNKNOWN)
         if epoch < found.epoch:
-            return result.Failure(_FENCED)
+            return result.Failure(fleet_faults.FENCED)
         found.epoch = epoch
         await found.advance()
         found.lease_until_ms = max(found.lease_until_ms, lease_until_ms)
@@ -358,9 +317,9 @@
                 await found.advance()
         if found.silent:
             await asyncio.sleep(timeout_s)
-            return result.Failure(_UNKNOWN)
+            return result.Failure(fleet_faults.UNKNOWN)
         if found.crashed:
-            return result.Failure(_UNKNOWN)
+            return result.Failure(fleet_faults.UNKNOWN)
         return result.Success(self._report(found))
 
     def _report(self, found: FakeExecutor) -> model.Report:
@@ -371,7 +330,7 @@
                 key[1],
                 "",
                 self._percent(key, state, now_s),
-                found.load_ms(state),
+                fleet_runs.load_ms(state, found.runs.values()),
             )
             for key, state in found.runs.items()
         ]
@@ -393,22 +352,22 @@
         found = self.executors.get(executor.executor_id)
         await asyncio.sleep(ANSWER_S)
         if found is not None and found.crashed:
-            return result.Failure(_REFUSED_CONNECTION)
+            return result.Failure(fleet_faults.REFUSED_CONNECTION)
         if found is None or found.silent:
             await asyncio.sleep(timeout_s)
-            return result.Failure(_UNKNOWN)
+            return result.Failure(fleet_faults.UNKNOWN)
         if found.lose_starts:
             found.lose_starts -= 1
             task = asyncio.create_task(self._start_late(found, order))
             self._tasks.add(task)
             await asyncio.sleep(timeout_s)
-            return result.Failure(_UNKNOWN)
+            return result.Failure(fleet_faults.UNKNOWN)
         fault = found.start(order)
         if fault is not None:
             self.refused.append(fault.why)
             return result.Failure(fault)
         if found.is_crashing:
-            return result.Failure(_UNKNOWN)
+            return result.Failure(fleet_faults.UNKNOWN)
         return result.Success(found.clock_ms())
 
     async def _start_late(self, found: FakeExecutor, order) -> None:
@@ -428,16 +387,16 @@
         found = self.executors.get(executor.executor_id)
         await asyncio.sleep(ANSWER_S)
         if found is not None and found.crashed:
-            return result.Failure(_REFUSED_CONNECTION)
+            return result.Failure(fleet_faults.REFUSED_CONNECTION)
         if found is None or found.silent:
             await asyncio.sleep(timeout_s)
-            return result.Failure(_UNKNOWN)
+            return result.Failure(fleet_faults.UNKNOWN)
         if found.lose_stops:
             found.lose_stops -= 1
             await asyncio.sleep(timeout_s)
-            return result.Failure(_UNKNOWN)
+            return result.Failure(fleet_faults.UNKNOWN)
         if epoch < found.epoch:
-            return result.Failure(_FENCED)
+            return result.Failure(fleet_faults.FENCED)
         found.stopped[task_id] = max(found.stopped.get(task_id, 0), run)
         if (task_id, run) in found.runs:
             work = self._finish_stopped(found, (task_id, run))
@@ -467,15 +426,15 @@
         found = self.executors.get(executor.executor_id)
         await asyncio.sleep(ANSWER_S)
         if found is not None and found.crashed:
-            return result.Failure(_REFUSED_CONNECTION)
+            return result.Failure(fleet_faults.REFUSED_CONNECTION)
         if found is None or found.silent:
             await asyncio.sleep(timeout_s)
-            return result.Failure(_UNKNOWN)
+            return result.Failure(fleet_faults.UNKNOWN)
         if epoch < found.epoch:
-            return result.Failure(_FENCED)
+            return result.Failure(fleet_faults.FENCED)
         state = found.runs.get((task_id, run))
         if state is None:
-            return result.Failure(_refused("old"))
+            return result.Failure(fleet_faults.refused("old"))
         state.percent = percent
         return result.Success(found.clock_ms())
 
--- /dev/null
+++ b/testing/fleet/entries.py
@@ -0,0 +1,103 @@
+"""The operator's and the executors' entries in the in-memory store."""
+
+from __future__ import annotations
+
+from collections import abc
+import json
+
+from knapweedwharf.fleet import model
+
+CONFIG_KEY = "operator/config"
+EXECUTORS = "executors/"
+HOST = "queue.example"
+PREFIX = "/q/"
+URGENT_PREFIX = "/u/"
+ADVISED_PREFIX = "/a/"
+QUEUES = {PREFIX: 1, URGENT_PREFIX: 0, ADVISED_PREFIX: 1}
+
+
+def desired(
+    *,
+    keys: abc.Iterable[str] = ("key",),
+    guaranteed: int = 0,
+    attempts: int = 3,
+    standby: abc.Iterable[str] = (),
+    enforces_capacity: bool = True,
+) -> bytes:
+    """Return a desired state with one account and a queue of each kind.
+
+    :param standby: names of standby pools, whose machines are off.
+    :param enforces_capacity: executors refuse what doesn't fit.
+    """
+    return json.dumps(
+        {
+            "keys": list(keys),
+            "guaranteed": guaranteed,
+            "attempts": attempts,
+            "standby": list(standby),
+            "enforces_capacity": enforces_capacity,
+        }
+    ).encode()
+
+
+def _decode_desired(value: bytes, revision: int) -> model.DesiredSnapshot:
+    document = json.loads(value)
+    keys = frozenset(document["keys"])
+    account = model.Account("acme", keys, document["guaranteed"])
+    return model.DesiredSnapshot(
+        revision=revision,
+        version=revision,
+        routes=tuple(
+            model.Route(
+                name=prefix.strip("/"),
+                host=HOST,
+                prefix=prefix,
+                service="pool",
+                priority=priority,
+                max_attempts=document["attempts"],
+                advice=(
+                    model.AdvisorTerms() if prefix == ADVISED_PREFIX else None
+                ),
+            )
+            for prefix, priority in QUEUES.items()
+        ),
+        services={
+            "pool": model.Service(
+                "pool", enforces_capacity=document["enforces_capacity"]
+            ),
+            **{
+                name: model.Service(name, is_standby=True)
+                for name in document.get("standby", ())
+            },
+        },
+        accounts={"acme": account},
+        account_by_key=dict.fromkeys(keys, "acme"),
+    )
+
+
+def _decode_executor(_executor_id: str, value: bytes) -> model.Executor:
+    document = json.loads(value)
+    document["labels"] = tuple(document["labels"])
+    return model.Executor(**document)
+
+
+def _decode_wave(value: bytes) -> model.MaintenanceWave:
+    document = json.loads(value)
+    document["machine_ids"] = tuple(document["machine_ids"])
+    return model.MaintenanceWave(**document)
+
+
+def _wave_status(number: int, completed: bool) -> tuple[str, bytes]:
+    return f"shown/wave/{number}", json.dumps(completed).encode()
+
+
+STORE_SCHEMA = model.StoreSchema(
+    config_key=CONFIG_KEY,
+    operator_prefix="operator/",
+    executor_prefix=EXECUTORS,
+    decode_desired=_decode_desired,
+    decode_executor=_decode_executor,
+    wave_prefix="operator/wave/",
+    decode_wave=_decode_wave,
+    wave_status=_wave_status,
+)
--- a/testing/fleet/scene.py
+++ b/testing/fleet/scene.py
@@ -17,17 +17,20 @@
 from knapweedwharf import metrics
 from standins import fleet_executors
 from standins import fleet_machines
+from standins import fleet_runs
 from standins import fleet_store
 from standins import limited_link
 from standins import virtual_time
-
-CONFIG_KEY = "operator/config"
-EXECUTORS = "executors/"
-HOST = "queue.example"
-PREFIX = "/q/"
-URGENT_PREFIX = "/u/"
-ADVISED_PREFIX = "/a/"
-QUEUES = {PREFIX: 1, URGENT_PREFIX: 0, ADVISED_PREFIX: 1}
+from testing.fleet import entries
+
+CONFIG_KEY = entries.CONFIG_KEY
+EXECUTORS = entries.EXECUTORS
+HOST = entries.HOST
+PREFIX = entries.PREFIX
+URGENT_PREFIX = entries.URGENT_PREFIX
+ADVISED_PREFIX = entries.ADVISED_PREFIX
+STORE_SCHEMA = entries.STORE_SCHEMA
+desired = entries.desired
 UNIX_AT_START_S = 1_700_000_000.0
 UNLISTED_AFTER_S = 4.5
 """Three missed heartbeats, after which an executor's entry is removed."""
@@ -39,93 +42,6 @@
 """Time for which a start may still fit the capacity from before it shrank."""
 
 
-def desired(
-    *,
-    keys: abc.Iterable[str] = ("key",),
-    guaranteed: int = 0,
-    attempts: int = 3,
-    standby: abc.Iterable[str] = (),
-    enforces_capacity: bool = True,
-) -> bytes:
-    """Return a desired state with one account and a queue of each kind.
-
-    :param standby: names of standby pools, whose machines are off.
-    :param enforces_capacity: executors refuse what doesn't fit.
-    """
-    return json.dumps(
-        {
-            "keys": list(keys),
-            "guaranteed": guaranteed,
-            "attempts": attempts,
-            "standby": list(standby),
-            "enforces_capacity": enforces_capacity,
-        }
-    ).encode()
-
-
-def _decode_desired(value: bytes, revision: int) -> model.DesiredSnapshot:
-    document = json.loads(value)
-    keys = frozenset(document["keys"])
-    account = model.Account("acme", keys, document["guaranteed"])
-    return model.DesiredSnapshot(
-        revision=revision,
-        version=revision,
-        routes=tuple(
-            model.Route(
-                name=prefix.strip("/"),
-                host=HOST,
-                prefix=prefix,
-                service="pool",
-                priority=priority,
-                max_attempts=document["attempts"],
-                advice=(
-                    model.AdvisorTerms() if prefix == ADVISED_PREFIX else None
-                ),
-            )
-            for prefix, priority in QUEUES.items()
-        ),
-        services={
-            "pool": model.Service(
-                "pool", enforces_capacity=document["enforces_capacity"]
-            ),
-            **{
-                name: model.Service(name, is_standby=True)
-                for name in document.get("standby", ())
-            },
-        },
-        accounts={"acme": account},
-        account_by_key=dict.fromkeys(keys, "acme"),
-    )
-
-
-def _decode_executor(_executor_id: str, value: bytes) -> model.Executor:
-    document = json.loads(value)
-    document["labels"] = tuple(document["labels"])
-    return model.Executor(**document)
-
-
-def _decode_wave(value: bytes) -> model.MaintenanceWave:
-    document = json.loads(value)
-    document["machine_ids"] = tuple(document["machine_ids"])
-    return model.MaintenanceWave(**document)
-
-
-def _wave_status(number: int, completed: bool) -> tuple[str, bytes]:
-    return f"shown/wave/{number}", json.dumps(completed).encode()
-
-
-STORE_SCHEMA = model.StoreSchema(
-    config_key=CONFIG_KEY,
-    operator_prefix="operator/",
-    executor_prefix=EXECUTORS,
-    decode_desired=_decode_desired,
-    decode_executor=_decode_executor,
-    wave_prefix="operator/wave/",
-    decode_wave=_decode_wave,
-    wave_status=_wave_status,
-)
-
-
 def step(**fields) -> workflow.Step:
     """Return a step of small tasks."""
     defaults = {
@@ -432,7 +348,7 @@
 
     # Checks
 
-    def runs_of(self, job_id: str) -> list[fleet_executors.RunRecord]:
+    def runs_of(self, job_id: str) -> list[fleet_runs.RunRecord]:
         """Return the ended runs of a job."""
         return [
             s for s in self.pool.ended_runs if s.task_id.startswith(job_id)
@@ -440,7 +356,7 @@
 
     def check_single_execution(self) -> None:
         """Fail if a task's runs overlap or it runs again once done."""
-        by_task: dict[str, list[fleet_executors.RunRecord]] = {}
+        by_task: dict[str, list[fleet_runs.RunRecord]] = {}
         for run in self.pool.ended_runs:
             by_task.setdefault(run.task_id, []).append(run)
         for task_id, runs in by_task.items():
--- a/testing/fleet/test_pacing.py
+++ b/testing/fleet/test_pacing.py
@@ -6,6 +6,7 @@
 
 from knapweedwharf.core import workflow
 from knapweedwharf.fleet import pacing
+from standins import fleet_runs
 from testing.fleet import scene as scene_module
 
 step = scene_module.step
@@ -82,7 +83,7 @@
 
 def _tails(scene) -> list[int]:
     return [
-        executor.load_ms(state)
+        fleet_runs.load_ms(state, executor.runs.values())
         for executor in scene.pool.executors.values()
         for state in executor.runs.values()
         if "serves" in state.behaviour
