Let no odd document end the readers of the other composition

Seen: one inbox entry in another form raised out of the task that follows the inbox, so that the owner read no later submission; a list of VMs, a descriptor or a configuration value nested deeply raised RecursionError, and 1e999 in a line of a watch OverflowError. Cause: each decoder named its own errors, and none named all. Change: codec.UNDECODABLE names them, also for the records of jobs and the fields of the platform. An odd entry of the inbox is skipped, with a line.

--- a/src/knapweedwharf/adapters/directory.py
+++ b/src/knapweedwharf/adapters/directory.py
@@ -12,6 +12,7 @@
 from returns import result
 
 from knapweedwharf.adapters import transport
+from knapweedwharf import codec
 from knapweedwharf import errors
 from knapweedwharf import registry
 from knapweedwharf import settings as settings_module
@@ -108,7 +109,7 @@
         return result.Success(
             [_build_vm(item) for item in json.loads(reply.body)]
         )
-    except (AttributeError, KeyError, TypeError, ValueError) as error:
+    except codec.UNDECODABLE as error:
         return result.Failure(
             errors.OutcomeUnknown(
                 message=f"Cannot parse the list of VMs: {error!r}.",
--- a/src/knapweedwharf/adapters/etcd.py
+++ b/src/knapweedwharf/adapters/etcd.py
@@ -16,12 +16,12 @@
 
 from knapweedwharf.adapters import store
 from knapweedwharf.adapters import transport
+from knapweedwharf import codec
 from knapweedwharf import errors
 from knapweedwharf import settings as settings_module
 
 _MAX_ANSWER_BYTES = 16 * 1024 * 1024
 _WATCH_LIFETIME_S = 3600.0
-_PARSE_ERRORS = (AttributeError, KeyError, IndexError, TypeError, ValueError)
 
 
 @store.STORES.register("etcd-json")
@@ -208,7 +208,7 @@
             canceled = bool(answer.get("canceled"))
             changed, deleted = _events(answer)
             version = int(answer["header"]["revision"])
-        except _PARSE_ERRORS as error:
+        except codec.UNDECODABLE as error:
             self._abort(_malformed_response(repr(error)))
         if compacted:
             self._abort(_compacted(compacted))
@@ -238,7 +238,7 @@
 ) -> result.Result[typing.Any, errors.Fault]:
     try:
         return result.Success(parse(answer))
-    except _PARSE_ERRORS as error:
+    except codec.UNDECODABLE as error:
         return result.Failure(_malformed_response(repr(error)))
 
 
--- a/src/knapweedwharf/adapters/worker.py
+++ b/src/knapweedwharf/adapters/worker.py
@@ -264,7 +264,7 @@
 ) -> result.Result[typing.Any, errors.Fault]:
     try:
         return result.Success(codec.decode(kind, document))
-    except (AttributeError, KeyError, TypeError):
+    except codec.UNDECODABLE:
         return result.Failure(
             errors.OutcomeUnknown(
                 message=f"The worker's answer is not a valid {kind.__name__}.",
--- a/src/knapweedwharf/codec.py
+++ b/src/knapweedwharf/codec.py
@@ -11,6 +11,16 @@
 import types
 import typing
 
+UNDECODABLE = (
+    ArithmeticError,
+    AttributeError,
+    LookupError,
+    RecursionError,
+    TypeError,
+    ValueError,
+)
+"""Errors of decoding a document of another form."""
+
 DataClass = typing.TypeVar("DataClass")
 Converter = typing.Callable[[typing.Any], typing.Any]
 
--- a/src/knapweedwharf/configuration/revision.py
+++ b/src/knapweedwharf/configuration/revision.py
@@ -15,6 +15,7 @@
 from returns import result
 
 from knapweedwharf.adapters import store as store_module
+from knapweedwharf import codec
 from knapweedwharf import errors
 
 LOG_PREFIX = "/knapweedwharf/config/log/"
@@ -70,7 +71,7 @@
         if not value.startswith(b"{"):
             value = zlib.decompressobj().decompress(value, _MAX_DECODED_BYTES)
         return result.Success(build(json.loads(value)))
-    except (zlib.error, TypeError, ValueError, KeyError) as error:
+    except (zlib.error, *codec.UNDECODABLE) as error:
         return result.Failure(
             errors.OutcomeUnknown(
                 message=f"Cannot decode a configuration value: {error!r}.",
--- a/src/knapweedwharf/fleet/intake.py
+++ b/src/knapweedwharf/fleet/intake.py
@@ -6,6 +6,7 @@
 import dataclasses
 import math
 
+from knapweedwharf import codec
 from knapweedwharf.core import workflow
 from knapweedwharf.fleet import clock
 from knapweedwharf.fleet import crashes as crashes_module
@@ -210,7 +211,7 @@
         age_s = None
         try:
             cancelled_s = records.load_cancellation(item.value)
-        except records.UNREADABLE as error:
+        except codec.UNDECODABLE as error:
             self._log.error(
                 "cancellation-malformed",
                 job_id=flow.job.job_id,
@@ -236,7 +237,7 @@
             flow = workflow.Workflow(job)
             if progress is not None:
                 flow = records.load_progress(job, progress.value)
-        except records.UNREADABLE as error:
+        except codec.UNDECODABLE as error:
             self._log.error("job-malformed", job_id=job_id, why=str(error))
             return
         if progress is not None:
--- a/src/knapweedwharf/fleet/job_api.py
+++ b/src/knapweedwharf/fleet/job_api.py
@@ -14,6 +14,7 @@
 
 from returns import result
 
+from knapweedwharf import codec
 from knapweedwharf.core import workflow
 from knapweedwharf import errors
 from knapweedwharf.fleet import clock
@@ -294,7 +295,7 @@
                 records.load_job(spec.value).account, allowed.account
             )
             _state_of(kinds)
-        except records.UNREADABLE as error:
+        except codec.UNDECODABLE as error:
             self._log.error(
                 "job-malformed", job_id=allowed.job_id, why=str(error)
             )
--- a/src/knapweedwharf/fleet/records.py
+++ b/src/knapweedwharf/fleet/records.py
@@ -10,16 +10,6 @@
 from knapweedwharf.core import model as core_model
 from knapweedwharf.core import workflow
 
-UNREADABLE = (
-    ArithmeticError,
-    AttributeError,
-    LookupError,
-    RecursionError,
-    TypeError,
-    ValueError,
-)
-"""Errors of decoding a record of another form."""
-
 JOBS = "jobs/"
 OWNER_KEY = "control/owner"
 EPOCH_KEY = "control/epoch"
--- a/src/knapweedwharf/platform/field.py
+++ b/src/knapweedwharf/platform/field.py
@@ -12,6 +12,8 @@
 import json
 import typing
 
+from knapweedwharf import codec
+
 MAX_WHOLE = 2**53 - 1
 """The largest whole number that every JSON reader keeps exactly; later than
 any time in milliseconds."""
@@ -32,15 +34,6 @@
 
 _MAX_PORT_DIGITS = 5
 
-_NOT_DECODED = (
-    ArithmeticError,
-    AttributeError,
-    LookupError,
-    RecursionError,
-    TypeError,
-    ValueError,
-)
-
 Document = dict[str, typing.Any]
 
 
@@ -57,7 +50,7 @@
             return decoder(*arguments)
         except Malformed:
             raise
-        except _NOT_DECODED as error:
+        except codec.UNDECODABLE as error:
             raise Malformed(
                 f"a value has an unexpected type: {error}"
             ) from error
--- a/src/knapweedwharf/scheduling/inbox.py
+++ b/src/knapweedwharf/scheduling/inbox.py
@@ -16,6 +16,7 @@
 from knapweedwharf import codec
 from knapweedwharf.core import model
 from knapweedwharf import errors
+from knapweedwharf import log
 
 SUBMIT = "submit"
 CANCEL = "cancel"
@@ -45,8 +46,21 @@
     return f"{prefix_of(data_centre)}{job_id}.{kind}"
 
 
-def decode(entry: store_module.Entry) -> Item:
-    """Decode an entry of the inbox."""
+def decode(entry: store_module.Entry) -> Item | None:
+    """Decode an entry of the inbox; None if it has another form."""
+    try:
+        return _decode(entry)
+    except codec.UNDECODABLE as error:
+        log.get("inbox").error(
+            "inbox-entry-malformed",
+            key=entry.key,
+            version=entry.version,
+            why=str(error),
+        )
+        return None
+
+
+def _decode(entry: store_module.Entry) -> Item:
     document = json.loads(entry.value)
     job = document.get("job")
     return Item(
--- a/src/knapweedwharf/scheduling/record.py
+++ b/src/knapweedwharf/scheduling/record.py
@@ -33,5 +33,5 @@
     """Parse a descriptor; None if it is not a valid one."""
     try:
         return from_dict(json.loads(descriptor))
-    except (KeyError, TypeError, ValueError):
+    except codec.UNDECODABLE:
         return None
--- a/src/knapweedwharf/scheduling/role.py
+++ b/src/knapweedwharf/scheduling/role.py
@@ -303,7 +303,8 @@
     def _post_inbox(
         self, epoch: int, entries: list[store_module.Entry]
     ) -> None:
-        seen = InboxRead(tuple(map(inbox_module.decode, entries)))
+        items = map(inbox_module.decode, entries)
+        seen = InboxRead(tuple(item for item in items if item is not None))
         self.post(TenureReport(epoch, seen))
 
     # Messages
--- a/src/knapweedwharf/scheduling/view.py
+++ b/src/knapweedwharf/scheduling/view.py
@@ -171,7 +171,7 @@
 
 def _queued_job(entry: store_module.Entry) -> JobDocument | None:
     item = inbox_module.decode(entry)
-    if item.job is None:
+    if item is None or item.job is None:
         return None
     job = codec.encode(item.job)
     return {"job": job, "state": "queued", "reasons": []}
