Count runs that belong to no attempt until they have ended

Cause: runs that no attempt tracks were stopped, but not counted. A new owner doesn't restore the attempts of jobs that are over. Executors that enforce their capacity hid it by refusing the starts. Class: accounting by one's own records where the world reports otherwise. Change: each report tells the engine what such runs take, by their job's steps, or the whole executor if the job isn't known, until no report lists them. Ruled out: restoring attempts of ended jobs; it leaves out late starts and jobs that were removed.

--- a/src/knapweedwharf/core/engine.py
+++ b/src/knapweedwharf/core/engine.py
@@ -166,6 +166,10 @@
     def _(self, happened: event.WorkerGone) -> None:
         self._hardware.gone(happened.worker_id)
 
+    @_apply.register
+    def _(self, happened: event.UntrackedSeen) -> None:
+        self.topology.set_untracked(happened.worker_id, happened.taken)
+
     @_apply.register
     def _(self, happened: event.JobSubmitted) -> None:
         self._lifecycle.submitted(happened.job, happened.failures)
--- a/src/knapweedwharf/core/event.py
+++ b/src/knapweedwharf/core/event.py
@@ -5,6 +5,7 @@
 import dataclasses
 import typing
 
+from knapweedwharf.core import amount
 from knapweedwharf.core import model
 
 
@@ -42,6 +43,17 @@
     keeps_lasting: bool = False
 
 
+@dataclasses.dataclass(frozen=True)
+class UntrackedSeen:
+    """A worker reported runs that belong to no attempt.
+
+    :ivar taken: what they take together; nothing once they have ended.
+    """
+
+    worker_id: str
+    taken: amount.Amount
+
+
 @dataclasses.dataclass(frozen=True)
 class JobMoved:
     """A job has to stop where it runs and start elsewhere."""
--- a/src/knapweedwharf/core/topology.py
+++ b/src/knapweedwharf/core/topology.py
@@ -44,6 +44,7 @@
     :ivar memory_mib: free memory.
     :ivar excess: what exceeded the capacity when it last changed, less
         what was released since.
+    :ivar untracked: taken by runs that belong to no attempt.
     :ivar exclusions: reasons why no new work may be placed here.
     :ivar occupants: places by attempt id.
     :ivar held: held by claims whose victims are being stopped.
@@ -63,6 +64,7 @@
     memory_mib: int
     accelerators_left: int = 0
     excess: amount.Amount = amount.NOTHING
+    untracked: amount.Amount = amount.NOTHING
     exclusions: set[str] = dataclasses.field(default_factory=set)
     occupants: dict[str, list[model.Assignment]] = dataclasses.field(
         default_factory=dict
@@ -87,9 +89,10 @@
     @property
     def free(self) -> amount.Amount:
         """What no attempt occupies."""
-        return amount.Amount(
+        left = amount.Amount(
             self.accelerators_left, self.cores, self.memory_mib
         )
+        return left - self.untracked
 
     def recount(self) -> None:
         """Recompute the free capacity from the occupants."""
@@ -136,6 +139,7 @@
         self._occupied: dict[str, list[model.Assignment]] = {}
         self._taken_by: dict[str, dict[str, amount.Amount]] = {}
         self._orphans: dict[str, dict[str, list[model.Assignment]]] = {}
+        self._untracked: dict[str, amount.Amount] = {}
 
     def add(self, spec: model.WorkerSpec) -> None:
         """Add a worker, or make a known one usable again."""
@@ -151,6 +155,7 @@
             room.occupants = known.occupants
         else:
             room.occupants = self._orphans.pop(spec.worker_id, {})
+        room.untracked = self._untracked.get(spec.worker_id, amount.NOTHING)
         room.recount()
         room.excess = room.free.shortfall()
         self.workers[spec.worker_id] = room
@@ -160,8 +165,18 @@
             bisect.insort(self._by_open, (0, rack.name))
         self.refresh(room)
 
+    def set_untracked(self, worker_id: str, taken: amount.Amount) -> None:
+        """Count what runs that belong to no attempt take of a worker."""
+        self._untracked[worker_id] = taken
+        room = self.workers.get(worker_id)
+        if room is not None:
+            room.untracked = taken
+            room.excess = room.free.shortfall()
+            self.refresh(room)
+
     def remove(self, worker_id: str) -> None:
         """Remove a worker that is gone."""
+        self._untracked.pop(worker_id, None)
         room = self.workers.pop(worker_id, None)
         if room is None:
             return
--- a/src/knapweedwharf/fleet/reports.py
+++ b/src/knapweedwharf/fleet/reports.py
@@ -5,6 +5,7 @@
 from collections import abc
 import functools
 
+from knapweedwharf.core import amount
 from knapweedwharf.core import event
 from knapweedwharf.core import workflow
 from knapweedwharf.fleet import attempt as attempt_module
@@ -53,6 +54,7 @@
         self._pacing = pacing
         self._late_ends = late_ends
         self._crashes = crashes
+        self._untracked: dict[str, amount.Amount] = {}
         self._log = log.get("reports")
 
     def apply(
@@ -90,9 +92,30 @@
         for attempt, member in absent:
             self._mark_lost(attempt, member, changed)
         self._advance_all(changed)
+        self._report_untracked(session, report)
         self._report_progress(session, report)
         self._pacing.adjust(session.executor_id, report.runs)
 
+    def _report_untracked(
+        self, session: session_module.Session, report: model.Report
+    ) -> None:
+        """Tell the engine what runs that belong to no attempt take."""
+        executor = session.executor
+        taken = amount.NOTHING
+        for run in report.runs:
+            held = self._scheduling_state.find_member(
+                executor.executor_id, run.task_id, run.run
+            )
+            if held is None:
+                size = self._scheduling_state.size_of_task(run.task_id)
+                taken = taken + (size or _whole(executor))
+        before = self._untracked.pop(executor.executor_id, amount.NOTHING)
+        if taken != amount.NOTHING:
+            self._untracked[executor.executor_id] = taken
+        if taken != before:
+            seen = event.UntrackedSeen(executor.executor_id, taken)
+            self._tell(executor.service, seen)
+
     def _report_progress(
         self, session: session_module.Session, report: model.Report
     ) -> None:
@@ -271,6 +294,7 @@
         self.executor_ended(
             session.executor_id, how, unheard_s, is_listed=session.listed
         )
+        self._untracked.pop(session.executor_id, None)
         gone = event.WorkerGone(session.executor_id)
         self._tell(session.executor.service, gone)
 
@@ -305,3 +329,9 @@
         and placed_on != 0
         and placed_on != session.executor.incarnation_ms
     )
+
+
+def _whole(executor: model.Executor) -> amount.Amount:
+    return amount.Amount(
+        executor.accelerators, executor.cores_milli, executor.memory_mib
+    )
--- a/src/knapweedwharf/fleet/scheduling_state.py
+++ b/src/knapweedwharf/fleet/scheduling_state.py
@@ -4,6 +4,7 @@
 
 from collections import abc
 
+from knapweedwharf.core import amount
 from knapweedwharf.core import workflow
 from knapweedwharf.fleet import attempt as attempt_module
 from knapweedwharf.fleet import clock
@@ -66,6 +67,16 @@
         part_id = workflow.part_id_of(flow.job, task_id) if flow else None
         return self.find_part(part_id) if part_id else None
 
+    def size_of_task(self, task_id: str) -> amount.Amount | None:
+        """Return what a task takes of its executor, or None if unknown."""
+        flow = self.workflows.get(workflow.job_id_of(task_id))
+        part_id = workflow.part_id_of(flow.job, task_id) if flow else None
+        if part_id is None:
+            return None
+        step = flow.job.steps[int(task_id.split(".")[2])]
+        cores_milli = 0 if step.fills_spare else step.cores_milli
+        return amount.Amount(step.accelerators, cores_milli, step.memory_mib)
+
     def mark_ended(self, job_id: str) -> None:
         """Record that a job has ended now."""
         self.ended_s.setdefault(job_id, clock.elapsed_s())
