--- a/src/knapweedwharf/core/event.py
+++ b/src/knapweedwharf/core/event.py
@@ -232,6 +232,7 @@
     GangStopped,
     TaskEnded,
     UsageReported,
+    UntrackedSeen,
     JobMoved,
     WorkersApproved,
     ProgressSeen,
