Review, case 2: a drain of 12 s instead of 25 s

The executor leaves after its drain, and the cut comes 3.5 s after the starts, so that its lease was renewed at most a second before.

Tried: a drain 1 s after the starts; the overlap was 0.4 s, as the lease had last been renewed 1.5 s before the cut.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -3,10 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import time
 
 import standins
 
 RUN_S = 12.0
+REMAINING_S = 12.0
+CUT_S = 5.5
 
 
 async def play(world: standins.World, trouble: bool) -> list[str]:
@@ -26,27 +29,28 @@
         )
         for _number in range(6)
     ]
-    await asyncio.sleep(2.0)
+    await asyncio.sleep(3.0)
     busiest = max(world.executors.values(), key=lambda e: len(e.life.runs))
-    world.record.note(f"{busiest.executor_id}: drains for 25 s or longer")
+    leaves_s = time.monotonic() + REMAINING_S
     busiest.state = "draining"
-    busiest.remaining_ms = 25_000
+    busiest.remaining_ms = int(REMAINING_S * 1000)
     busiest.check_in_now()
-    await asyncio.sleep(1.0)
+    await asyncio.sleep(0.5)
     if trouble:
         world.record.note(f"{busiest.executor_id}: cut off")
         busiest.cut = True
-        await asyncio.sleep(5.5)
+        await asyncio.sleep(CUT_S)
         world.record.note(f"{busiest.executor_id}: the cut has healed")
         busiest.cut = False
         busiest.check_in_now()
-    await asyncio.sleep(16.0)
+    await asyncio.sleep(leaves_s - time.monotonic() + 0.5)
+    await busiest.leave()
+    await asyncio.sleep(13.0)
     for job in jobs:
         await world.state(job)
-    now_s = asyncio.get_running_loop().time()
-    return standins.overlaps(world.runs, now_s) + standins.after_done(
-        world.runs
-    )
+    return standins.overlaps(
+        world.runs, time.monotonic()
+    ) + standins.after_done(world.runs)
 
 
 standins.main(play)
--- a/review/standins.py
+++ b/review/standins.py
@@ -467,6 +467,12 @@
             f"{self.executor_id}: starts again, born {self.life.born}"
         )
 
+    async def leave(self) -> None:
+        """Exit after a drain, with all that still runs."""
+        self.crash()
+        self.world.store.remove(f"servers/{self.executor_id}")
+        await self.drop_connections()
+
     async def drop_connections(self) -> None:
         if self._server is not None:
             await self._server.close_all_connections()
