Review: case 3 is case 2 now, with a task that runs in full twice

The drain's case is case 3. In the new case 2 a short task ends on the executor that is back under its id, its end is acknowledged by the number of the former life's ends, and the task runs again.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,4 +1,4 @@
-"""A draining executor is cut off; its runs are started elsewhere."""
+"""An executor crashes and starts again under its id; runs are doubled."""
 
 from __future__ import annotations
 
@@ -7,45 +7,32 @@
 
 import standins
 
-RUN_S = 12.0
-REMAINING_S = 12.0
-CUT_S = 5.5
+DARK_S = 0.5
+LONG_S = 8.0
+SHORT_S = 0.3
 
 
 async def play(world: standins.World, trouble: bool) -> list[str]:
     for number in (1, 2, 3):
-        world.add_executor(f"i-{number}", run_s=lambda task: RUN_S)
+        executor = world.add_executor(f"i-{number}", run_s=world.declared_s)
+        executor.stop_s = 0.3
     await world.begin()
-    jobs = [
-        await world.submit(
-            [
-                {
-                    "count": 1,
-                    "cpu": 4000,
-                    "mem_mb": 4096,
-                    "estimated_runtime_ms": int(RUN_S * 1000),
-                }
-            ]
-        )
-        for _number in range(6)
-    ]
+    jobs = [await _submit(world, LONG_S)]
+    for _number in range(3):
+        jobs.append(await _submit(world, SHORT_S))
     await asyncio.sleep(3.0)
-    busiest = max(world.executors.values(), key=lambda e: len(e.life.runs))
-    leaves_s = time.monotonic() + REMAINING_S
-    busiest.state = "draining"
-    busiest.remaining_ms = int(REMAINING_S * 1000)
-    busiest.check_in_now()
-    await asyncio.sleep(0.5)
+    executor = max(world.executors.values(), key=lambda e: len(e.life.runs))
+    await _checked_in(executor)
     if trouble:
-        world.record.note(f"{busiest.executor_id}: cut off")
-        busiest.cut = True
-        await asyncio.sleep(CUT_S)
-        world.record.note(f"{busiest.executor_id}: the cut has healed")
-        busiest.cut = False
-        busiest.check_in_now()
-    await asyncio.sleep(leaves_s - time.monotonic() + 0.5)
-    await busiest.leave()
-    await asyncio.sleep(13.0)
+        executor.crash()
+        await asyncio.sleep(DARK_S)
+        executor.start_again()
+        await executor.drop_connections()
+    else:
+        await asyncio.sleep(DARK_S)
+    jobs.append(await _submit(world, SHORT_S))
+    jobs.append(await _submit(world, LONG_S))
+    await asyncio.sleep(20.0)
     for job in jobs:
         await world.state(job)
     return standins.overlaps(
@@ -53,4 +40,24 @@
     ) + standins.after_done(world.runs)
 
 
+async def _submit(world: standins.World, run_s: float) -> str:
+    return await world.submit(
+        [
+            {
+                "count": 1,
+                "cpu": 4000,
+                "mem_mb": 4096,
+                "estimated_runtime_ms": int(run_s * 1000),
+            }
+        ]
+    )
+
+
+async def _checked_in(executor) -> None:
+    """Wait until the executor has just written to the store."""
+    heard_s = executor.heard_s
+    while executor.heard_s == heard_s:
+        await asyncio.sleep(0.01)
+
+
 standins.main(play)
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,35 +1,51 @@
-"""An executor crashes and starts again under its id; runs are doubled."""
+"""A draining executor is cut off; its runs are started elsewhere."""
 
 from __future__ import annotations
 
 import asyncio
-import os
 import time
 
 import standins
 
-RUN_S = 8.0
-DARK_S = float(os.environ.get("DARK_S", "0.5"))
-PHASE = {"count": 1, "cpu": 4000, "mem_mb": 4096, "estimated_runtime_ms": 8000}
+RUN_S = 12.0
+REMAINING_S = 12.0
+CUT_S = 5.5
 
 
 async def play(world: standins.World, trouble: bool) -> list[str]:
     for number in (1, 2, 3):
-        executor = world.add_executor(f"i-{number}", run_s=lambda task: RUN_S)
-        executor.stop_s = 0.3
+        world.add_executor(f"i-{number}", run_s=lambda task: RUN_S)
     await world.begin()
-    jobs = [await world.submit([PHASE])]
+    jobs = [
+        await world.submit(
+            [
+                {
+                    "count": 1,
+                    "cpu": 4000,
+                    "mem_mb": 4096,
+                    "estimated_runtime_ms": int(RUN_S * 1000),
+                }
+            ]
+        )
+        for _number in range(6)
+    ]
     await asyncio.sleep(3.0)
-    executor = max(world.executors.values(), key=lambda e: len(e.life.runs))
+    busiest = max(world.executors.values(), key=lambda e: len(e.life.runs))
+    leaves_s = time.monotonic() + REMAINING_S
+    busiest.state = "draining"
+    busiest.remaining_ms = int(REMAINING_S * 1000)
+    busiest.check_in_now()
+    await asyncio.sleep(0.5)
     if trouble:
-        executor.crash()
-        await asyncio.sleep(DARK_S)
-        executor.start_again()
-        await executor.drop_connections()
-    else:
-        await asyncio.sleep(DARK_S)
-    jobs.append(await world.submit([PHASE]))
-    await asyncio.sleep(20.0)
+        world.record.note(f"{busiest.executor_id}: cut off")
+        busiest.cut = True
+        await asyncio.sleep(CUT_S)
+        world.record.note(f"{busiest.executor_id}: the cut has healed")
+        busiest.cut = False
+        busiest.check_in_now()
+    await asyncio.sleep(leaves_s - time.monotonic() + 0.5)
+    await busiest.leave()
+    await asyncio.sleep(13.0)
     for job in jobs:
         await world.state(job)
     return standins.overlaps(
--- a/review/standins.py
+++ b/review/standins.py
@@ -629,6 +629,7 @@
         self.runs: list[Run] = []
         self.vms: list[Vm] = []
         self._needs: dict[tuple[str, int], dict[str, int]] = {}
+        self._declared_s: dict[tuple[str, int], float] = {}
         self._tasks: list[asyncio.Task] = []
         self._store_port = 0
         self._scratch = tempfile.TemporaryDirectory(prefix="review-")
@@ -638,6 +639,11 @@
         job_id, _occurrence, step, _index = task.split(".")
         return self._needs[job_id, int(step)]
 
+    def declared_s(self, task: str) -> float:
+        """Return the run time that the task's job declares."""
+        job_id, _occurrence, step, _index = task.split(".")
+        return self._declared_s[job_id, int(step)]
+
     # Set-up
 
     def add_executor(
@@ -803,6 +809,8 @@
             self._needs[job_id, step] = {
                 name: phase.get(name, 0) for name in ("cpu", "mem_mb", "gpu")
             }
+            declared_ms = phase.get("estimated_runtime_ms", 0)
+            self._declared_s[job_id, step] = declared_ms / 1000
         document = {"specification": "text", "phases": phases}
         for _try in range(5):
             status, _said = await self.call("POST", prefix + job_id, document)
