--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,4 +1,4 @@
-"""A job that lasts is shown as failed after its executor crashed thrice."""
+"""One wide job that can never be done keeps sound jobs from running."""
 
 from __future__ import annotations
 
@@ -7,62 +7,77 @@
 
 import standins
 
-CRASHES = 3
-BACK_S = 3.0
-AT_WORK_S = 8.0
+EXECUTORS = 24
+SOUND_JOBS = 19
+WIDTH = 94
+FAILS_AFTER_S = 1.0
+SOUND_S = 2.5
+FINISH_S = 14.0
+"""After the end of the traffic, ``finish_s``."""
+IDLE_S = 3.0
+
+WIDE = {
+    "count": WIDTH,
+    "cpu": 2800,
+    "mem_mb": 15000,
+    "gpu": 1,
+    "estimated_runtime_ms": 9500,
+}
+SOUND = {
+    "count": 3,
+    "cpu": 3700,
+    "mem_mb": 15000,
+    "gpu": 1,
+    "estimated_runtime_ms": 2500,
+}
 
 
 async def play(world: standins.World, trouble: bool) -> list[str]:
-    for number in (1, 2, 3, 4):
-        world.add_executor(f"i-{number}", run_s=lambda task: 0.0)
+    hopeless: list[str] = []
+
+    def run_s(task: str) -> float:
+        return FAILS_AFTER_S if _job_of(task) in hopeless else SOUND_S
+
+    def how(task: str) -> str:
+        failing = trouble and _job_of(task) in hopeless
+        return "failed" if failing else "done"
+
+    for number in range(1, EXECUTORS + 1):
+        world.add_executor(f"i-{number}", run_s=run_s).how = how
     await world.begin()
-    job = await world.submit(
-        [
-            {
-                "count": 1,
-                "cpu": 4000,
-                "mem_mb": 4096,
-                "estimated_runtime_ms": 60000,
-                "long_running": True,
-            }
-        ]
-    )
-    for _number in range(CRASHES):
-        executor = await _executor_at_work(world)
-        if executor is None:
-            break
-        await asyncio.sleep(AT_WORK_S)
-        if trouble:
-            executor.crash()
-            await asyncio.sleep(BACK_S)
-            await executor.drop_connections()
-            executor.start_again()
-            executor.check_in_now()
-        else:
-            await asyncio.sleep(BACK_S)
-    await asyncio.sleep(15.0)
-    shown = await world.state(job)
-    running = [run for run in world.runs if run.ended_s is None]
-    world.record.note(f"{len(running)} runs of the job at the end")
-    found = []
-    if shown == "failed":
-        ends = [run.how for run in world.runs]
-        found.append(
-            f"LOST: a job that lasts and that nobody has cancelled is shown "
-            f"as failed; its runs ended {ends}"
-        )
-    return found
-
-
-async def _executor_at_work(world):
-    """Return the executor that runs the task, or None after 20 s."""
-    deadline_s = time.monotonic() + 20
-    while time.monotonic() < deadline_s:
-        for executor in world.executors.values():
-            if executor.up and executor.life.runs:
-                return executor
-        await asyncio.sleep(0.05)
-    return None
+    hopeless.append(world.new_id())
+    await world.submit([WIDE], job_id=hopeless[0])
+    await asyncio.sleep(2.0)
+    jobs = []
+    for _number in range(SOUND_JOBS):
+        jobs.append(await world.submit([SOUND]))
+        await asyncio.sleep(0.15)
+    await asyncio.sleep(FINISH_S)
+    begun_s = time.monotonic()
+    shown = {job: await world.state(job) for job in jobs}
+    await asyncio.sleep(IDLE_S)
+    waiting = [job for job in jobs if _is_idle(world, job, begun_s)]
+    in_use = sum(len(e.life.runs) for e in world.executors.values())
+    world.record.note(f"{in_use} tasks run on {EXECUTORS} executors")
+    return [
+        f"LOST: {job}, {shown[job]}, has had nothing running for {IDLE_S} s, "
+        f"{FINISH_S:.0f} s after the last job; {in_use} tasks run on "
+        f"{EXECUTORS} executors"
+        for job in waiting
+    ]
+
+
+def _job_of(task: str) -> str:
+    return task.partition(".")[0]
+
+
+def _is_idle(world, job: str, since_s: float) -> bool:
+    """Tell whether a job that isn't over has had no run since a time."""
+    runs = [run for run in world.runs if _job_of(run.task) == job]
+    done = {run.task for run in runs if run.how == "done"}
+    if len(done) == SOUND["count"]:
+        return False
+    return all(run.ended_s and run.ended_s < since_s for run in runs)
 
 
 standins.main(play)
--- a/review/standins.py
+++ b/review/standins.py
@@ -330,6 +330,7 @@
     :ivar cut: it is partitioned from everybody: calls are neither carried
         out nor answered, and nothing reaches the store.
     :ivar stop_s: how long a stopped run takes to end.
+    :ivar how: returns how a task ends once it has worked.
     :param run_s: returns how long a task works, in seconds.
     """
 
@@ -341,6 +342,7 @@
         self.labels = labels
         self.capacity = capacity
         self.run_s = run_s
+        self.how = lambda task: "done"
         self.state = "ready"
         self.remaining_ms: int | None = None
         self.cut = False
@@ -434,7 +436,7 @@
             if run.stop_at_s is not None and now_s >= run.stop_at_s:
                 self.finish(run, "stopped")
             elif run.run_s and now_s - run.begun_s >= run.run_s:
-                self.finish(run, "done")
+                self.finish(run, self.how(run.task))
 
     def finish(self, run: Run, how: str) -> None:
         life = self.life
@@ -802,9 +804,14 @@
         self.record.note(f"client: {method} {path} -> {status} {shown}")
         return status, said
 
-    async def submit(self, phases: list[dict], prefix="/check/") -> str:
+    def new_id(self) -> str:
+        return f"{random.getrandbits(64):016x}"
+
+    async def submit(
+        self, phases: list[dict], prefix="/check/", job_id: str = ""
+    ) -> str:
         """Submit a job, repeated until it is accepted; return its id."""
-        job_id = f"{random.getrandbits(64):016x}"
+        job_id = job_id or self.new_id()
         for step, phase in enumerate(phases):
             self._needs[job_id, step] = {
                 name: phase.get(name, 0) for name in ("cpu", "mem_mb", "gpu")
