--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,3 +1,6 @@
 #!/bin/sh
+# Exits with 1 if the rule was broken, 0 if it held, 2 if it could not run.
 cd "$(dirname "$0")/../.." || exit 2
-PYTHONPATH=target/deps:review exec python3 review/2/case.py
+export PYTHONPATH=target/deps:review
+python3 -c 'import knapweedwharf, standins' || exit 2
+exec python3 review/2/case.py
--- a/review/standins.py
+++ b/review/standins.py
@@ -15,6 +15,7 @@
 import pathlib
 import random
 import shlex
+import signal
 import socket
 import subprocess
 import sys
@@ -987,6 +988,7 @@
     """
     folder = pathlib.Path(sys.argv[0]).resolve().parent
     trouble = os.environ.get("TROUBLE", "1") != "0"
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
 
     async def run() -> int:
         world = World(folder)
