--- a/review/standins.py
+++ b/review/standins.py
@@ -453,9 +453,11 @@
 
     def crash(self) -> None:
         """End with all that runs; nobody is told."""
-        self.world.record.note(
-            f"{self.executor_id}: crashes with {len(self.life.runs)} runs"
-        )
+        self._end("crashes")
+
+    def _end(self, what: str) -> None:
+        held = len(self.life.runs)
+        self.world.record.note(f"{self.executor_id}: {what} with {held} runs")
         now_s = time.monotonic()
         for run in self.life.runs.values():
             run.ended_s, run.how = now_s, "crashed"
@@ -472,7 +474,7 @@
 
     async def leave(self) -> None:
         """Exit after a drain, with all that still runs."""
-        self.crash()
+        self._end("leaves")
         self.world.store.remove(f"servers/{self.executor_id}")
         await self.drop_connections()
 
