--- a/review/2/case.py
+++ b/review/2/case.py
@@ -7,13 +7,14 @@
 
 import standins
 
+EXECUTORS = 24
 DARK_S = 0.5
 LONG_S = 8.0
 SHORT_S = 0.3
 
 
 async def play(world: standins.World, trouble: bool) -> list[str]:
-    for number in (1, 2, 3):
+    for number in range(1, EXECUTORS + 1):
         executor = world.add_executor(f"i-{number}", run_s=world.declared_s)
         executor.stop_s = 0.3
     await world.begin()
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -7,13 +7,14 @@
 
 import standins
 
+EXECUTORS = 24
 RUN_S = 12.0
 REMAINING_S = 12.0
 CUT_S = 5.5
 
 
 async def play(world: standins.World, trouble: bool) -> list[str]:
-    for number in (1, 2, 3):
+    for number in range(1, EXECUTORS + 1):
         world.add_executor(f"i-{number}", run_s=lambda task: RUN_S)
     await world.begin()
     jobs = [
@@ -33,7 +34,7 @@
     busiest = max(world.executors.values(), key=lambda e: len(e.life.runs))
     leaves_s = time.monotonic() + REMAINING_S
     busiest.state = "draining"
-    busiest.remaining_ms = int(REMAINING_S * 1000)
+    busiest.leaves_s = leaves_s
     busiest.check_in_now()
     await asyncio.sleep(0.5)
     if trouble:
--- a/review/standins.py
+++ b/review/standins.py
@@ -330,6 +330,7 @@
 
     :ivar cut: it is partitioned from everybody: calls are neither carried
         out nor answered, and nothing reaches the store.
+    :ivar leaves_s: when it leaves at the earliest; None if it doesn't.
     :ivar stop_s: how long a stopped run takes to end.
     :ivar how: returns how a task ends once it has worked.
     :param run_s: returns how long a task works, in seconds.
@@ -345,7 +346,7 @@
         self.run_s = run_s
         self.how = lambda task: "done"
         self.state = "ready"
-        self.remaining_ms: int | None = None
+        self.leaves_s: float | None = None
         self.cut = False
         self.up = True
         self.stop_s = 0.0
@@ -402,19 +403,22 @@
             "born": self.life.born,
             "machine": f"m-{self.executor_id}",
         }
-        if self.remaining_ms is not None:
-            entry["remaining_ms"] = self.remaining_ms
         text = json.dumps(entry).encode()
         key = f"servers/{self.executor_id}"
-        if text != self._written or self.world.store.value(key) is None:
-            self._written = text
-            self._sequence += 1
-            value = json.dumps({**entry, "sequence": self._sequence}).encode()
-            self.world.store.put(key, value)
-            self.world.record.note(
-                f"{self.executor_id}: entry written, state {self.state}, "
-                f"born {self.life.born}"
-            )
+        if text == self._written and self.world.store.value(key) is not None:
+            return
+        self._written = text
+        self._sequence += 1
+        entry["sequence"] = self._sequence
+        if self.leaves_s is not None:
+            left_s = max(0.0, self.leaves_s - time.monotonic())
+            entry["remaining_ms"] = int(left_s * 1000)
+        self.world.store.put(key, json.dumps(entry).encode())
+        self.world.record.note(
+            f"{self.executor_id}: entry written, state {self.state}, "
+            f"born {self.life.born}, "
+            f"remaining_ms {entry.get('remaining_ms', '-')}"
+        )
 
     def expire_entry(self) -> None:
         """Remove its entry after three check-in intervals of silence."""
