Give executors their capacity and awaited ones a module of their own

Change: properties of model.Executor; AwaitedExecutors tracks executors that a former owner used. No behaviour changes.

--- a/src/knapweedwharf/fleet/model.py
+++ b/src/knapweedwharf/fleet/model.py
@@ -8,6 +8,7 @@
 from collections import abc
 import dataclasses
 
+from knapweedwharf.core import amount
 from knapweedwharf.fleet import capacity as capacity_module
 
 READY = "ready"
@@ -210,6 +211,18 @@
         """The rack, or the executor's id if no rack is given."""
         return self.labels[1] if len(self.labels) > 1 else self.executor_id
 
+    @property
+    def capacity(self) -> amount.Amount:
+        """What its runs may take together."""
+        return amount.Amount(
+            self.accelerators, self.cores_milli, self.memory_mib
+        )
+
+    @property
+    def is_draining(self) -> bool:
+        """Whether it will leave and gets no new work."""
+        return self.state == DRAINING
+
 
 MACHINE_UP = "up"
 MACHINE_MOVING = "moving"
--- a/src/knapweedwharf/fleet/orders.py
+++ b/src/knapweedwharf/fleet/orders.py
@@ -185,8 +185,7 @@
             may_start = await self._may_start()
             if not may_start or member.phase != attempt_module.ORDERED:
                 return None
-            is_leaving = session.executor.state == model.DRAINING
-            if attempt.must_stop or is_leaving:
+            if attempt.must_stop or session.executor.is_draining:
                 return None
             sent_s = clock.elapsed_s()
             member.sent_s = member.sent_s or sent_s
--- a/src/knapweedwharf/fleet/registry.py
+++ b/src/knapweedwharf/fleet/registry.py
@@ -11,8 +11,8 @@
 from knapweedwharf.core import event
 from knapweedwharf.core import model as core_model
 from knapweedwharf.fleet import answer_times as answer_times_module
+from knapweedwharf.fleet import awaited_executors
 from knapweedwharf.fleet import clients as clients_module
-from knapweedwharf.fleet import clock
 from knapweedwharf.fleet import executor_loss
 from knapweedwharf.fleet import model
 from knapweedwharf.fleet import session as session_module
@@ -31,6 +31,7 @@
     :param resized: called when an executor that may get work has another
         capacity.
     :ivar sessions: by executor id.
+    :ivar awaited: executors that a former owner used, until they are seen.
     :ivar answer_times: how long the executors take to answer.
     """
 
@@ -54,7 +55,9 @@
         self._on_resized = resized
         self._log = log.get("registry")
         self._announced: dict[str, model.Executor] = {}
-        self._expected: dict[str, float] = {}
+        self.awaited = awaited_executors.AwaitedExecutors(
+            process_config.bounds
+        )
         self._unlisted: dict[str, None] = {}
         self._malformed: dict[str, int] = {}
         """Revision of each entry that could not be decoded."""
@@ -82,10 +85,6 @@
         await asyncio.gather(*(session.close() for session in sessions))
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
-    def expect_runs_on(self, executor_id: str) -> None:
-        """Await an executor on which earlier runs may be alive."""
-        self._expected[executor_id] = clock.elapsed_s()
-
     # Entries
 
     def _on_listing(self, listing: model.Listing) -> None:
@@ -139,7 +138,7 @@
 
     def _apply_entry(self, executor: model.Executor, revision: int) -> None:
         executor_id = executor.executor_id
-        self._expected.pop(executor_id, None)
+        self.awaited.discard(executor_id)
         self._unlisted.pop(executor_id, None)
         former = ""
         if executor.machine_id:
@@ -154,15 +153,15 @@
             self._open_session(executor, revision, former=former)
             return
         was_ready = session.executor.state == model.READY
-        before = _capacity_of(session.executor)
+        before = session.executor.capacity
         is_ready = executor.state == model.READY
         session.executor = executor
         session.listed = True
-        if _capacity_of(executor) != before:
+        if executor.capacity != before:
             self._log_resized(executor, before, revision)
             if executor_id in self._announced and is_ready:
                 self._on_resized(session)
-        if was_ready and executor.state == model.DRAINING:
+        if was_ready and executor.is_draining:
             self._log.info(
                 "executor-draining",
                 executor=executor_id,
@@ -181,7 +180,7 @@
             executor=executor.executor_id,
             revision=revision,
             before=dataclasses.asdict(before),
-            after=dataclasses.asdict(_capacity_of(executor)),
+            after=dataclasses.asdict(executor.capacity),
             used=dataclasses.asdict(self._used_on(executor)),
             age_s=round(age_s, 3) if age_s < math.inf else None,
         )
@@ -272,7 +271,7 @@
     def _how_lost(self, session: session_module.Session, how: str) -> str:
         """Return how an executor was lost, whatever showed the loss."""
         is_planned = (
-            session.executor.state == model.DRAINING
+            session.executor.is_draining
             or session.executor_id in self._retired
         )
         return executor_loss.LEFT if is_planned else how
@@ -310,7 +309,7 @@
         :returns: whether the engine was told anything new.
         """
         executor = session.executor
-        if executor.state == model.DRAINING:
+        if executor.is_draining:
             self._report_leaving(session)
         usable = (
             session.listed
@@ -350,29 +349,10 @@
             session = self.sessions.get(executor_id)
             if session is None:
                 del self._unlisted[executor_id]
-            elif session.is_silent and (
-                session.executor.state == model.DRAINING
-            ):
+            elif session.is_silent and session.executor.is_draining:
                 del self._unlisted[executor_id]
                 self._discard_session(session, executor_loss.LEFT)
 
-    def pop_lapsed(self) -> list[str]:
-        """Remove and return awaited executors whose runs have surely ended."""
-        lapse_s = session_module.lapse_after_s(self._process_config.bounds)
-        oldest_s = clock.elapsed_s() - lapse_s
-        gone = [
-            e for e, since_s in self._expected.items() if since_s < oldest_s
-        ]
-        for executor_id in gone:
-            del self._expected[executor_id]
-        return gone
-
-
-def _capacity_of(executor: model.Executor) -> amount.Amount:
-    return amount.Amount(
-        executor.accelerators, executor.cores_milli, executor.memory_mib
-    )
-
 
 def _has_restarted(known: model.Executor, seen: model.Executor) -> bool:
     return (
--- a/src/knapweedwharf/fleet/reports.py
+++ b/src/knapweedwharf/fleet/reports.py
@@ -108,7 +108,7 @@
             )
             if held is None:
                 size = self._scheduling_state.size_of_task(run.task_id)
-                taken = taken + (size or _whole(executor))
+                taken = taken + (size or executor.capacity)
         before = self._untracked.pop(executor.executor_id, amount.NOTHING)
         if taken != amount.NOTHING:
             self._untracked[executor.executor_id] = taken
@@ -329,9 +329,3 @@
         and placed_on != 0
         and placed_on != session.executor.incarnation_ms
     )
-
-
-def _whole(executor: model.Executor) -> amount.Amount:
-    return amount.Amount(
-        executor.accelerators, executor.cores_milli, executor.memory_mib
-    )
--- a/src/knapweedwharf/fleet/tenure.py
+++ b/src/knapweedwharf/fleet/tenure.py
@@ -295,7 +295,7 @@
         await self._intake.loaded.wait()
         for attempt in self.scheduling_state.attempts.values():
             for member in attempt.members.values():
-                self.registry.expect_runs_on(member.executor_id)
+                self.registry.awaited.add(member.executor_id)
         await self.registry.start()
         await self._maintenance.start()
         await self._pools.start()
@@ -320,7 +320,7 @@
 
     def _tick(self) -> None:
         self.registry.tick()
-        for executor_id in self.registry.pop_lapsed():
+        for executor_id in self.registry.awaited.pop_lapsed():
             self._reports.executor_ended(executor_id, executor_loss.ABSENT)
         self._decider.tick()
         self._decider.event_times.tick()
