Keep what an executor runs since a restart that was not seen yet

What callers saw: tasks ran twice (TWICE). An executor that crashed was back under its id, and jobs that were started there before its new entry was seen ran again elsewhere, one after its end `done` and one beside the first run. Cause: an answer of another incarnation counted as a failed renewal, but only after its clock had been taken over and the failures cleared, so the executor never counted as silent and went on getting work. When the new entry came, all runs there counted as lost, also those that the new incarnation had started; its first ends were acknowledged by the numbers of the former one. Class: a change of identity that is seen at one place and not acted on. Change: an answer of another incarnation ends the session as an entry does; its successor gets no work until its entry is seen. A restart gives up what was never sent; the first report of the new incarnation tells what of the rest is lost. After a failed renewal nothing is acknowledged until the incarnation is known. An entry of a former incarnation is ignored, and a new address of the same one gives up nothing. Ruled out: to keep only a count of failures, so that the executor falls silent; a restart within 30 ms has one failure, and what was started in between would still be run again. Six of the nine cases of test_reborn_executor.py fail without the change.

--- a/src/knapweedwharf/fleet/attempt.py
+++ b/src/knapweedwharf/fleet/attempt.py
@@ -63,6 +63,11 @@
         """For how long its executor is known to have run it."""
         return max(0.0, self.listed_s - self.since_s) if self.since_s else 0.0
 
+    @property
+    def may_have_been_sent(self) -> bool:
+        """Whether its start may have reached an executor."""
+        return self.is_inherited or self.sent_s > 0.0
+
     def absence_means_ended(self, requested_s: float) -> bool:
         """Return whether a report without the run proves that it ended.
 
--- a/src/knapweedwharf/fleet/crashes.py
+++ b/src/knapweedwharf/fleet/crashes.py
@@ -36,6 +36,9 @@
 """Time at work after which a task's earlier crashes no longer count; a task
 that crashes an executor less often than this costs little."""
 
+RunKey = tuple[str, int]
+"""(task id, run number)"""
+
 Held = tuple[attempt_module.Attempt, attempt_module.Member]
 
 _Blame = tuple[attempt_module.Attempt, attempt_module.Member, workflow.Crash]
@@ -61,6 +64,9 @@
         """Parts by the executor's id and incarnation."""
         self._cut_off: dict[str, list[_Blame]] = {}
         """What counts by an executor's id once it turns out to be lost."""
+        self._restarted: dict[str, list[Held]] = {}
+        """What may have crashed an executor, until its next incarnation
+        reports."""
 
     def restore(self, flow: workflow.Workflow) -> None:
         """Take over what a former owner has counted for a job."""
@@ -87,16 +93,51 @@
         :param lost: the attempts and members that had not ended there.
         :param is_listed: the same incarnation is still listed in the store.
         """
+        self.restart_reported(executor_id, executor_loss.REBORN)
         blames = self._cut_off.pop(executor_id, [])
         if how == executor_loss.LEFT:
             return
-        blames.extend(_blames(executor_id, lost))
+        begun = [held for held in lost if _may_have_run(held[1])]
+        blames.extend(_blames(executor_id, begun))
         if how == executor_loss.LAPSED and is_listed:
             self._cut_off[executor_id] = blames
             return
         for attempt, member, crash in blames:
             self._count(attempt, member, crash, how)
 
+    def executor_restarted(
+        self, executor_id: str, held: abc.Iterable[Held]
+    ) -> None:
+        """Remember what may have crashed an executor that is back.
+
+        :param held: the attempts and members that had not ended there.
+        """
+        begun = [one for one in held if _may_have_run(one[1])]
+        self._restarted.setdefault(executor_id, []).extend(begun)
+
+    def restart_reported(
+        self,
+        executor_id: str,
+        how: str,
+        present: abc.Container[RunKey] = (),
+    ) -> None:
+        """Count the crash of an executor for the runs that ended with it.
+
+        :param how: how its former incarnation was lost.
+        :param present: what its current incarnation runs.
+        """
+        held = self._restarted.pop(executor_id, [])
+        if how == executor_loss.LEFT:
+            return
+        ended = [
+            (attempt, member)
+            for attempt, member in held
+            if member.phase != attempt_module.ENDED
+            and (member.task_id, attempt.run) not in present
+        ]
+        for attempt, member, crash in _blames(executor_id, ended):
+            self._count(attempt, member, crash, how)
+
     def _count(
         self,
         attempt: attempt_module.Attempt,
@@ -205,9 +246,8 @@
         self._tell_suspicion(job.service, part)
 
 
-def _blames(executor_id: str, lost: abc.Iterable[Held]) -> list[_Blame]:
-    """Return the runs that may have crashed an executor."""
-    begun = [held for held in lost if _may_have_run(held[1])]
+def _blames(executor_id: str, begun: list[Held]) -> list[_Blame]:
+    """Return which of the runs on a crashed executor may have crashed it."""
     new = [held for held in begun if _is_new(held[1])]
     return [
         (
@@ -231,8 +271,7 @@
         attempt_module.ORDERED,
         attempt_module.RUNNING,
     )
-    is_sent = member.is_inherited or member.sent_s > 0.0
-    return is_ordered and is_sent and not member.stopped_s
+    return is_ordered and member.may_have_been_sent and not member.stopped_s
 
 
 def _is_new(member: attempt_module.Member) -> bool:
--- a/src/knapweedwharf/fleet/orders.py
+++ b/src/knapweedwharf/fleet/orders.py
@@ -185,7 +185,7 @@
             may_start = await self._may_start()
             if not may_start or member.phase != attempt_module.ORDERED:
                 return None
-            if attempt.must_stop or session.executor.is_draining:
+            if attempt.must_stop or not session.takes_starts:
                 return None
             sent_s = clock.elapsed_s()
             member.sent_s = member.sent_s or sent_s
--- a/src/knapweedwharf/fleet/registry.py
+++ b/src/knapweedwharf/fleet/registry.py
@@ -28,8 +28,11 @@
 
     :param hooks: callbacks for the sessions' events.
     :param used_on: returns what attempts take on an executor.
-    :param resized: called when an executor that may get work has another
-        capacity.
+    :param changed: called when an executor that answers may get work anew
+        or has another capacity.
+    :param reborn: called when an executor's incarnation has ended and
+        another has followed, with how the first was lost. Runs on the
+        second may have been ordered from the first.
     :ivar sessions: by executor id.
     :ivar awaited: executors that a former owner used, until they are seen.
     :ivar answer_times: how long the executors take to answer.
@@ -43,7 +46,8 @@
         epoch: int,
         hooks: session_module.Hooks,
         used_on: abc.Callable[[model.Executor], amount.Amount],
-        resized: abc.Callable[[session_module.Session], None],
+        changed: abc.Callable[[session_module.Session], None],
+        reborn: abc.Callable[[session_module.Session, str], None],
     ) -> None:
         self._process_config = process_config
         self._client = clients.executors
@@ -52,7 +56,8 @@
         self._hooks = dataclasses.replace(hooks, gone=self._session_gone)
         self._on_gone = hooks.gone
         self._used_on = used_on
-        self._on_resized = resized
+        self._on_changed = changed
+        self._on_reborn = reborn
         self._log = log.get("registry")
         self._announced: dict[str, model.Executor] = {}
         self.awaited = awaited_executors.AwaitedExecutors(
@@ -138,20 +143,29 @@
 
     def _apply_entry(self, executor: model.Executor, revision: int) -> None:
         executor_id = executor.executor_id
+        session = self.sessions.get(executor_id)
+        if session is not None and _is_outdated(executor, session):
+            self._log.info(
+                "executor-entry-outdated",
+                executor=executor_id,
+                revision=revision,
+                incarnation_ms=executor.incarnation_ms,
+                current_ms=session.executor.incarnation_ms,
+            )
+            return
         self.awaited.discard(executor_id)
         self._unlisted.pop(executor_id, None)
         former = ""
         if executor.machine_id:
             former = self._by_machine.get(executor.machine_id, "")
             self._by_machine[executor.machine_id] = executor_id
-        session = self.sessions.get(executor_id)
-        if session is not None and _has_restarted(session.executor, executor):
-            self._log.warning("executor-reborn", executor=executor_id)
-            self._discard_session(session, executor_loss.REBORN)
-            session = None
         if session is None:
             self._open_session(executor, revision, former=former)
             return
+        if _has_restarted(session.executor, executor):
+            self._follow(session, executor, revision, seen_in="entry")
+            return
+        was_listed = session.listed
         was_ready = session.executor.state == model.READY
         before = session.executor.capacity
         is_ready = executor.state == model.READY
@@ -160,7 +174,9 @@
         if executor.capacity != before:
             self._log_resized(executor, before, revision)
             if executor_id in self._announced and is_ready:
-                self._on_resized(session)
+                self._on_changed(session)
+        if not was_listed and session.sealed and not session.is_silent:
+            self._on_changed(session)
         if was_ready and executor.is_draining:
             self._log.info(
                 "executor-draining",
@@ -185,20 +201,78 @@
             age_s=round(age_s, 3) if age_s < math.inf else None,
         )
 
+    def _session_reborn(
+        self, session: session_module.Session, incarnation_ms: int
+    ) -> None:
+        """Follow an incarnation that has answered before its entry is seen.
+
+        Its capacity and labels aren't known, so it gets no work yet.
+        """
+        if self.sessions.get(session.executor_id) is not session:
+            return
+        executor = dataclasses.replace(
+            session.executor,
+            incarnation_ms=incarnation_ms,
+            state=model.READY,
+            remaining_s=0.0,
+        )
+        self._follow(session, executor, 0, seen_in="answer")
+        self.sessions[session.executor_id].listed = False
+
+    def _follow(
+        self,
+        session: session_module.Session,
+        executor: model.Executor,
+        revision: int,
+        *,
+        seen_in: str,
+    ) -> None:
+        """Replace the session with an incarnation by one with the next."""
+        self._log.warning(
+            "executor-reborn",
+            executor=executor.executor_id,
+            seen_in=seen_in,
+            former_ms=session.executor.incarnation_ms,
+            incarnation_ms=executor.incarnation_ms,
+        )
+        how = self._how_lost(session, executor_loss.REBORN)
+        self._drop_session(session)
+        self._spawn(session.close())
+        self._on_reborn(session, how)
+        self._open_session(
+            executor,
+            revision,
+            ended=session.former.followed(session.executor, executor, how),
+        )
+
+    def _drop_session(self, session: session_module.Session) -> None:
+        session.is_dropped = True
+        del self.sessions[session.executor_id]
+        self._announced.pop(session.executor_id, None)
+        self.answer_times.forget(session.executor_id)
+
     def _open_session(
-        self, executor: model.Executor, revision: int, *, former: str = ""
+        self,
+        executor: model.Executor,
+        revision: int,
+        *,
+        former: str = "",
+        ended: session_module.Former = session_module.Former(),
     ) -> None:
         """Open a session.
 
         :param former: the executor that its machine was before, if known.
+        :param ended: the executor's incarnations before.
         """
         session = session_module.Session(
             executor=executor,
+            former=ended,
             client=self._client,
             epoch=self._epoch,
             bounds=self._process_config.bounds,
             hooks=self._hooks,
             answer_times=self.answer_times,
+            reborn=self._session_reborn,
         )
         self.sessions[executor.executor_id] = session
         self._retired.discard(executor.executor_id)
@@ -262,10 +336,8 @@
     def _discard_session(
         self, session: session_module.Session, how: str
     ) -> None:
-        self._announced.pop(session.executor_id, None)
-        self.sessions.pop(session.executor_id, None)
+        self._drop_session(session)
         self._spawn(session.close())
-        self.answer_times.forget(session.executor_id)
         self._on_gone(session, self._how_lost(session, how))
 
     def _how_lost(self, session: session_module.Session, how: str) -> str:
@@ -280,13 +352,11 @@
         """Remove a session; open another while the executor is listed."""
         if self.sessions.get(session.executor_id) is not session:
             return
-        del self.sessions[session.executor_id]
-        self._announced.pop(session.executor_id, None)
-        self.answer_times.forget(session.executor_id)
+        self._drop_session(session)
         self._on_gone(session, self._how_lost(session, how))
         if session.listed:
             retired = session.executor_id in self._retired
-            self._open_session(session.executor, 0)
+            self._open_session(session.executor, 0, ended=session.former)
             if retired:
                 self._retired.add(session.executor_id)
 
@@ -354,6 +424,12 @@
                 self._discard_session(session, executor_loss.LEFT)
 
 
+def _is_outdated(
+    seen: model.Executor, session: session_module.Session
+) -> bool:
+    return seen.incarnation_ms in session.former.incarnations_ms
+
+
 def _has_restarted(known: model.Executor, seen: model.Executor) -> bool:
     return (
         known.incarnation_ms != seen.incarnation_ms
--- a/src/knapweedwharf/fleet/reports.py
+++ b/src/knapweedwharf/fleet/reports.py
@@ -55,6 +55,8 @@
         self._late_ends = late_ends
         self._crashes = crashes
         self._untracked: dict[str, amount.Amount] = {}
+        self._reborn: set[str] = set()
+        """Executors whose current incarnation hasn't reported yet."""
         self._log = log.get("reports")
 
     def apply(
@@ -84,18 +86,30 @@
             and (member.task_id, attempt.run) not in present
             and member.absence_means_ended(requested_s)
         ]
-        self._crashes.executor_lost(
-            session.executor_id,
-            executor_loss.REBORN,
-            [held for held in absent if _was_on_former(session, held)],
-        )
+        self._lost_with_former(session, present, absent)
         for attempt, member in absent:
             self._mark_lost(attempt, member, changed)
         self._advance_all(changed)
+        self._forget_former(session)
         self._report_untracked(session, report)
         self._report_progress(session, report)
         self._pacing.adjust(session.executor_id, report.runs)
 
+    def _lost_with_former(
+        self,
+        session: session_module.Session,
+        present: set[crashes_module.RunKey],
+        absent: list[crashes_module.Held],
+    ) -> None:
+        """Log and count the runs that ended with a former incarnation."""
+        executor_id, how = session.executor_id, session.former.how
+        lost = [held for held in absent if _was_on_former(session, held)]
+        for attempt, member in lost:
+            self._log_lost(attempt, member, how, beside=len(lost) - 1)
+        self._crashes.restart_reported(executor_id, how, present)
+        inherited = [held for held in lost if held[1].is_inherited]
+        self._crashes.executor_lost(executor_id, how, inherited)
+
     def _report_untracked(
         self, session: session_module.Session, report: model.Report
     ) -> None:
@@ -235,29 +249,39 @@
         :param is_listed: the same incarnation is still listed in the store.
         """
         held = list(self._scheduling_state.members_on(executor_id))
-        lost = [
+        lost = self._unended_on(executor_id)
+        self._log_gone(executor_id, how, unheard_s, len(lost))
+        for attempt, member in lost:
+            self._log_lost(attempt, member, how, beside=len(lost) - 1)
+        self._crashes.executor_lost(
+            executor_id, how, lost, is_listed=is_listed
+        )
+        changed: ChangedAttempts = {}
+        for attempt, member in held:
+            self._mark_lost(attempt, member, changed)
+        self._advance_all(changed)
+
+    def _unended_on(self, executor_id: str) -> list[crashes_module.Held]:
+        return [
             (attempt, member)
-            for attempt, member in held
+            for attempt, member in self._scheduling_state.members_on(
+                executor_id
+            )
             if member.phase != attempt_module.ENDED
         ]
+
+    def _log_gone(
+        self, executor_id: str, how: str, unheard_s: float | None, runs: int
+    ) -> None:
         self._log.warning(
             "executor-gone",
             executor=executor_id,
             how=how,
             unheard_s=None if unheard_s is None else round(unheard_s, 3),
-            runs=len(lost),
+            runs=runs,
         )
         if how in _METRICS:
             self._sender.count(_METRICS[how])
-        for attempt, member in lost:
-            self._log_lost(attempt, member, how, beside=len(lost) - 1)
-        self._crashes.executor_lost(
-            executor_id, how, lost, is_listed=is_listed
-        )
-        changed: ChangedAttempts = {}
-        for attempt, member in held:
-            self._mark_lost(attempt, member, changed)
-        self._advance_all(changed)
 
     def _log_lost(
         self,
@@ -288,12 +312,46 @@
 
     def gone(self, session: session_module.Session, how: str) -> None:
         """Remove an executor on which nothing can run any more."""
-        unheard_s = None
-        if session.answered_s:
-            unheard_s = clock.elapsed_s() - session.answered_s
         self.executor_ended(
-            session.executor_id, how, unheard_s, is_listed=session.listed
+            session.executor_id,
+            how,
+            session.unheard_s,
+            is_listed=session.listed,
         )
+        self._remove(session)
+
+    def reborn(self, session: session_module.Session, how: str) -> None:
+        """Keep new work off an executor that has started again.
+
+        A start that was sent to the former one may have reached either, so
+        the first report of the new one tells which runs are lost.
+
+        :param session: the session with the former incarnation.
+        :param how: how that was lost; see ``executor_loss``.
+        """
+        executor_id = session.executor_id
+        held = self._unended_on(executor_id)
+        self._log_gone(executor_id, how, session.unheard_s, len(held))
+        self._crashes.executor_restarted(executor_id, held)
+        changed: ChangedAttempts = {}
+        for attempt, member in held:
+            if not member.may_have_been_sent:
+                self._mark_lost(attempt, member, changed)
+        self._advance_all(changed)
+        self._reborn.add(executor_id)
+        self.cordoned(session)
+
+    def _forget_former(self, session: session_module.Session) -> None:
+        """Let the engine start anew with an executor that has restarted."""
+        executor_id = session.executor_id
+        if executor_id not in self._reborn:
+            return
+        self._reborn.discard(executor_id)
+        if not self._unended_on(executor_id):
+            self._remove(session)
+
+    def _remove(self, session: session_module.Session) -> None:
+        self._reborn.discard(session.executor_id)
         self._untracked.pop(session.executor_id, None)
         gone = event.WorkerGone(session.executor_id)
         self._tell(session.executor.service, gone)
@@ -321,11 +379,7 @@
 def _was_on_former(
     session: session_module.Session, held: crashes_module.Held
 ) -> bool:
-    """Return whether a former owner placed a run on a former incarnation."""
-    attempt, member = held
+    """Return whether a run was placed on a former incarnation."""
+    attempt, _member = held
     placed_on = attempt.part.incarnations.get(session.executor_id, 0)
-    return (
-        member.is_inherited
-        and placed_on != 0
-        and placed_on != session.executor.incarnation_ms
-    )
+    return placed_on not in (0, session.executor.incarnation_ms)
--- a/src/knapweedwharf/fleet/session.py
+++ b/src/knapweedwharf/fleet/session.py
@@ -51,6 +51,9 @@
 """The same for calls to a silent executor; short, so that its return is seen
 before its lease ends."""
 
+MAX_FORMER_INCARNATIONS = 8
+"""An entry that is out of date is seconds old."""
+
 _FIRST_RETRY_S = 0.03
 _LONGEST_RETRY_S = 0.1
 
@@ -82,6 +85,29 @@
     is_busy: abc.Callable[[str], bool]
 
 
+@dataclasses.dataclass(frozen=True)
+class Former:
+    """What is known of an executor's incarnations before the current one.
+
+    :ivar how: how the last of them was lost; see ``executor_loss``.
+    :ivar incarnations_ms: when the newest of them began, in Unix
+        milliseconds; an entry of theirs is out of date.
+    """
+
+    how: str = executor_loss.REBORN
+    incarnations_ms: tuple[int, ...] = ()
+
+    def followed(
+        self, known: model.Executor, seen: model.Executor, how: str
+    ) -> Former:
+        """Return the same once ``seen`` has followed ``known``."""
+        born_ms = known.incarnation_ms
+        if born_ms in (0, seen.incarnation_ms):
+            return dataclasses.replace(self, how=how)
+        newest = (*self.incarnations_ms, born_ms)[-MAX_FORMER_INCARNATIONS:]
+        return Former(how, newest)
+
+
 def lapse_after_s(bounds: model.TimeLimits) -> float:
     """Return the time after which a lease has surely ended."""
     return bounds.max_lease_s * (1 + MAX_CLOCK_DRIFT_SHARE) + LAPSE_MARGIN_S
@@ -102,27 +128,34 @@
 class Session(background.Background):
     """Renews one executor's lease until it is gone.
 
+    :param reborn: called when another incarnation answers, with its start
+        in Unix milliseconds; the session then ends.
     :ivar executor: its newest entry.
     :ivar acknowledged_end: number up to which its ends are stored.
     :ivar seen_end: number up to which its ends were processed.
-    :ivar listed: whether its entry is in the store.
+    :ivar listed: whether the entry of this incarnation is in the store.
     :ivar is_silent: whether it does not answer now.
     :ivar needs_announcement: whether the engine considers it lost and
         must be told of its return.
     :ivar leaving_reported: whether the engine was told that it drains.
+    :ivar is_dropped: whether the executor is gone or has started again.
+    :ivar former: the executor's incarnations that are known to have ended.
     """
 
     def __init__(
         self,
         *,
         executor: model.Executor,
+        former: Former,
         client,
         epoch: int,
         bounds: model.TimeLimits,
         hooks: Hooks,
         answer_times: answer_times_module.AnswerTimes,
+        reborn: abc.Callable[[Session, int], None],
     ) -> None:
         self.executor = executor
+        self.former = former
         self.acknowledged_end = 0
         self.seen_end = 0
         self.listed = True
@@ -130,11 +163,13 @@
         self.is_silent = False
         self.needs_announcement = False
         self.leaving_reported = False
+        self.is_dropped = False
         self._client = client
         self._epoch = epoch
         self._bounds = bounds
         self._hooks = hooks
         self._answer_times = answer_times
+        self._reborn = reborn
         self._log = log.get("session").bind(executor=executor.executor_id)
         self._pending_acknowledgements: collections.deque[
             _PendingAcknowledgement
@@ -143,6 +178,7 @@
         self._clock_ms = 0
         self._clock_at_s = 0.0
         self._failures = 0
+        self._successor_ms = 0
         self._odd_rows = 0
         self._error = ""
         # A former owner may have extended the lease up to now.
@@ -154,9 +190,16 @@
         return self.executor.executor_id
 
     @property
-    def answered_s(self) -> float:
-        """When it last answered a renewal, or 0."""
-        return self._clock_at_s
+    def takes_starts(self) -> bool:
+        """Whether starts may be sent to it."""
+        return not self.is_dropped and not self.executor.is_draining
+
+    @property
+    def unheard_s(self) -> float | None:
+        """Time since it last answered a renewal, if it ever did."""
+        if not self._clock_at_s:
+            return None
+        return clock.elapsed_s() - self._clock_at_s
 
     def clock_ms(self, ahead_s: float = 0.0) -> int:
         """Return what the executor's clock will show ``ahead_s`` from now."""
@@ -258,6 +301,9 @@
             if isinstance(fault, errors.Fenced):
                 self._hooks.fenced()
                 return
+            if self._successor_ms:
+                self._reborn(self, self._successor_ms)
+                return
             self._count_failure(fault)
             if self._has_lapsed():
                 self._hooks.gone(self, executor_loss.LAPSED)
@@ -307,7 +353,8 @@
             self.executor,
             epoch=self._epoch,
             lease_until_ms=until_ms,
-            acknowledged_end=self.acknowledged_end,
+            # Another incarnation may answer, whose ends are numbered anew.
+            acknowledged_end=0 if self._failures else self.acknowledged_end,
             wait_s=wait_s,
             timeout_s=self._answer_times.timeout_s(
                 PROBE_TIMEOUT_S if self._failures else RENEWAL_TIMEOUT_S
@@ -319,15 +366,17 @@
         if isinstance(answer, result.Failure):
             return answer.failure()
         report = answer.unwrap()
-        self._clock_ms = report.clock_ms
-        self._clock_at_s = clock.elapsed_s()
-        self._failures = 0
         born = self.executor.incarnation_ms
         if born and report.incarnation_ms not in (0, born):
+            if report.incarnation_ms not in self.former.incarnations_ms:
+                self._successor_ms = report.incarnation_ms
             return errors.Unreachable(
                 message="Another incarnation answered.",
                 remedy="Wait for its new entry.",
             )
+        self._clock_ms = report.clock_ms
+        self._clock_at_s = clock.elapsed_s()
+        self._failures = 0
         if self.is_silent:
             self._log.info("executor-regained")
         self.is_silent = False
--- a/src/knapweedwharf/fleet/tenure.py
+++ b/src/knapweedwharf/fleet/tenure.py
@@ -100,7 +100,8 @@
             epoch=ownership.epoch,
             hooks=self._hooks(),
             used_on=lambda executor: self._decider.used_on(executor),
-            resized=self._announce,
+            changed=self._announce,
+            reborn=lambda session, how: self._reports.reborn(session, how),
         )
         self._connect(desired)
 
--- a/testing/fleet/scene.py
+++ b/testing/fleet/scene.py
@@ -220,11 +220,13 @@
         *,
         back_s: float | None = None,
         renamed: bool = False,
+        listed_after_s: float = 0.0,
     ) -> None:
         """Crash an executor.
 
         :param back_s: after how many seconds it is back; None for never.
         :param renamed: whether it is back under another id.
+        :param listed_after_s: time from its return to its new entry.
         """
         executor = self.pool.executors[executor_id]
         now_s = asyncio.get_running_loop().time()
@@ -232,7 +234,9 @@
         await executor.crash()
         self._spawn(self._unlist_crashed(executor))
         if back_s is not None:
-            self._spawn(self._return_crashed(executor, back_s, renamed))
+            self._spawn(
+                self._return_crashed(executor, back_s, renamed, listed_after_s)
+            )
 
     async def _crashed_by_task(
         self,
@@ -262,6 +266,7 @@
         executor: fleet_executors.FakeExecutor,
         back_s: float,
         renamed: bool,
+        listed_after_s: float,
     ) -> None:
         await asyncio.sleep(back_s)
         self._incarnations += 1
@@ -274,6 +279,7 @@
             incarnation_ms=self._incarnations,
         )
         self.pool.add(spec)
+        await asyncio.sleep(listed_after_s)
         await self.list_executor(spec)
 
     async def list_executor(self, spec: model.Executor) -> None:
