Blame steps that fail everywhere, and bound how many executors back off

One job of 94 tasks that all fail kept 24 executors from any start for 16 s or longer, as did a burst of 30 small ones. Cause: each failed run doubled its executor's back-off, up to a minute, also failures of one step and side by side, and also those of jobs that were known to be at fault. Nothing bounded the share of executors in back-off. Class: one cause that is counted many times, and a protection against single faulty executors without a bound on what it takes of the service. Change: a step that failed on three executors and on half of those it was tried on is at fault, and what its failures caused is withdrawn. At most a third of the executors are kept from work by failures, the worst ones. Also: a refused start during the last probation of an executor left an entry without a history, which broke each later tick of the engine. Ruled out: not to count failures during a back-off; executors that fail everything would use up the attempts of sound jobs.

--- a/src/knapweedwharf/core/hardware.py
+++ b/src/knapweedwharf/core/hardware.py
@@ -10,6 +10,7 @@
 from knapweedwharf.core import ledger
 from knapweedwharf.core import lifecycle
 from knapweedwharf.core import model
+from knapweedwharf.core import quarantine as quarantine_module
 from knapweedwharf.core import record as record_module
 from knapweedwharf.core import state as state_module
 from knapweedwharf.core import topology as topology_module
@@ -200,7 +201,8 @@
     def start_refused(self, worker_id: str) -> None:
         """Put a worker that refused a start in back-off."""
         if worker_id in self._state.topology.workers:
-            self._back_off(worker_id)
+            self._state.quarantine.record_refusal(worker_id, self._state.now_s)
+            self._state.topology.exclude(worker_id, topology_module.REFUSED)
 
     def record_outcome(self, happened: event.TaskEnded) -> None:
         """Record the end of a task in its worker's failure history."""
@@ -208,8 +210,9 @@
         worker_id = happened.worker_id
         if happened.lapsed or worker_id not in state.topology.workers:
             return
+        record = state.job_of_attempt(happened.attempt_id)
         if happened.succeeded:
-            if state.quarantine.record_success(worker_id):
+            if state.quarantine.record_success(worker_id, record.job):
                 state.topology.lift_exclusion(
                     worker_id, topology_module.QUARANTINE
                 )
@@ -218,19 +221,27 @@
                     worker_id, "trusted", "Its probation has ended."
                 )
             return
-        record = state.job_of_attempt(happened.attempt_id)
         policy = state.configuration.policy
-        due = state.quarantine.record_failure(
-            worker_id, record.job, policy, accounts=len(state.holding)
-        )
-        if due and state.quarantine.may_quarantine(
+        verdict = state.quarantine.record_failure(
             worker_id,
-            workers=len(state.topology.workers),
-            share=policy.quarantine_share,
+            record.job,
+            policy,
+            accounts=len(state.holding),
+            now_s=state.now_s,
+        )
+        if verdict == quarantine_module.JOB_AT_FAULT:
+            self._end_back_offs()
+            return
+        if verdict == quarantine_module.QUARANTINE and (
+            state.quarantine.may_quarantine(
+                worker_id,
+                workers=len(state.topology.workers),
+                share=policy.quarantine_share,
+            )
         ):
             self._quarantine(worker_id, policy)
         else:
-            self._back_off(worker_id)
+            self._back_off_failing(worker_id)
 
     def tick(self) -> None:
         """End quarantines and back-offs whose time is over."""
@@ -242,8 +253,7 @@
                 "Its quarantine has ended; it may run one task at first.",
             )
             state.waiting.wake_all()
-        for worker_id in state.quarantine.end_back_offs(state.now_s):
-            state.topology.lift_exclusion(worker_id, topology_module.REFUSED)
+        self._end_back_offs()
         oldest_s = state.now_s - state.configuration.policy.quarantine_s
         for worker_id, since_s in list(self._stalled_since_s.items()):
             if since_s < oldest_s:
@@ -303,10 +313,19 @@
         text = f"Jobs failed on it; quarantined until {until_s:.0f} s."
         self._report_standing(worker_id, "quarantined", text)
 
-    def _back_off(self, worker_id: str) -> None:
+    def _back_off_failing(self, worker_id: str) -> None:
+        """Place nothing on a worker on which a task failed, for a while."""
         state = self._state
-        state.quarantine.record_refusal(worker_id, state.now_s)
-        state.topology.exclude(worker_id, topology_module.REFUSED)
+        if state.quarantine.back_off(
+            worker_id, now_s=state.now_s, workers=len(state.topology.workers)
+        ):
+            state.topology.exclude(worker_id, topology_module.REFUSED)
+        self._end_back_offs()
+
+    def _end_back_offs(self) -> None:
+        state = self._state
+        for worker_id in state.quarantine.end_back_offs(state.now_s):
+            state.topology.lift_exclusion(worker_id, topology_module.REFUSED)
 
     def _report_standing(
         self, worker_id: str, standing: str, text: str
--- a/src/knapweedwharf/core/model.py
+++ b/src/knapweedwharf/core/model.py
@@ -255,6 +255,11 @@
     after_s: float = 0.0
     is_suspect: bool = False
 
+    @property
+    def step(self) -> str:
+        """The step of which it is a part, or itself if there is none."""
+        return self.spread_group or self.job_id
+
     @property
     def accelerators(self) -> int:
         """Accelerators of the whole gang."""
--- a/src/knapweedwharf/core/quarantine.py
+++ b/src/knapweedwharf/core/quarantine.py
@@ -1,10 +1,15 @@
 """Quarantine of workers on which tasks fail, and their probation.
 
 A job that failed on a worker counts against the worker unless the job
-has failed on several workers: then the job is at fault. A worker is
-quarantined once enough jobs failed on it, which must belong to at least
-two accounts if that many have work. It returns on probation, which
-allows one task at first and twice as many after each success.
+has failed on several workers, or its step on most of those it was tried
+on: then the job is at fault. A worker is quarantined once enough jobs
+failed on it, which must belong to at least two accounts if that many have
+work. It returns on probation, which allows one task at first and twice as
+many after each success.
+
+Until then each failure makes the worker back off, longer each time. If
+tasks fail on more workers than may be faulty at once, only the worst of
+them back off.
 """
 
 from __future__ import annotations
@@ -13,6 +18,7 @@
 import dataclasses
 
 from knapweedwharf.core import model
+from knapweedwharf.core import step_failures
 
 MIN_WORKERS_TO_BLAME_JOB = 3
 """A job that failed on so many workers is at fault itself."""
@@ -21,11 +27,21 @@
 PROBATION_END_TASKS = 8
 """Probation ends once more tasks than this would be allowed at once."""
 
-REFUSAL_PAUSE_S = 1.0
-MAX_REFUSAL_PAUSE_S = 60.0
+BACK_OFF_S = 1.0
+MAX_BACK_OFF_S = 60.0
+MAX_BACKED_OFF_SHARE = 1 / 3
+"""Share of the workers that may be kept from work by failures; if tasks fail
+on more, the jobs are more likely at fault."""
+
 MAX_JOBS_REMEMBERED = 4000
 
 
+JOB_AT_FAULT = "job-at-fault"
+BACK_OFF = "back-off"
+QUARANTINE = "quarantine"
+"""Verdicts on a failure."""
+
+
 @dataclasses.dataclass(slots=True)
 class FailureHistory:
     """Failure history of a worker.
@@ -35,6 +51,9 @@
     :ivar until_s: end of the quarantine; 0 before the first.
     :ivar probation_tasks: tasks allowed at once; 0 sets no limit.
     :ivar refused_until_s: end of the back-off after a refused start.
+    :ivar failures: number of failures here by step, since the last success.
+    :ivar failed_s: time of the last failure.
+    :ivar failed_until_s: end of the back-off after failures.
     """
 
     failed_jobs: dict[str, str] = dataclasses.field(default_factory=dict)
@@ -43,6 +62,19 @@
     probation_tasks: int = 0
     refusals: int = 0
     refused_until_s: float = 0.0
+    failures: dict[str, int] = dataclasses.field(default_factory=dict)
+    failed_s: float = 0.0
+    failed_until_s: float = 0.0
+
+    @property
+    def backs_off_until_s(self) -> float:
+        """End of the back-off; 0 before the first."""
+        return max(self.refused_until_s, self.failed_until_s)
+
+    @property
+    def failure_count(self) -> int:
+        """Number of failures here since the last success."""
+        return sum(self.failures.values())
 
 
 class Quarantine:
@@ -52,6 +84,7 @@
         self._histories: dict[str, FailureHistory] = {}
         self._failed_on: dict[str, dict[str, None]] = {}
         self._backing_off: dict[str, None] = {}
+        self._steps = step_failures.StepFailures()
         self._quarantined: dict[str, None] = {}
         self.probation: dict[str, None] = {}
 
@@ -60,6 +93,13 @@
         """Whether any worker is in quarantine or in back-off."""
         return bool(self._quarantined or self._backing_off)
 
+    def record_start(
+        self, job: model.JobSpec, places: abc.Iterable[model.Assignment]
+    ) -> None:
+        """Record that a job begins at places."""
+        workers = [place.worker_id for place in places]
+        self._steps.record_start(job.step, workers)
+
     def record_failure(
         self,
         worker_id: str,
@@ -67,33 +107,49 @@
         policy: model.PolicySpec,
         *,
         accounts: int,
-    ) -> bool:
-        """Record a failure; return whether quarantine is due.
+        now_s: float,
+    ) -> str:
+        """Record a failure; return the verdict on it.
 
         :param accounts: accounts that have jobs here now.
         """
+        self._steps.record_end(job.step, worker_id, succeeded=False)
         places = self._failed_on.setdefault(job.job_id, {})
         places[worker_id] = None
         if len(self._failed_on) > MAX_JOBS_REMEMBERED:
             del self._failed_on[next(iter(self._failed_on))]
-        history = self._history(worker_id)
-        if history.probation_tasks:
-            return True
+        if self._steps.is_at_fault(job.step):
+            self._absolve_workers(job.step)
+            return JOB_AT_FAULT
         if len(places) >= MIN_WORKERS_TO_BLAME_JOB:
             self._clear_job(job.job_id, places)
-            return False
+            return JOB_AT_FAULT
+        history = self._history(worker_id)
+        history.failures[job.step] = history.failures.get(job.step, 0) + 1
+        history.failed_s = now_s
+        if history.probation_tasks:
+            return QUARANTINE
         history.failed_jobs[job.job_id] = job.account
         blaming = set(history.failed_jobs.values())
-        return len(history.failed_jobs) >= policy.quarantine_failures and len(
-            blaming
-        ) >= min(2, accounts)
+        enough = len(history.failed_jobs) >= policy.quarantine_failures
+        if enough and len(blaming) >= min(2, accounts):
+            return QUARANTINE
+        return BACK_OFF
+
+    def _absolve_workers(self, step: str) -> None:
+        """Withdraw what the failures of a step have caused."""
+        for history in self._histories.values():
+            if history.failures.pop(step, 0):
+                history.failed_until_s = _failed_until_s(history)
 
-    def record_success(self, worker_id: str) -> bool:
+    def record_success(self, worker_id: str, job: model.JobSpec) -> bool:
         """Record a success; return whether it ends the probation."""
+        self._steps.record_end(job.step, worker_id, succeeded=True)
         history = self._histories.get(worker_id)
         if history is None:
             return False
         history.failed_jobs.clear()
+        history.failures.clear()
         history.refusals = 0
         if not history.probation_tasks:
             return False
@@ -101,8 +157,8 @@
         if history.probation_tasks <= PROBATION_END_TASKS:
             return False
         history.probation_tasks = 0
+        history.times = 0
         self.probation.pop(worker_id, None)
-        del self._histories[worker_id]
         return True
 
     def may_quarantine(
@@ -140,17 +196,45 @@
     def record_refusal(self, worker_id: str, now_s: float) -> None:
         """Record a refused start, with exponential back-off."""
         history = self._history(worker_id)
-        pause_s = REFUSAL_PAUSE_S * 2 ** min(history.refusals, 10)
         history.refusals += 1
-        history.refused_until_s = now_s + min(pause_s, MAX_REFUSAL_PAUSE_S)
+        history.refused_until_s = now_s + _pause_s(history.refusals)
+        self._backing_off[worker_id] = None
+
+    def back_off(self, worker_id: str, *, now_s: float, workers: int) -> bool:
+        """Begin or extend a back-off after a failure, if one more may.
+
+        A worker with fewer failures than this one ends its own instead.
+
+        :param workers: number of workers.
+        :returns: whether the worker is in back-off now.
+        """
+        history = self._history(worker_id)
+        failing = [
+            other
+            for other in self._backing_off
+            if self._histories[other].failed_until_s > now_s
+        ]
+        kept_off = {*failing, *self._quarantined, *self.probation}
+        most = max(1, int(workers * MAX_BACKED_OFF_SHARE))
+        if len(kept_off - {worker_id}) >= most:
+            least = min(
+                failing,
+                key=lambda other: self._histories[other].failure_count,
+                default=worker_id,
+            )
+            if self._histories[least].failure_count >= history.failure_count:
+                return False
+            self._histories[least].failed_until_s = now_s
+        history.failed_until_s = _failed_until_s(history)
         self._backing_off[worker_id] = None
+        return True
 
     def end_back_offs(self, now_s: float) -> list[str]:
-        """Return workers whose back-off after a refusal has ended."""
+        """Return workers whose back-off has ended."""
         over = [
             worker_id
             for worker_id in self._backing_off
-            if self._histories[worker_id].refused_until_s <= now_s
+            if self._histories[worker_id].backs_off_until_s <= now_s
         ]
         for worker_id in over:
             del self._backing_off[worker_id]
@@ -184,3 +268,13 @@
             history = self._histories.get(worker_id)
             if history is not None:
                 history.failed_jobs.pop(job_id, None)
+
+
+def _pause_s(times: int) -> float:
+    """Return the length of a back-off after so many refusals or failures."""
+    return min(BACK_OFF_S * 2 ** min(times - 1, 10), MAX_BACK_OFF_S)
+
+
+def _failed_until_s(history: FailureHistory) -> float:
+    count = history.failure_count
+    return history.failed_s + _pause_s(count) if count else 0.0
--- a/src/knapweedwharf/core/state.py
+++ b/src/knapweedwharf/core/state.py
@@ -364,6 +364,7 @@
             if place.task_index not in record.ended_tasks
         ]
         self.topology.occupy(record.attempt_id, places)
+        self.quarantine.record_start(job, places)
         self.suspects.update(record)
         self.used[job.account] = (
             self.used.get(job.account, 0) + job.accelerators
--- a/testing/fleet/test_disruptions.py
+++ b/testing/fleet/test_disruptions.py
@@ -55,6 +55,25 @@
     scene_module.run_on_virtual_time(main, monkeypatch)
 
 
+def test_one_wide_job_that_always_fails_keeps_no_others_from_running(
+    monkeypatch,
+):
+    """Its tasks fail on all executors, several on each at the same time."""
+
+    async def main(scene):
+        await scene.open(vms=2, executors=12, attempts=4)
+        (hopeless,) = await _submit_all(
+            scene, 1, step(tasks=60), behaviour={"ends": model.FAILED}
+        )
+        await asyncio.sleep(2.0)
+        for _number in range(10):
+            (job_id,) = await _submit_all(scene, 1, step(tasks=3))
+            await scene.until_state(job_id, workflow.COMPLETED, within_s=4.0)
+        await scene.until_state(hopeless, workflow.FAILED)
+
+    scene_module.run_on_virtual_time(main, monkeypatch)
+
+
 def test_jobs_that_fit_no_executor_are_told_and_harm_no_others(monkeypatch):
     async def main(scene):
         await scene.open(vms=2, executors=2)
