Write the count of pending jobs on condition of the one before

Cause: a write of the count got no answer and was carried out 5 s later, after a newer one. Its only condition was the owner's epoch, and nothing read the count back. Class: a write without a condition on what it replaces. The status of a maintenance wave had the same fault: `completed` became `active` again. Change: VersionedValue writes a key on condition of its last revision and learns it from a conflict; the count, the status and the record of waves use it. Ruled out: to write the count again from time to time; it shows a wrong one in between and costs calls for ever. Evidence: the late writes in test_job_lifecycle.py and test_maintenance.py fail without the change.

--- a/src/knapweedwharf/fleet/maintenance.py
+++ b/src/knapweedwharf/fleet/maintenance.py
@@ -24,6 +24,7 @@
 from knapweedwharf.fleet import model
 from knapweedwharf.fleet import records
 from knapweedwharf.fleet import session as session_module
+from knapweedwharf.fleet import versioned_value
 from knapweedwharf import log
 
 TICK_S = 0.25
@@ -47,7 +48,8 @@
 class _WaveProgress:
     """Progress of a wave under this owner and earlier ones.
 
-    :ivar revision: revision of its record; 0 if there is none yet.
+    :ivar record: its record, which owners read back.
+    :ivar status: what the operator reads of it.
     :ivar begun: machines ordered down, and the executor incarnation that
         each had.
     :ivar finished: machines that are back or have left for good.
@@ -58,7 +60,8 @@
 
     wave: model.MaintenanceWave
     seen_s: float
-    revision: int = 0
+    record: versioned_value.VersionedValue
+    status: versioned_value.VersionedValue
     begun: dict[str, str] = dataclasses.field(default_factory=dict)
     finished: set[str] = dataclasses.field(default_factory=set)
     drain_deadlines: dict[str, float] = dataclasses.field(default_factory=dict)
@@ -156,38 +159,37 @@
     # Records
 
     async def _load(self, wave: model.MaintenanceWave) -> errors.Fault | None:
-        read = await self._store.read(records.wave_key(wave.number))
+        key = records.wave_key(wave.number)
+        read = await self._store.read(key)
         if isinstance(read, result.Failure):
             return read.failure()
-        progress = _WaveProgress(wave, clock.elapsed_s())
         item = read.unwrap()
+        status_key, _value = self._store_schema.wave_status(wave.number, False)
+        progress = _WaveProgress(
+            wave,
+            clock.elapsed_s(),
+            record=self._value_at(key, item.revision if item else 0),
+            status=self._value_at(status_key),
+        )
         if item is not None:
-            progress.revision = item.revision
             progress.begun, progress.finished = records.load_wave(item.value)
         self._waves[wave.number] = progress
         return None
 
     async def _save(self, progress: _WaveProgress) -> errors.Fault | None:
-        key = records.wave_key(progress.wave.number)
         value = records.dump_wave(progress.begun, progress.finished)
-        saved = await self._commit(
-            {key: progress.revision}, model.Write(key, value)
+        saved = await progress.record.write(value)
+        return saved.swap().value_or(None)
+
+    def _value_at(
+        self, key: str, revision: int = 0
+    ) -> versioned_value.VersionedValue:
+        return versioned_value.VersionedValue(
+            self._store,
+            key,
+            epoch_revision=self._ownership.revision,
+            revision=revision,
         )
-        if isinstance(saved, result.Success):
-            progress.revision = saved.unwrap()
-            return None
-        if isinstance(saved.failure(), errors.Conflict):
-            # Only owners write this key, so the write is an own one whose
-            # answer was lost.
-            item = saved.failure().mismatch.current.get(key)
-            progress.revision = item.revision if item else 0
-        return saved.failure()
-
-    async def _commit(
-        self, expected: dict[str, int], write: model.Write
-    ) -> result.Result[int, errors.Fault]:
-        expected = {records.EPOCH_KEY: self._ownership.revision, **expected}
-        return await self._store.commit(model.Commit(expected, (write,)))
 
     async def _publish_status(
         self, progress: _WaveProgress
@@ -196,10 +198,10 @@
         complete = progress.is_complete
         if progress.published == complete:
             return None
-        key, value = self._store_schema.wave_status(
+        _key, value = self._store_schema.wave_status(
             progress.wave.number, complete
         )
-        written = await self._commit({}, model.Write(key, value))
+        written = await progress.status.write(value)
         if isinstance(written, result.Failure):
             return written.failure()
         progress.published = complete
--- a/src/knapweedwharf/fleet/tenure.py
+++ b/src/knapweedwharf/fleet/tenure.py
@@ -40,6 +40,7 @@
 from knapweedwharf.fleet import start_delay as start_delay_module
 from knapweedwharf.fleet import start_window as start_window_module
 from knapweedwharf.fleet import take_over as take_over_module
+from knapweedwharf.fleet import versioned_value
 from knapweedwharf.fleet import waiting_report as waiting_report_module
 from knapweedwharf import log
 from knapweedwharf import metrics
@@ -352,6 +353,11 @@
 
     async def _publish_forever(self) -> None:
         await self._intake.loaded.wait()
+        counts = versioned_value.VersionedValue(
+            self._clients.store,
+            records.PENDING_KEY,
+            epoch_revision=self._ownership.revision,
+        )
         while await self._election.may_order():
             await asyncio.sleep(PENDING_INTERVAL_S)
             pending = self.scheduling_state.pending()
@@ -359,18 +365,13 @@
                 metric_definitions.JOBS_PENDING, sum(pending.values())
             )
             if pending != self._published:
-                await self._publish(pending)
+                await self._publish(counts, pending)
 
-    async def _publish(self, pending: dict[str, int]) -> None:
-        write = model.Write(records.PENDING_KEY, records.dump_pending(pending))
-        committed = await self._clients.store.commit(
-            model.Commit(
-                {records.EPOCH_KEY: self._ownership.revision}, (write,)
-            )
-        )
-        if isinstance(committed, result.Success):
+    async def _publish(
+        self, counts: versioned_value.VersionedValue, pending: dict[str, int]
+    ) -> None:
+        written = await counts.write(records.dump_pending(pending))
+        if isinstance(written, result.Success):
             self._published = pending
         else:
-            self._log.info(
-                "pending-not-published", why=committed.failure().code
-            )
+            self._log.info("pending-not-published", why=written.failure().code)
--- a/testing/fleet/test_job_lifecycle.py
+++ b/testing/fleet/test_job_lifecycle.py
@@ -125,6 +125,37 @@
     scene_module.run_on_virtual_time(main, monkeypatch)
 
 
+def test_a_late_write_of_the_count_of_waiting_jobs_replaces_no_newer_one(
+    monkeypatch,
+):
+    """The write gets no answer and is carried out after the next one."""
+
+    async def main(scene):
+        await scene.open(vms=2, executors=1)
+
+        async def submit_gang() -> None:
+            await scene.submit(
+                scene.bystander(),
+                step(tasks=8, is_gang=True),
+                behaviour={"gang": 8, "run_s": 90},
+            )
+
+        await submit_gang()
+        await asyncio.sleep(2.0)
+        path = scene.owner.store.path
+        path.lose_answers, path.late_s = 1, 5.0
+        await submit_gang()
+        await scene.until(lambda: not path.lose_answers)
+        for _number in range(9):
+            await submit_gang()
+        await asyncio.sleep(9.0)
+        for vm in scene.vms:
+            counted = await vm.node.job_api.pending(scene.call(""))
+            assert counted.unwrap() == 10
+
+    scene_module.run_on_virtual_time(main, monkeypatch)
+
+
 def test_a_removed_key_is_refused_at_once(monkeypatch):
     async def main(scene):
         await scene.open(vms=1, executors=1)
--- a/testing/fleet/test_maintenance.py
+++ b/testing/fleet/test_maintenance.py
@@ -47,6 +47,22 @@
     scene_module.run_on_virtual_time(main, monkeypatch)
 
 
+def test_a_late_write_of_a_waves_status_replaces_no_newer_one(monkeypatch):
+    """The first status is carried out after the wave was completed."""
+
+    async def main(scene):
+        await scene.open(vms=1, executors=2)
+        await asyncio.sleep(1.0)
+        path = scene.owner.store.path
+        path.lose_answers, path.late_s = 1, 12.0
+        await _request_wave(scene, ["m-e0"])
+        await scene.until(lambda: _published(scene) is True, within_s=11.0)
+        await asyncio.sleep(15.0)
+        assert _published(scene) is True
+
+    scene_module.run_on_virtual_time(main, monkeypatch)
+
+
 def test_work_ends_before_its_machine_goes_down(monkeypatch):
     async def main(scene):
         await scene.open(vms=1, executors=2)
