Drop idle executors that have drained and left without waiting

Change: idle ones are dropped at once, as before. Evidence: test_a_drained_executor_that_left_idle_is_not_called_any_more.

--- a/src/knapweedwharf/fleet/registry.py
+++ b/src/knapweedwharf/fleet/registry.py
@@ -162,7 +162,17 @@
             return
         if _has_restarted(session.executor, executor):
             self._follow(session, executor, revision, seen_in="entry")
-            return
+        else:
+            self._update(session, executor, revision)
+
+    def _update(
+        self,
+        session: session_module.Session,
+        executor: model.Executor,
+        revision: int,
+    ) -> None:
+        """Apply a newer entry of the same incarnation."""
+        executor_id = executor.executor_id
         was_listed = session.listed
         was_ready = session.executor.state == model.READY
         before = session.executor.capacity
@@ -234,8 +244,7 @@
             incarnation_ms=executor.incarnation_ms,
         )
         how = self._how_lost(session, executor_loss.REBORN)
-        self._drop_session(session)
-        self._spawn(session.close())
+        self._close_session(session)
         self._on_reborn(session, how)
         self._open_session(
             executor,
@@ -243,6 +252,10 @@
             ended=session.former.followed(session.executor, executor, how),
         )
 
+    def _close_session(self, session: session_module.Session) -> None:
+        self._drop_session(session)
+        self._spawn(session.close())
+
     def _drop_session(self, session: session_module.Session) -> None:
         session.is_dropped = True
         del self.sessions[session.executor_id]
@@ -297,11 +310,6 @@
             self._unlist(session)
 
     def _unlist(self, session: session_module.Session) -> None:
-        """Give an executor without an entry no new work.
-
-        It may be cut off, so what runs there keeps its lease; it is gone
-        when that has ended, also if it was draining.
-        """
         if not session.listed:
             return
         session.listed = False
@@ -335,6 +343,19 @@
             session.leaving_reported = True
             self._hooks.leaving(session)
 
+    def tick(self) -> None:
+        """Discard drained executors that have left with nothing to run.
+
+        Others whose entry vanished are kept until their lease ends, as
+        the entry also lapses while an executor is cut off or the store
+        is down.
+        """
+        for session in list(self.sessions.values()):
+            is_busy = self._hooks.is_busy(session.executor_id)
+            if session.seems_to_have_left and not is_busy:
+                self._close_session(session)
+                self._on_gone(session, executor_loss.LEFT)
+
     def _how_lost(self, session: session_module.Session, how: str) -> str:
         """Return how an executor was lost, whatever showed the loss."""
         is_planned = (
--- a/src/knapweedwharf/fleet/session.py
+++ b/src/knapweedwharf/fleet/session.py
@@ -194,6 +194,12 @@
         """Whether starts may be sent to it."""
         return not self.is_dropped and not self.executor.is_draining
 
+    @property
+    def seems_to_have_left(self) -> bool:
+        """Whether it drained and can't be found; it may be cut off."""
+        is_missing = self.is_silent and not self.listed
+        return is_missing and self.executor.is_draining
+
     @property
     def unheard_s(self) -> float | None:
         """Time since it last answered a renewal, if it ever did."""
--- a/src/knapweedwharf/fleet/tenure.py
+++ b/src/knapweedwharf/fleet/tenure.py
@@ -321,6 +321,7 @@
         return await self._election.may_order()
 
     def _tick(self) -> None:
+        self.registry.tick()
         for executor_id in self.registry.awaited.pop_lapsed():
             self._reports.executor_ended(executor_id, executor_loss.ABSENT)
         self._decider.tick()
--- a/testing/fleet/test_draining_executor.py
+++ b/testing/fleet/test_draining_executor.py
@@ -77,3 +77,17 @@
         )
 
     scene_module.run_on_virtual_time(main, monkeypatch)
+
+
+def test_a_drained_executor_that_left_idle_is_not_called_any_more(monkeypatch):
+    """Calls to it would be repeated until a lease has passed."""
+
+    async def main(scene):
+        await scene.open(vms=1, executors=2)
+        await _drain(scene, "e0")
+        await scene.pool.executors["e0"].crash()
+        await scene.store.external_remove(scene_module.EXECUTORS + "e0")
+        registry = scene.owner.node.tenure.registry
+        await scene.until(lambda: "e0" not in registry.sessions, within_s=1.0)
+
+    scene_module.run_on_virtual_time(main, monkeypatch)
