Take an entry without a time of birth for no restart

What callers saw: tasks ran twice on real machines (TWICE), the first run not stopped and ended `done`. Cause: an entry of another writer without `born` decodes to 0, which differs from the known incarnation, so the executor counted as restarted and its runs as lost. Change: an entry without it keeps the known incarnation. Evidence: test_an_entry_without_an_incarnation_is_no_restart fails without the change.

--- a/src/knapweedwharf/fleet/registry.py
+++ b/src/knapweedwharf/fleet/registry.py
@@ -160,6 +160,11 @@
         if session is None:
             self._open_session(executor, revision, former=former)
             return
+        if not executor.incarnation_ms:
+            # Another writer may have left the field out.
+            executor = dataclasses.replace(
+                executor, incarnation_ms=session.executor.incarnation_ms
+            )
         if _has_restarted(session.executor, executor):
             self._follow(session, executor, revision, seen_in="entry")
         else:
--- a/testing/fleet/test_reborn_executor.py
+++ b/testing/fleet/test_reborn_executor.py
@@ -8,6 +8,7 @@
 import pytest
 
 from knapweedwharf.core import workflow
+from knapweedwharf.fleet import model
 from testing.fleet import scene as scene_module
 
 
@@ -87,6 +88,33 @@
     scene_module.run_on_virtual_time(main, monkeypatch)
 
 
+def test_an_entry_without_an_incarnation_is_no_restart(monkeypatch):
+    """Later entries that name the incarnation are still followed."""
+
+    async def main(scene):
+        await scene.open(vms=1, executors=2)
+        job_id, _outcome = await scene.submit(
+            scene.vms[0],
+            scene_module.step(tasks=4),
+            behaviour={"run_s": 6.0},
+        )
+        await scene.until(lambda: len(scene.pool.starts) == 4)
+        spec = scene.pool.executors["e0"].spec
+        await scene.list_executor(dataclasses.replace(spec, incarnation_ms=0))
+        await asyncio.sleep(1.0)
+        await scene.list_executor(
+            dataclasses.replace(spec, state=model.DRAINING, remaining_s=9.0)
+        )
+        await asyncio.sleep(1.0)
+        await scene.submit(scene.vms[0], scene_module.step(tasks=4))
+        await scene.until_state(job_id, workflow.COMPLETED)
+        assert len(scene.runs_of(job_id)) == 4
+        used = [executor for _at_s, executor, _key in scene.pool.starts[4:]]
+        assert used == ["e1"] * 4
+
+    scene_module.run_on_virtual_time(main, monkeypatch)
+
+
 def test_a_new_address_of_the_same_incarnation_gives_up_no_run(monkeypatch):
     """The entry names another address while the same process runs on."""
 
