Name former incarnations in full, and remember fewer steps

Read again as a newcomer: `Former` and `ended` said too little beside `former`, the executor that a machine was before. No behaviour changes but the bound on remembered steps, 1000 for 4000: one record has an entry for each worker that its step was tried on. Result: lint and the tests of core and of restarts pass.

--- a/src/knapweedwharf/core/step_failures.py
+++ b/src/knapweedwharf/core/step_failures.py
@@ -15,7 +15,8 @@
 MIN_SHARE = 0.5
 """Share of the tried workers; more than are faulty at the same time."""
 
-MAX_STEPS_REMEMBERED = 4000
+MAX_STEPS_REMEMBERED = 1000
+"""More than are at work at once; each keeps the workers it was tried on."""
 
 
 @dataclasses.dataclass(slots=True)
--- a/src/knapweedwharf/fleet/registry.py
+++ b/src/knapweedwharf/fleet/registry.py
@@ -254,7 +254,9 @@
         self._open_session(
             executor,
             revision,
-            ended=session.former.followed(session.executor, executor, how),
+            incarnations=session.former.followed(
+                session.executor, executor, how
+            ),
         )
 
     def _close_session(self, session: session_module.Session) -> None:
@@ -273,16 +275,16 @@
         revision: int,
         *,
         former: str = "",
-        ended: session_module.Former = session_module.Former(),
+        incarnations: session_module.FormerIncarnations | None = None,
     ) -> None:
         """Open a session.
 
         :param former: the executor that its machine was before, if known.
-        :param ended: the executor's incarnations before.
+        :param incarnations: the executor's incarnations before this one.
         """
         session = session_module.Session(
             executor=executor,
-            former=ended,
+            former=incarnations or session_module.FormerIncarnations(),
             client=self._client,
             epoch=self._epoch,
             bounds=self._process_config.bounds,
@@ -377,7 +379,9 @@
         self._on_gone(session, self._how_lost(session, how))
         if session.listed:
             retired = session.executor_id in self._retired
-            self._open_session(session.executor, 0, ended=session.former)
+            self._open_session(
+                session.executor, 0, incarnations=session.former
+            )
             if retired:
                 self._retired.add(session.executor_id)
 
@@ -434,7 +438,7 @@
 def _is_outdated(
     seen: model.Executor, session: session_module.Session
 ) -> bool:
-    return seen.incarnation_ms in session.former.incarnations_ms
+    return seen.incarnation_ms in session.former.began_ms
 
 
 def _has_restarted(known: model.Executor, seen: model.Executor) -> bool:
--- a/src/knapweedwharf/fleet/reports.py
+++ b/src/knapweedwharf/fleet/reports.py
@@ -102,7 +102,7 @@
         absent: list[crashes_module.Held],
     ) -> None:
         """Log and count the runs that ended with a former incarnation."""
-        executor_id, how = session.executor_id, session.former.how
+        executor_id, how = session.executor_id, session.former.how_lost
         lost = [held for held in absent if _was_on_former(session, held)]
         for attempt, member in lost:
             self._log_lost(attempt, member, how, beside=len(lost) - 1)
--- a/src/knapweedwharf/fleet/session.py
+++ b/src/knapweedwharf/fleet/session.py
@@ -52,7 +52,8 @@
 before its lease ends."""
 
 MAX_FORMER_INCARNATIONS = 8
-"""An entry that is out of date is seconds old."""
+"""Entries that are out of date are seconds old, and executors take longer to
+restart so often."""
 
 _FIRST_RETRY_S = 0.03
 _LONGEST_RETRY_S = 0.1
@@ -86,26 +87,26 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class Former:
-    """What is known of an executor's incarnations before the current one.
+class FormerIncarnations:
+    """The incarnations of an executor before the current one.
 
-    :ivar how: how the last of them was lost; see ``executor_loss``.
-    :ivar incarnations_ms: when the newest of them began, in Unix
-        milliseconds; an entry of theirs is out of date.
+    :ivar how_lost: how the last of them was lost; see ``executor_loss``.
+    :ivar began_ms: when the newest of them began, in Unix milliseconds;
+        an entry of theirs is out of date.
     """
 
-    how: str = executor_loss.REBORN
-    incarnations_ms: tuple[int, ...] = ()
+    how_lost: str = executor_loss.REBORN
+    began_ms: tuple[int, ...] = ()
 
     def followed(
-        self, known: model.Executor, seen: model.Executor, how: str
-    ) -> Former:
-        """Return the same once ``seen`` has followed ``known``."""
+        self, known: model.Executor, seen: model.Executor, how_lost: str
+    ) -> FormerIncarnations:
+        """Return them once ``seen`` has followed ``known``."""
         born_ms = known.incarnation_ms
         if born_ms in (0, seen.incarnation_ms):
-            return dataclasses.replace(self, how=how)
-        newest = (*self.incarnations_ms, born_ms)[-MAX_FORMER_INCARNATIONS:]
-        return Former(how, newest)
+            return dataclasses.replace(self, how_lost=how_lost)
+        newest = (*self.began_ms, born_ms)[-MAX_FORMER_INCARNATIONS:]
+        return FormerIncarnations(how_lost, newest)
 
 
 def lapse_after_s(bounds: model.TimeLimits) -> float:
@@ -139,14 +140,14 @@
         must be told of its return.
     :ivar leaving_reported: whether the engine was told that it drains.
     :ivar is_dropped: whether the executor is gone or has started again.
-    :ivar former: the executor's incarnations that are known to have ended.
+    :ivar former: its incarnations that are known to have ended.
     """
 
     def __init__(
         self,
         *,
         executor: model.Executor,
-        former: Former,
+        former: FormerIncarnations,
         client,
         epoch: int,
         bounds: model.TimeLimits,
@@ -374,7 +375,7 @@
         report = answer.unwrap()
         born = self.executor.incarnation_ms
         if born and report.incarnation_ms not in (0, born):
-            if report.incarnation_ms not in self.former.incarnations_ms:
+            if report.incarnation_ms not in self.former.began_ms:
                 self._successor_ms = report.incarnation_ms
             return errors.Unreachable(
                 message="Another incarnation answered.",
