Test cancellations behind silent connections around an election

Ten cases on virtual time: all open connections fall silent, the owner is lost at the same moment, a job is cancelled 0 to 6 s later, and the next owner's watch of the records hears nothing for a while or not.

--- a/testing/fleet/test_cancellation.py
+++ b/testing/fleet/test_cancellation.py
@@ -90,6 +90,37 @@
     scene_module.run_on_virtual_time(main, monkeypatch)
 
 
+@pytest.mark.parametrize("cancelled_after_s", [0.0, 0.5, 2.0, 4.0, 6.0])
+@pytest.mark.parametrize("is_muted", [False, True])
+def test_work_cancelled_around_an_election_behind_silent_connections_ends(
+    monkeypatch, cancelled_after_s, is_muted
+):
+    """The next owner's watch of the records may hear nothing, too."""
+
+    async def main(scene):
+        await scene.open(vms=3, executors=1)
+        job_id, _outcome = await scene.submit(
+            scene.owner, step(tasks=120), behaviour={"run_s": 1.0}
+        )
+        await scene.until_state(job_id, workflow.ACTIVE)
+        for vm in scene.vms:
+            vm.store.path.mute_open_connections()
+            vm.store.path.mute_prefix = records.JOBS if is_muted else ""
+        owner = scene.owner
+        scene.vms.remove(owner)
+        await owner.kill()
+        await asyncio.sleep(cancelled_after_s)
+        cancelled_s = await _cancel(scene, job_id)
+        await asyncio.sleep(5.0)
+        for vm in scene.vms:
+            vm.store.path.mute_prefix = ""
+        await asyncio.sleep(10.0)
+        assert not _late_starts(scene, job_id, cancelled_s)
+        assert not scene.pool.executors["e0"].runs
+
+    scene_module.run_on_virtual_time(main, monkeypatch)
+
+
 def test_no_work_is_started_while_cancellations_cannot_be_read(monkeypatch):
     async def main(scene):
         await scene.open(vms=2, executors=1)
