--- a/src/knapweedwharf/fleet/maintenance.py
+++ b/src/knapweedwharf/fleet/maintenance.py
@@ -179,7 +179,7 @@
     async def _save(self, progress: _WaveProgress) -> errors.Fault | None:
         value = records.dump_wave(progress.begun, progress.finished)
         saved = await progress.record.write(value)
-        return saved.swap().value_or(None)
+        return saved.failure() if isinstance(saved, result.Failure) else None
 
     def _value_at(
         self, key: str, revision: int = 0
