--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -678,12 +678,17 @@
             await asyncio.sleep(0.01)
             await executor.advance()
 
-    async def crash(self, executor: Executor) -> None:
-        """Crash an executor; its entry goes after three heartbeats."""
+    async def crash(
+        self, executor: Executor, *, beat_before_s: float = 0.0
+    ) -> None:
+        """Crash an executor; its entry goes after three heartbeats.
+
+        :param beat_before_s: time from its last heartbeat to the crash.
+        """
         await executor.crash()
 
         async def unlist() -> None:
-            await asyncio.sleep(3 * HEARTBEAT_S)
+            await asyncio.sleep(3 * HEARTBEAT_S - beat_before_s)
             if self.executors.get(executor.id) is executor:
                 del self.executors[executor.id]
                 self.record.write(executor.id, "entry-removed")
