Review, case 8: executors out of reach for seconds stand idle for a minute

Found by schedules on virtual time. Two of twelve executors are cut off from all machines for 5 s while 16 tasks start on them; afterwards neither gets work for 60 s, though both are ready and idle. Each start without an answer doubles its executor's back-off (Quarantine.record_refusal).

--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,4 +1,4 @@
-"""A task fails once; it and its like never run again, beside idle room."""
+"""Executors that were out of reach for seconds get no work for a minute."""
 
 import asyncio
 import json
@@ -10,13 +10,13 @@
 
 import standins_2  # noqa: E402
 
-GREY_S = 6.5
-"""As the days of the site have it, for a twelfth of the executors."""
+CUT_S = 5.0
+"""The days of the site have up to 5.5 s, for a sixth of the executors."""
 
-LASTING = "00000000000000c8"
-FIRST = "00000000000000a8"
-SECOND = "00000000000000b8"
-RUN_S = 2.5
+WIDE = "00000000000000a9"
+SINGLE = "00000000000000b9"
+OTHER = "00000000000000c9"
+RUN_S = 1.0
 FINISH_S = 14.0
 
 
@@ -34,19 +34,17 @@
     await case.until(lambda: case.owner() is not None, 10, "an owner")
     await asyncio.sleep(1.0)
 
-    async def submit(job: str, gpu: int, **fields) -> None:
-        size = [3700, 1000, gpu]
+    async def submit(job: str, tasks: int, **fields) -> None:
+        size = [1000, 1000, 1]
         step = {
-            "count": 1,
+            "count": tasks,
             "cpu": size[0],
             "mem_mb": size[1],
             "gpu": size[2],
             "estimated_runtime_ms": int(RUN_S * 1000),
-            "requirements": "k2",
             **fields,
         }
-        lasts = "long_running" in fields
-        told = {"run_s": RUN_S, "size": size, "lasts": lasts}
+        told = {"run_s": RUN_S, "size": size}
         status, _told = await vms[0].call(
             "POST",
             standins_2.PREFIX + job,
@@ -59,36 +57,36 @@
         _status, told = await vms[1].call("GET", standins_2.PREFIX + job)
         return told.get("state", "")
 
-    await submit(LASTING, 8, long_running=True)
-    await case.until(
-        lambda: any(e.runs for e in pair), 10, "the long-running task at work"
-    )
-    (idle,) = [executor for executor in pair if not executor.runs]
     if trouble:
-        case.record.write(idle.id, "fails-what-it-runs", for_s=GREY_S)
-        idle.is_grey = True
-    await submit(FIRST, 1)
-    await asyncio.sleep(GREY_S)
-    idle.is_grey = False
-    if trouble:
-        case.record.write(idle.id, "is-sound-again")
-    await submit(SECOND, 1)
+        for executor in pair:
+            executor.cut()
+    await asyncio.sleep(0.1)
+    await submit(WIDE, 16, requirements="k2")
+    await asyncio.sleep(CUT_S - 0.1)
+    for executor in pair:
+        executor.join()
+    await asyncio.sleep(1.0)
+    await submit(SINGLE, 1, requirements="k2")
+    await submit(OTHER, 1)
     await asyncio.sleep(FINISH_S)
     idle_since_s = case.record.now()
     states: dict[str, str] = {}
     for _ in range(6):
         await asyncio.sleep(1.0)
-        states = {job: await state(job) for job in (FIRST, SECOND)}
+        states = {job: await state(job) for job in (WIDE, SINGLE, OTHER)}
+    if states[OTHER] != "completed":
+        raise standins_2.CannotRun("no job at all is completed")
     if all(shown == "completed" for shown in states.values()):
         return []
     late = [entry for entry in fleet.log if entry[0] >= idle_since_s]
     if late:
         raise standins_2.CannotRun("the jobs are slow, but at work")
+    idle = sum(8 - executor.used()[2] for executor in pair)
     used = sum(executor.used()[2] for executor in fleet.executors.values())
     return [
         f"LOST job {job} is {shown}; nothing of it has run for 6 s; "
-        f"{idle.id} has {8 - idle.used()[2]} idle accelerators and the "
-        f"service uses {used} of 96"
+        f"{pair[0].id} and {pair[1].id} have {idle} idle accelerators and "
+        f"the service uses {used} of 96"
         for job, shown in states.items()
         if shown != "completed"
     ]
--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -419,6 +419,7 @@
         self.changed = asyncio.Condition()
         self.most_unacked = 0
         self.is_grey = False
+        self.is_cut = False
         self.lapses: list[float] = []
         self.has_lapsed = True
         fields = {"executor": self}
@@ -550,6 +551,17 @@
             "finished": self.ends[:500],
         }
 
+    def cut(self) -> None:
+        """Cut it off from all VMs; it runs on."""
+        self.is_cut = True
+        self.record.write(self.id, "cut-off")
+
+    def join(self) -> None:
+        """End the cut; what was held up arrives."""
+        if self.is_cut:
+            self.is_cut = False
+            self.record.write(self.id, "in-reach-again")
+
     async def crash(self) -> None:
         """End with all that runs here; nobody is told."""
         self.alive = False
@@ -564,7 +576,17 @@
 class _ExecutorHandler(Handler):
     executor: Executor
 
+    async def until_in_reach(self) -> None:
+        """Hold up a call or answer behind a cut; a closed channel loses it."""
+        if not self.executor.is_cut:
+            return
+        while self.executor.is_cut:
+            await asyncio.sleep(0.01)
+        if self.request.connection.stream.closed():
+            await never()
+
     async def prepare(self) -> None:
+        await self.until_in_reach()
         expected = self.request.headers.get("X-Expected-Instance", "")
         if expected and expected != self.executor.id:
             self.reply(421, {"clock_ms": self.executor.clock_ms()})
@@ -629,6 +651,7 @@
                             await executor.changed.wait()
             except TimeoutError:
                 pass
+        await self.until_in_reach()
         self.reply(200, executor.report())
 
 
