Finish a machine's maintenance only after its order was accepted

Cause: a machine is stored as begun before its order is sent, and the next incarnation of its executor was taken for the end of the maintenance, whether the order had been accepted or not. A crash around its turn was enough. Change: the record tells accepted orders from intended ones. Until its order is accepted a machine stays draining, in each incarnation and under each owner, and the order is sent only while nothing runs there. It finishes once accepted and back, not before the maintenance can have ended, and gets work again if it finishes without a restart. Same cause, each with a test: an unanswered order beside a crash, a take-over between record and order, two waves that share a machine, work that a repeated order ended after a crash. Ruled out: to repeat orders at once after a take-over; the machine may run work by then. To keep acceptance in memory only; the next owner would drain up to `cap` machines again at each take-over. The waves' progress moves to a module of its own, for its size.

--- a/src/knapweedwharf/fleet/maintenance.py
+++ b/src/knapweedwharf/fleet/maintenance.py
@@ -3,13 +3,14 @@
 At most as many machines of a wave are down or draining as the operator
 allows at once. Work that ends before its machine's drain deadline
 stays; other work moves. Each order is stored before it is sent, so that
-another owner can continue where this one stopped.
+another owner can continue where this one stopped. A machine is finished
+once its order was accepted and it is back. An order that may not have
+been accepted is repeated, but only while nothing runs on its machine.
 """
 
 from __future__ import annotations
 
 import asyncio
-import dataclasses
 
 from returns import result
 
@@ -25,6 +26,7 @@
 from knapweedwharf.fleet import records
 from knapweedwharf.fleet import session as session_module
 from knapweedwharf.fleet import versioned_value
+from knapweedwharf.fleet import wave_progress
 from knapweedwharf import log
 
 TICK_S = 0.25
@@ -44,47 +46,6 @@
 _LONGEST_RETRY_S = 1.0
 
 
-@dataclasses.dataclass(slots=True)
-class _WaveProgress:
-    """Progress of a wave under this owner and earlier ones.
-
-    :ivar record: its record, which owners read back.
-    :ivar status: what the operator reads of it.
-    :ivar begun: machines ordered down, and the executor incarnation that
-        each had.
-    :ivar finished: machines that are back or have left for good.
-    :ivar drain_deadlines: draining machines and their deadlines.
-    :ivar ordered_s: when each order of this owner was confirmed.
-    :ivar published: the completion last published, or None.
-    """
-
-    wave: model.MaintenanceWave
-    seen_s: float
-    record: versioned_value.VersionedValue
-    status: versioned_value.VersionedValue
-    begun: dict[str, str] = dataclasses.field(default_factory=dict)
-    finished: set[str] = dataclasses.field(default_factory=set)
-    drain_deadlines: dict[str, float] = dataclasses.field(default_factory=dict)
-    ordered_s: dict[str, float] = dataclasses.field(default_factory=dict)
-    published: bool | None = None
-
-    @property
-    def not_begun(self) -> list[str]:
-        """Machines that are neither draining nor ordered down yet."""
-        done = self.begun.keys() | self.finished | self.drain_deadlines.keys()
-        return [m for m in self.wave.machine_ids if m not in done]
-
-    @property
-    def down(self) -> list[str]:
-        """Machines that were ordered down and are not back."""
-        return [m for m in self.begun if m not in self.finished]
-
-    @property
-    def is_complete(self) -> bool:
-        """Whether every machine is finished."""
-        return self.finished.issuperset(self.wave.machine_ids)
-
-
 class MaintenanceRunner(background.Background):
     """Carries out the operator's maintenance waves for the owner."""
 
@@ -102,15 +63,14 @@
         self._tell = context.tell
         self._first_order_s = context.first_order_s
         self._log = log.get("upkeep").bind(epoch=context.ownership.epoch)
-        self._waves: dict[int, _WaveProgress] = {}
+        self._waves: dict[int, wave_progress.WaveProgress] = {}
         self._machine_list: dict[str, model.Machine] = {}
         self._listed_at_s = float("-inf")
 
     def has_orders_for(self, machine_id: str) -> bool:
         """Return whether a machine is draining or down for some wave."""
         return any(
-            machine_id in wave.drain_deadlines or machine_id in wave.down
-            for wave in self._waves.values()
+            machine_id in progress.away for progress in self._waves.values()
         )
 
     async def _run(self) -> None:
@@ -139,20 +99,17 @@
             return await self._load(wave)
         progress.wave = wave
         if progress.is_complete:
-            return await self._publish_status(progress)
+            fault = None if progress.is_saved else await progress.save()
+            return await self._publish_status(progress) or fault
         fault = await self._publish_status(progress)
         fault = await self._check_missing(progress) or fault
         self._collect_returned(progress)
-        for machine_id in list(progress.drain_deadlines):
+        for machine_id in list(progress.drains):
             fault = (
                 await self._continue_draining(progress, machine_id) or fault
             )
-        for machine_id in progress.down:
-            if machine_id not in progress.ordered_s:
-                fault = (
-                    await self._order_maintenance(progress, machine_id)
-                    or fault
-                )
+        if not progress.is_saved:
+            fault = await progress.save() or fault
         self._start_draining(progress)
         return fault
 
@@ -165,22 +122,23 @@
             return read.failure()
         item = read.unwrap()
         status_key, _value = self._store_schema.wave_status(wave.number, False)
-        progress = _WaveProgress(
+        progress = wave_progress.WaveProgress(
             wave,
             clock.elapsed_s(),
             record=self._value_at(key, item.revision if item else 0),
             status=self._value_at(status_key),
         )
         if item is not None:
-            progress.begun, progress.finished = records.load_wave(item.value)
+            progress.load(item.value)
+            turn_s = self._drain_time_s(progress)
+            progress.drains = {
+                # It may have crashed since and run work.
+                machine_id: wave_progress.Drain(turn_s)
+                for machine_id in progress.unconfirmed
+            }
         self._waves[wave.number] = progress
         return None
 
-    async def _save(self, progress: _WaveProgress) -> errors.Fault | None:
-        value = records.dump_wave(progress.begun, progress.finished)
-        saved = await progress.record.write(value)
-        return saved.failure() if isinstance(saved, result.Failure) else None
-
     def _value_at(
         self, key: str, revision: int = 0
     ) -> versioned_value.VersionedValue:
@@ -192,7 +150,7 @@
         )
 
     async def _publish_status(
-        self, progress: _WaveProgress
+        self, progress: wave_progress.WaveProgress
     ) -> errors.Fault | None:
         """Publish to the operator whether the wave is complete."""
         complete = progress.is_complete
@@ -220,7 +178,7 @@
         return self._registry.session_of_machine(machine_id)
 
     async def _check_missing(
-        self, progress: _WaveProgress
+        self, progress: wave_progress.WaveProgress
     ) -> errors.Fault | None:
         """List the machines if one is missing or overdue."""
         now_s = clock.elapsed_s()
@@ -229,7 +187,7 @@
         missing += [
             m
             for m in progress.down
-            if progress.ordered_s.get(m, now_s) < late_s
+            if progress.accepted_s.get(m, now_s) < late_s
         ]
         if not missing or now_s - self._listed_at_s < LIST_INTERVAL_S:
             return None
@@ -243,7 +201,7 @@
         return None
 
     def _resolve_missing(
-        self, progress: _WaveProgress, machine_id: str
+        self, progress: wave_progress.WaveProgress, machine_id: str
     ) -> None:
         machine = self._machine_list.get(machine_id)
         if machine is None:
@@ -253,11 +211,19 @@
                 self._finish(progress, machine_id, why="is-up")
         elif machine.state == model.MACHINE_UP and not machine.executor_id:
             # Its pool is off, so nothing runs there.
-            progress.drain_deadlines[machine_id] = clock.elapsed_s()
+            progress.drains[machine_id] = wave_progress.Drain(0.0)
+
+    def _collect_returned(self, progress: wave_progress.WaveProgress) -> None:
+        """Finish the machines that are back with a new incarnation.
 
-    def _collect_returned(self, progress: _WaveProgress) -> None:
-        """Finish the machines that are back with a new incarnation."""
+        An incarnation that is seen before the maintenance can have ended
+        belongs to a crash before it.
+        """
+        latest_s = clock.elapsed_s() - self._bounds.maintenance_s
         for machine_id in progress.down:
+            accepted_s = progress.accepted_s.get(machine_id)
+            if accepted_s is None or accepted_s > latest_s:
+                continue
             session = self._session(machine_id)
             before = progress.begun[machine_id]
             if session is None or _incarnation_of(session) == before:
@@ -266,9 +232,18 @@
                 self._finish(progress, machine_id, why="is-back")
 
     def _finish(
-        self, progress: _WaveProgress, machine_id: str, *, why: str
+        self,
+        progress: wave_progress.WaveProgress,
+        machine_id: str,
+        *,
+        why: str,
     ) -> None:
         progress.finished.add(machine_id)
+        progress.is_saved = False
+        progress.drains.pop(machine_id, None)
+        session = self._session(machine_id)
+        if session is not None:
+            self._registry.reinstate(session)
         self._log.info(
             "machine-finished",
             wave=progress.wave.number,
@@ -278,13 +253,9 @@
 
     # Draining
 
-    def _start_draining(self, progress: _WaveProgress) -> None:
+    def _start_draining(self, progress: wave_progress.WaveProgress) -> None:
         """Start draining the machines that lose the least work."""
-        free = (
-            progress.wave.most_at_once
-            - len(progress.down)
-            - len(progress.drain_deadlines)
-        )
+        free = progress.wave.most_at_once - len(progress.away)
         if free <= 0 or clock.elapsed_s() < self._first_order_s:
             return
         present = [
@@ -297,19 +268,33 @@
         ]
         turn_s = self._drain_time_s(progress)
         for _work, machine_id in sorted(present)[:free]:
-            session = self._session(machine_id)
-            progress.drain_deadlines[machine_id] = clock.elapsed_s() + turn_s
-            self._log.info(
-                "machine-emptied",
-                wave=progress.wave.number,
-                machine=machine_id,
-                executor=session.executor_id,
-                turn_s=round(turn_s, 2),
-            )
-            self._registry.retire(session)
-            self._report_leaving(session, turn_s)
+            progress.drains[machine_id] = wave_progress.Drain(turn_s)
+            self._keep_drained(progress, machine_id)
+
+    def _keep_drained(
+        self, progress: wave_progress.WaveProgress, machine_id: str
+    ) -> session_module.Session | None:
+        """Keep new work off the present incarnation; return its session."""
+        session = self._session(machine_id)
+        if session is None:
+            return None
+        drain = progress.drains[machine_id]
+        if drain.incarnation == _incarnation_of(session):
+            return session
+        drain.incarnation = _incarnation_of(session)
+        drain.deadline_s = clock.elapsed_s() + drain.turn_s
+        self._log.info(
+            "machine-emptied",
+            wave=progress.wave.number,
+            machine=machine_id,
+            executor=session.executor_id,
+            turn_s=round(drain.turn_s, 2),
+        )
+        self._registry.retire(session)
+        self._report_leaving(session, drain.turn_s)
+        return session
 
-    def _drain_time_s(self, progress: _WaveProgress) -> float:
+    def _drain_time_s(self, progress: wave_progress.WaveProgress) -> float:
         """Return how long the next machines may take to drain."""
         passed_s = clock.elapsed_s() - progress.seen_s
         left_s = progress.wave.within_s - passed_s
@@ -326,22 +311,26 @@
         self._tell(session.executor.service, leaving)
 
     async def _continue_draining(
-        self, progress: _WaveProgress, machine_id: str
+        self, progress: wave_progress.WaveProgress, machine_id: str
     ) -> errors.Fault | None:
         """Continue draining; order the machine down once nothing runs."""
-        session = self._session(machine_id)
+        session = self._keep_drained(progress, machine_id)
         if session is None:
-            if machine_id not in self._machine_list:
-                del progress.drain_deadlines[machine_id]
+            if machine_id in progress.begun:
+                incarnation = progress.begun[machine_id]
+            elif machine_id in self._machine_list:
+                incarnation = ""
+            else:
+                del progress.drains[machine_id]
                 return None
-            return await self._begin_maintenance(
-                progress, machine_id, incarnation=""
+            return await self._order_maintenance(
+                progress, machine_id, incarnation=incarnation
             )
         if not self._scheduling_state.is_busy(session.executor_id):
-            return await self._begin_maintenance(
+            return await self._order_maintenance(
                 progress, machine_id, incarnation=_incarnation_of(session)
             )
-        if clock.elapsed_s() >= progress.drain_deadlines[machine_id]:
+        if clock.elapsed_s() >= progress.drains[machine_id].deadline_s:
             self._report_leaving(session, 0.0)
         self._move_lasting(session)
         return None
@@ -363,32 +352,36 @@
                 )
                 self._tell(session.executor.service, moved)
 
-    async def _begin_maintenance(
-        self, progress: _WaveProgress, machine_id: str, *, incarnation: str
-    ) -> errors.Fault | None:
-        progress.begun[machine_id] = incarnation
-        del progress.drain_deadlines[machine_id]
-        fault = await self._save(progress)
-        if fault is not None:
-            # Nothing was ordered; a later write shows whether the record
-            # was stored.
-            return fault
-        return await self._order_maintenance(progress, machine_id)
-
     async def _order_maintenance(
-        self, progress: _WaveProgress, machine_id: str
+        self,
+        progress: wave_progress.WaveProgress,
+        machine_id: str,
+        *,
+        incarnation: str,
     ) -> errors.Fault | None:
-        """Order a machine down; repeated until an answer arrives."""
+        """Order a machine down, on which nothing runs.
+
+        Repeated until the order is accepted; a repeated order has no
+        effect if the maintenance has begun.
+        """
         if clock.elapsed_s() < self._first_order_s:
             return None
+        fault = await progress.save_begun(machine_id, incarnation)
+        if fault is not None:
+            return fault
         if not await self._election.may_order():
             return None
+        session = self._session(machine_id)
+        if session is not None and _incarnation_of(session) != incarnation:
+            return None
         ordered = await self._machines.maintain(
             machine_id, progress.wave.number, epoch=self._ownership.epoch
         )
         fault = None
         if isinstance(ordered, result.Success):
-            progress.ordered_s[machine_id] = clock.elapsed_s()
+            progress.accepted_s[machine_id] = clock.elapsed_s()
+            progress.is_saved = False
+            del progress.drains[machine_id]
             self._sender.count(metric_definitions.MACHINES_MAINTAINED)
         else:
             fault = ordered.failure()
@@ -403,7 +396,10 @@
         return fault
 
     def _handle_refusal(
-        self, progress: _WaveProgress, machine_id: str, fault: errors.Fault
+        self,
+        progress: wave_progress.WaveProgress,
+        machine_id: str,
+        fault: errors.Fault,
     ) -> None:
         if isinstance(fault, errors.Fenced):
             self._election.give_up("fenced-by-machines")
--- a/src/knapweedwharf/fleet/records.py
+++ b/src/knapweedwharf/fleet/records.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import abc
 import dataclasses
 import json
 import typing
@@ -284,17 +285,30 @@
     return f"{WAVES}{number}"
 
 
-def dump_wave(begun: dict[str, str], finished: set[str]) -> bytes:
+def dump_wave(
+    begun: dict[str, str], accepted: abc.Iterable[str], finished: set[str]
+) -> bytes:
     """Encode the progress of a maintenance wave.
 
-    :param begun: machines ordered into maintenance, and the executor
+    :param begun: machines for which an order is intended, and the executor
         incarnation that each had.
+    :param accepted: those whose order was accepted.
     :param finished: machines that are back or have left for good.
     """
-    return _dump({"begun": begun, "finished": sorted(finished)})
+    return _dump(
+        {
+            "begun": begun,
+            "accepted": sorted(accepted),
+            "finished": sorted(finished),
+        }
+    )
+
 
+def load_wave(value: bytes) -> tuple[dict[str, str], set[str], set[str]]:
+    """Decode a wave's progress: (begun, accepted, finished).
 
-def load_wave(value: bytes) -> tuple[dict[str, str], set[str]]:
-    """Decode a maintenance wave's progress: (begun, finished)."""
+    Records of earlier releases don't tell which orders were accepted.
+    """
     document = json.loads(value)
-    return document["begun"], set(document["finished"])
+    accepted = set(document.get("accepted", ()))
+    return document["begun"], accepted, set(document["finished"])
--- a/standins/fleet_machines.py
+++ b/standins/fleet_machines.py
@@ -24,9 +24,13 @@
     :param on_machine_down: called with a machine when it goes down.
     :ivar lose_answers: number of next orders that are executed without
         an answer.
+    :ivar drop_orders: number of next orders that are neither executed nor
+        answered.
+    :ivar silence_s: time after which the caller gives up such an order.
     :ivar maintenance_orders: machine ids of all maintenance orders, also
         repeated ones.
     :ivar maintained: (time, machine id) of each maintenance started.
+    :ivar done: (machine id, wave) of each maintenance started.
     :ivar moved: (time, machine id, new pool) of each move.
     :ivar max_in_maintenance: maximum number of machines in maintenance at
         once.
@@ -35,13 +39,15 @@
     def __init__(self, *, on_machine_up, on_machine_down) -> None:
         self.machines: dict[str, model.Machine] = {}
         self.lose_answers = 0
+        self.drop_orders = 0
+        self.silence_s = 1.0
         self.maintenance_orders: list[str] = []
         self.maintained: list[tuple[float, str]] = []
         self.moved: list[tuple[float, str, str]] = []
         self.max_in_maintenance = 0
         self.listings = 0
         self._epochs: dict[str, int] = {}
-        self._done: set[tuple[str, int]] = set()
+        self.done: set[tuple[str, int]] = set()
         self._on_machine_up = on_machine_up
         self._on_machine_down = on_machine_down
         self._tasks: set[asyncio.Task] = set()
@@ -69,11 +75,15 @@
         """Start a machine's maintenance, at most once per wave."""
         await asyncio.sleep(ANSWER_S)
         self.maintenance_orders.append(machine_id)
-        if (machine_id, wave) in self._done:
+        if self.drop_orders:
+            self.drop_orders -= 1
+            await asyncio.sleep(self.silence_s)
+            return result.Failure(_UNKNOWN)
+        if (machine_id, wave) in self.done:
             return self._answer(None)
         fault = self._check_order(machine_id, epoch)
         if fault is None:
-            self._done.add((machine_id, wave))
+            self.done.add((machine_id, wave))
             self.maintained.append((self._now_s(), machine_id))
             down = dataclasses.replace(
                 self.machines[machine_id], state=model.MACHINE_MAINTAINED
@@ -81,6 +91,21 @@
             await self._take_down(down, MAINTENANCE_S)
         return self._answer(fault)
 
+    def crash(self, machine_id: str) -> None:
+        """Note that a machine crashes; orders are refused until its return."""
+        self._set_state(machine_id, model.MACHINE_DOWN)
+
+    def come_back(self, machine_id: str, executor_id: str) -> None:
+        """Note that a crashed machine is back with an executor."""
+        self._set_state(machine_id, model.MACHINE_UP, executor_id=executor_id)
+
+    def _set_state(self, machine_id: str, state: str, **fields) -> None:
+        machine = self.machines.get(machine_id)
+        if machine is not None:
+            self.machines[machine_id] = dataclasses.replace(
+                machine, state=state, **fields
+            )
+
     def _check_order(self, machine_id: str, epoch: int) -> errors.Fault | None:
         machine = self.machines.get(machine_id)
         if machine is None:
--- a/testing/fleet/scene.py
+++ b/testing/fleet/scene.py
@@ -231,6 +231,7 @@
         executor = self.pool.executors[executor_id]
         now_s = asyncio.get_running_loop().time()
         self.pool.crashes.append((now_s, executor_id))
+        self.machines.crash(executor.spec.machine_id)
         await executor.crash()
         self._spawn(self._unlist_crashed(executor))
         if back_s is not None:
@@ -279,6 +280,7 @@
             incarnation_ms=self._incarnations,
         )
         self.pool.add(spec)
+        self.machines.come_back(spec.machine_id, executor_id)
         await asyncio.sleep(listed_after_s)
         await self.list_executor(spec)
 
--- a/testing/fleet/test_maintenance.py
+++ b/testing/fleet/test_maintenance.py
@@ -15,21 +15,21 @@
 
 
 async def _request_wave(
-    scene, machines, *, within_s=40.0, most_at_once=1
+    scene, machines, *, number=3, within_s=40.0, most_at_once=1
 ) -> None:
     wave = {
-        "number": 3,
+        "number": number,
         "machine_ids": machines,
         "within_s": within_s,
         "most_at_once": most_at_once,
     }
     await scene.store.external_write(
-        "operator/wave/3", json.dumps(wave).encode()
+        f"operator/wave/{number}", json.dumps(wave).encode()
     )
 
 
-def _published(scene) -> bool | None:
-    item = scene.store.items.get("shown/wave/3")
+def _published(scene, number: int = 3) -> bool | None:
+    item = scene.store.items.get(f"shown/wave/{number}")
     return json.loads(item.value) if item else None
 
 
@@ -214,3 +214,145 @@
         assert scene.runs_of(job_id) == []
 
     scene_module.run_on_virtual_time(main, monkeypatch)
+
+
+@pytest.mark.parametrize("back_s", [1.5, 3.0, 4.5])
+def test_a_crash_before_its_turn_counts_as_no_maintenance(monkeypatch, back_s):
+    """A machine that was back from a crash counted as maintained."""
+
+    async def main(scene):
+        await scene.open(vms=1, executors=4)
+        await _request_wave(scene, ["m-e0", "m-e1"])
+        await scene.until(lambda: scene.machines.maintained)
+        ((_at_s, first),) = scene.machines.maintained
+        (other,) = {"e0", "e1"} - {first.removeprefix("m-")}
+        await scene.crash_executor(other, back_s=back_s, renamed=True)
+        await scene.until(lambda: _published(scene) is True, within_s=60)
+        assert scene.machines.done == {("m-e0", 3), ("m-e1", 3)}
+        assert scene.machines.max_in_maintenance == 1
+
+    scene_module.run_on_virtual_time(main, monkeypatch)
+
+
+def test_work_on_a_machine_back_from_a_crash_ends_before_its_order(
+    monkeypatch,
+):
+    """The repeated order must not end what has started meanwhile."""
+
+    async def main(scene):
+        await scene.open(vms=1, executors=2)
+        scene.machines.drop_orders, scene.machines.silence_s = 1, 8.0
+        await _request_wave(scene, ["m-e0"], within_s=60.0)
+        await scene.until(lambda: scene.machines.maintenance_orders)
+        await scene.crash_executor("e0", back_s=1.0, renamed=True)
+        await asyncio.sleep(3.0)
+        job_id, _outcome = await scene.submit(
+            scene.vms[0],
+            step(tasks=16, expected_run_s=6.0),
+            behaviour={"run_s": 6.0},
+        )
+        await scene.until(lambda: _running(scene, job_id) == 16)
+        await scene.until(lambda: _published(scene) is True, within_s=90)
+        assert scene.machines.done == {("m-e0", 3)}
+        await scene.until_state(job_id, workflow.COMPLETED)
+        assert {r.outcome for r in scene.runs_of(job_id)} == {model.DONE}
+
+    scene_module.run_on_virtual_time(main, monkeypatch)
+
+
+@pytest.mark.parametrize("back_s", [0.5, 4.0])
+def test_a_crash_behind_an_unanswered_order_is_no_maintenance(
+    monkeypatch, back_s
+):
+    """Only an accepted order shows that the maintenance has begun."""
+
+    async def main(scene):
+        await scene.open(vms=1, executors=3)
+        scene.machines.drop_orders, scene.machines.silence_s = 2, 2.5
+        await _request_wave(scene, ["m-e0"])
+        await scene.until(lambda: scene.machines.maintenance_orders)
+        await scene.crash_executor("e0", back_s=back_s, renamed=True)
+        await scene.until(lambda: _published(scene) is True, within_s=60)
+        assert scene.machines.done == {("m-e0", 3)}
+
+    scene_module.run_on_virtual_time(main, monkeypatch)
+
+
+@pytest.mark.parametrize("executed", [False, True])
+def test_a_new_owner_repeats_an_order_that_may_not_have_been_sent(
+    monkeypatch, executed
+):
+    """A crash around the take-over counted as the end of the maintenance."""
+
+    async def main(scene):
+        await scene.open(vms=2, executors=3)
+        machines = scene.machines
+        machines.drop_orders = 0 if executed else 9
+        machines.lose_answers = 9 if executed else 0
+        await _request_wave(scene, ["m-e0", "m-e1"])
+        await scene.until(lambda: machines.maintenance_orders)
+        await scene.owner.kill()
+        first = machines.maintenance_orders[0]
+        machines.drop_orders = machines.lose_answers = 0
+        if not executed:
+            await scene.crash_executor(
+                first.removeprefix("m-"), back_s=1.0, renamed=True
+            )
+        await scene.until(lambda: _published(scene) is True, within_s=60)
+        assert machines.done == {("m-e0", 3), ("m-e1", 3)}
+        assert len(machines.maintained) == 2
+        assert machines.max_in_maintenance == 1
+
+    scene_module.run_on_virtual_time(main, monkeypatch)
+
+
+def test_a_machine_whose_order_took_effect_unseen_gets_work_again(monkeypatch):
+    """It is asked again once back, and has no other return to wait for."""
+
+    async def main(scene):
+        await scene.open(vms=2, executors=2)
+        scene.machines.lose_answers = 9
+        await _request_wave(scene, ["m-e0"])
+        await scene.until(lambda: scene.machines.maintained)
+        await scene.owner.kill()
+        scene.machines.lose_answers = 0
+        await scene.until(lambda: _published(scene) is True, within_s=60)
+        assert len(scene.machines.maintained) == 1
+        job_id, _outcome = await scene.submit(scene.owner, step(tasks=16))
+        await scene.until(lambda: _running(scene, job_id) == 16)
+
+    scene_module.run_on_virtual_time(main, monkeypatch)
+
+
+def test_a_machine_that_is_not_of_its_wave_gets_work_again(monkeypatch):
+    """It was drained for an order that is refused for good."""
+
+    async def main(scene):
+        await scene.open(vms=1, executors=2)
+        del scene.machines.machines["m-e0"]
+        await _request_wave(scene, ["m-e0"])
+        await scene.until(lambda: _published(scene) is True, within_s=60)
+        job_id, _outcome = await scene.submit(scene.vms[0], step(tasks=16))
+        await scene.until(lambda: _running(scene, job_id) == 16)
+
+    scene_module.run_on_virtual_time(main, monkeypatch)
+
+
+def test_waves_that_share_a_machine_maintain_it_once_each(monkeypatch):
+    """The return from one wave's maintenance counted for the other too."""
+
+    async def main(scene):
+        await scene.open(vms=1, executors=4)
+        await _request_wave(scene, ["m-e0", "m-e1"], number=3)
+        await _request_wave(scene, ["m-e0", "m-e2"], number=4)
+        await scene.until(
+            lambda: _published(scene, 3) and _published(scene, 4), within_s=60
+        )
+        assert scene.machines.done == {
+            ("m-e0", 3),
+            ("m-e1", 3),
+            ("m-e0", 4),
+            ("m-e2", 4),
+        }
+
+    scene_module.run_on_virtual_time(main, monkeypatch)
