Hold each wave to its limit of machines that are down

What operators saw: nothing so far. On virtual time two waves that share machines had two down where one was allowed (LIMIT), and a wave over a standby pool had all three. Cause: the limit was checked only for machines with an executor and only against the same wave, and a machine could be ordered for two waves at once. Change: one check for all machines: away for no other wave, and each wave that has it allows one more away; records of all waves are read first. Ruled out: to count only machines that are down for the wave itself; the operator then has more of a wave's machines down than asked for. Evidence: three cases of test_maintenance.py fail before (2, 2 and 3 machines down for 1) and pass now.

--- a/src/knapweedwharf/fleet/maintenance.py
+++ b/src/knapweedwharf/fleet/maintenance.py
@@ -211,7 +211,8 @@
                 self._finish(progress, machine_id, why="is-up")
         elif machine.state == model.MACHINE_UP and not machine.executor_id:
             # Its pool is off, so nothing runs there.
-            progress.drains[machine_id] = wave_progress.Drain(0.0)
+            if self._may_drain(machine_id):
+                progress.drains[machine_id] = wave_progress.Drain(0.0)
 
     def _collect_returned(self, progress: wave_progress.WaveProgress) -> None:
         """Finish the machines that are back with a new incarnation.
@@ -255,8 +256,7 @@
 
     def _start_draining(self, progress: wave_progress.WaveProgress) -> None:
         """Start draining the machines that lose the least work."""
-        free = progress.wave.most_at_once - len(progress.away)
-        if free <= 0 or clock.elapsed_s() < self._first_order_s:
+        if clock.elapsed_s() < self._first_order_s:
             return
         present = [
             (
@@ -267,9 +267,26 @@
             if (session := self._session(machine_id)) is not None
         ]
         turn_s = self._drain_time_s(progress)
-        for _work, machine_id in sorted(present)[:free]:
-            progress.drains[machine_id] = wave_progress.Drain(turn_s)
-            self._keep_drained(progress, machine_id)
+        for _work, machine_id in sorted(present):
+            if self._may_drain(machine_id):
+                progress.drains[machine_id] = wave_progress.Drain(turn_s)
+                self._keep_drained(progress, machine_id)
+
+    def _may_drain(self, machine_id: str) -> bool:
+        """Return whether each wave of a machine allows one more to be away.
+
+        A wave whose record isn't read yet may have machines away.
+        """
+        if not self._desired.waves.keys() <= self._waves.keys():
+            return False
+        away = {m for wave in self._waves.values() for m in wave.away}
+        return machine_id not in away and all(
+            len(away.intersection(progress.wave.machine_ids))
+            < progress.wave.most_at_once
+            for progress in self._waves.values()
+            if machine_id in progress.wave.machine_ids
+            and not progress.is_complete
+        )
 
     def _keep_drained(
         self, progress: wave_progress.WaveProgress, machine_id: str
--- a/testing/fleet/test_maintenance.py
+++ b/testing/fleet/test_maintenance.py
@@ -356,3 +356,42 @@
         }
 
     scene_module.run_on_virtual_time(main, monkeypatch)
+
+
+@pytest.mark.parametrize("kept", [True, False])
+def test_waves_that_share_machines_keep_each_others_limit(monkeypatch, kept):
+    """A machine was ordered for two waves, and a third was down beside it."""
+
+    async def main(scene):
+        await scene.open(vms=2, executors=4)
+        await _request_wave(scene, ["m-e0", "m-e1"], number=3)
+        await _request_wave(scene, ["m-e0", "m-e1", "m-e2"], number=4)
+        machines = scene.machines
+        if not kept:
+            await scene.until(lambda: machines.maintained)
+            await scene.owner.kill()
+        await scene.until(
+            lambda: _published(scene, 3) and _published(scene, 4),
+            within_s=120,
+        )
+        assert len(machines.done) == 5
+        assert machines.max_in_maintenance == 1
+        refused = len(machines.maintenance_orders) - len(machines.maintained)
+        assert refused <= (0 if kept else 1)
+
+    scene_module.run_on_virtual_time(main, monkeypatch)
+
+
+def test_machines_of_a_standby_pool_keep_the_limit_of_their_wave(monkeypatch):
+    """Machines without an executor were all ordered down at once."""
+
+    async def main(scene):
+        for number in range(3):
+            scene.add_standby_machine(f"s{number}", pool="off")
+        await scene.open(vms=1, executors=1, standby=["off"])
+        await _request_wave(scene, ["s0", "s1", "s2"])
+        await scene.until(lambda: _published(scene) is True, within_s=60)
+        assert len(scene.machines.done) == 3
+        assert scene.machines.max_in_maintenance == 1
+
+    scene_module.run_on_virtual_time(main, monkeypatch)
