Take changes of the store in their order

Cause: model.Changes kept written entries and removals apart. A VM that had missed a whole ownership got removal, write and removal in one answer, applied the removals first and took the owner to be there. Change: the events keep the order in which the store lists them; both readers take them one by one. Ruled out: to sort by revision; a row whose revision can't be read would count as the oldest even where it is the newest. Tests of the adapter check events in place of the two lists; they are as strict and check the revision of a removal too.

--- a/src/knapweedwharf/fleet/election.py
+++ b/src/knapweedwharf/fleet/election.py
@@ -223,10 +223,9 @@
         self._note_owner(present)
 
     def _on_changes(self, changes: model.Changes) -> None:
-        if records.OWNER_KEY in changes.removed:
-            self._note_owner(False)
-        if any(item.key == records.OWNER_KEY for item in changes.items):
-            self._note_owner(True)
+        for change in changes.events:
+            if change.key == records.OWNER_KEY:
+                self._note_owner(isinstance(change, model.Item))
 
     def _note_owner(self, present: bool) -> None:
         if present:
--- a/src/knapweedwharf/fleet/model.py
+++ b/src/knapweedwharf/fleet/model.py
@@ -358,14 +358,33 @@
     has_more: bool = False
 
 
+@dataclasses.dataclass(frozen=True)
+class Removal:
+    """A key that was removed.
+
+    :ivar revision: that of the removal; 0 if the store doesn't tell it.
+    """
+
+    key: str
+    revision: int
+
+
 @dataclasses.dataclass(frozen=True)
 class Changes:
-    """Result of a watch: written entries and removed keys."""
+    """Result of a watch.
 
-    items: tuple[Item, ...]
-    removed: tuple[str, ...]
+    :ivar events: entries as they were written, and removals, in the order
+        in which they were made. A key may have several.
+    """
+
+    events: tuple[Item | Removal, ...]
     revision: int
 
+    @property
+    def items(self) -> tuple[Item, ...]:
+        """Entries as they were written, without the removals."""
+        return tuple(e for e in self.events if isinstance(e, Item))
+
 
 @dataclasses.dataclass(frozen=True)
 class Write:
--- a/src/knapweedwharf/fleet/registry.py
+++ b/src/knapweedwharf/fleet/registry.py
@@ -92,32 +92,33 @@
     # Entries
 
     def _on_listing(self, listing: model.Listing) -> None:
-        self._apply_items(listing.items)
+        for item in listing.items:
+            self._apply_item(item)
         present = {self._id_of(item.key) for item in listing.items}
-        for executor_id in {*self.sessions, *self._malformed}:
-            if executor_id not in present:
-                self._remove(executor_id)
+        for executor_id in {*self.sessions, *self._malformed} - present:
+            self._remove(executor_id)
 
     def _on_changes(self, changes: model.Changes) -> None:
-        self._apply_items(changes.items)
-        for key in changes.removed:
-            self._remove(self._id_of(key))
+        for change in changes.events:
+            if isinstance(change, model.Item):
+                self._apply_item(change)
+            else:
+                self._remove(self._id_of(change.key))
 
     def _id_of(self, key: str) -> str:
         return key[len(self._store_schema.executor_prefix) :]
 
-    def _apply_items(self, items: abc.Iterable[model.Item]) -> None:
-        for item in items:
-            executor_id = self._id_of(item.key)
-            try:
-                executor = self._store_schema.decode_executor(
-                    executor_id, item.value
-                )
-            except ValueError as error:
-                self._take_malformed(executor_id, item.revision, str(error))
-                continue
-            self._malformed.pop(executor_id, None)
-            self._apply_entry(executor, item.revision)
+    def _apply_item(self, item: model.Item) -> None:
+        executor_id = self._id_of(item.key)
+        try:
+            executor = self._store_schema.decode_executor(
+                executor_id, item.value
+            )
+        except ValueError as error:
+            self._take_malformed(executor_id, item.revision, str(error))
+            return
+        self._malformed.pop(executor_id, None)
+        self._apply_entry(executor, item.revision)
 
     def _take_malformed(
         self, executor_id: str, revision: int, why: str
@@ -143,7 +144,10 @@
     def _apply_entry(self, executor: model.Executor, revision: int) -> None:
         executor_id = executor.executor_id
         session = self.sessions.get(executor_id)
-        if session is not None and _is_outdated(executor, session):
+        if (
+            session is not None
+            and executor.incarnation_ms in session.former.began_ms
+        ):
             self._log.info(
                 "executor-entry-outdated",
                 executor=executor_id,
@@ -435,12 +439,6 @@
         return True
 
 
-def _is_outdated(
-    seen: model.Executor, session: session_module.Session
-) -> bool:
-    return seen.incarnation_ms in session.former.began_ms
-
-
 def _has_restarted(known: model.Executor, seen: model.Executor) -> bool:
     return (
         known.incarnation_ms != seen.incarnation_ms
--- a/src/knapweedwharf/fleet/watcher.py
+++ b/src/knapweedwharf/fleet/watcher.py
@@ -176,7 +176,7 @@
         changes = changed.unwrap()
         self._revision = max(self._revision, changes.revision)
         self._note_answer(sent_s)
-        if changes.items or changes.removed:
+        if changes.events:
             self._on_changes(changes)
         elif clock.elapsed_s() - sent_s >= self._wait_s:
             self._wait_ended_s = sent_s + CERTAIN_WAIT_SHARE * self._wait_s
--- a/src/knapweedwharf/platform/store.py
+++ b/src/knapweedwharf/platform/store.py
@@ -204,18 +204,10 @@
     def _decode_changes(
         self, document: field.Document, prefix: str
     ) -> model.Changes:
-        events = _required_rows(document, "events")
-        deletions = [e for e in events if _is_deletion(e)]
-        items, odd = _decode_items([e for e in events if not _is_deletion(e)])
-        removed = tuple(
-            e["key"] for e in deletions if isinstance(e.get("key"), str)
-        )
-        self._note_odd_items(prefix, odd + len(deletions) - len(removed))
-        return model.Changes(
-            items=items,
-            removed=removed,
-            revision=_required(document, "at"),
-        )
+        rows = _required_rows(document, "events")
+        events, odd = _decode_rows(rows, _decode_event)
+        self._note_odd_items(prefix, odd)
+        return model.Changes(events, revision=_required(document, "at"))
 
     async def commit(
         self, commit: model.Commit, *, timeout_s: float = 0.0
@@ -353,12 +345,15 @@
     return _required(document, "lease")
 
 
-def _is_deletion(event: object) -> bool:
-    return isinstance(event, dict) and bool(event.get("deleted"))
-
-
 def _decode_items(rows: list) -> tuple[tuple[model.Item, ...], int]:
     """Decode items; return those with a key, and how many rows are odd."""
+    return _decode_rows(rows, _decode_item)
+
+
+def _decode_rows(
+    rows: list,
+    decode: abc.Callable[[dict, str], tuple[model.Item | model.Removal, int]],
+) -> tuple[tuple[typing.Any, ...], int]:
     found = []
     odd = 0
     for row in rows:
@@ -366,22 +361,41 @@
         if not isinstance(key, str):
             odd += 1
             continue
-        try:
-            value = base64.b64decode(row.get("value") or "")
-        except (TypeError, ValueError):
-            # Its reader tells that nothing can be decoded.
-            value = b""
-            odd += 1
-        try:
-            revision = field.whole_of(row.get("revision", 0))
-        except field.Malformed:
-            # Counts as older than all that is known of the key.
-            revision = 0
-            odd += 1
-        found.append(model.Item(key, value, revision))
+        decoded, odd_fields = decode(row, key)
+        found.append(decoded)
+        odd += odd_fields
     return tuple(found), odd
 
 
+def _decode_event(
+    row: dict, key: str
+) -> tuple[model.Item | model.Removal, int]:
+    if not row.get("deleted"):
+        return _decode_item(row, key)
+    revision, odd = _decode_row_revision(row)
+    return model.Removal(key, revision), odd
+
+
+def _decode_item(row: dict, key: str) -> tuple[model.Item, int]:
+    """Decode an item; return it and how many of its fields are odd."""
+    revision, odd = _decode_row_revision(row)
+    try:
+        value = base64.b64decode(row.get("value") or "")
+    except (TypeError, ValueError):
+        # Its reader tells that nothing can be decoded.
+        value = b""
+        odd += 1
+    return model.Item(key, value, revision), odd
+
+
+def _decode_row_revision(row: dict) -> tuple[int, int]:
+    try:
+        return field.whole_of(row.get("revision", 0)), 0
+    except field.Malformed:
+        # Counts as older than all that is known of the key.
+        return 0, 1
+
+
 def _encode_write(write: model.Write) -> dict[str, object]:
     document: dict[str, object] = {
         "key": write.key,
--- a/standins/fleet_store.py
+++ b/standins/fleet_store.py
@@ -33,7 +33,7 @@
     def __init__(self) -> None:
         self.items: dict[str, model.Item] = {}
         self.revision = 1
-        self.history: list[tuple[int, model.Item | str]] = []
+        self.history: list[model.Item | model.Removal] = []
         self.compacted_revision = 0
         self.leases: dict[int, tuple[float, float]] = {}
         self.lease_by_key: dict[str, int] = {}
@@ -45,7 +45,7 @@
         """Write a key at the current revision."""
         item = model.Item(key, value, self.revision)
         self.items[key] = item
-        self.history.append((self.revision, item))
+        self.history.append(item)
         if lease_id:
             self.lease_by_key[key] = lease_id
 
@@ -53,7 +53,7 @@
         """Remove a key, if it exists."""
         if self.items.pop(key, None) is not None:
             self.lease_by_key.pop(key, None)
-            self.history.append((self.revision, key))
+            self.history.append(model.Removal(key, self.revision))
 
     async def external_write(self, key: str, value: bytes) -> int:
         """Write a key on behalf of a client outside the fleet."""
@@ -310,22 +310,18 @@
             return result.Failure(_UNKNOWN)
         if after < self.state.compacted_revision:
             return result.Failure(_GONE)
-        found = self._changes(prefix, after)
         return result.Success(
-            model.Changes(
-                tuple(c for c in found if isinstance(c, model.Item)),
-                tuple(c for c in found if isinstance(c, str)),
-                self.state.revision,
-            )
+            model.Changes(self._changes(prefix, after), self.state.revision)
         )
 
-    def _changes(self, prefix: str, after: int) -> list[model.Item | str]:
-        return [
+    def _changes(
+        self, prefix: str, after: int
+    ) -> tuple[model.Item | model.Removal, ...]:
+        return tuple(
             change
-            for revision, change in self.state.history
-            if revision > after
-            and getattr(change, "key", change).startswith(prefix)
-        ]
+            for change in self.state.history
+            if change.revision > after and change.key.startswith(prefix)
+        )
 
     async def commit(self, commit: model.Commit, *, timeout_s: float = 0.0):
         """Commit a transaction."""
--- a/standins/users_platform.py
+++ b/standins/users_platform.py
@@ -34,6 +34,12 @@
     """Ignore the change; machines and executors are independent here."""
 
 
+def _encode_event(event: model.Item | model.Removal) -> dict:
+    if isinstance(event, model.Item):
+        return _encode_item(event)
+    return {"key": event.key, "revision": event.revision, "deleted": True}
+
+
 def _encode_item(item: model.Item) -> dict:
     return {
         "key": item.key,
@@ -114,11 +120,7 @@
             self.fail(seen.failure())
             return
         changes = seen.unwrap()
-        events = [_encode_item(item) for item in changes.items]
-        events += [
-            {"key": key, "revision": changes.revision, "deleted": True}
-            for key in changes.removed
-        ]
+        events = [_encode_event(event) for event in changes.events]
         await self.reply_slowly({"events": events, "at": changes.revision})
 
 
--- a/testing/fleet/test_election.py
+++ b/testing/fleet/test_election.py
@@ -408,3 +408,28 @@
         assert owner.election.ownership.epoch <= 1 + epochs
 
     run(main, monkeypatch)
+
+
+@pytest.mark.parametrize("resigns", [True, False])
+def test_a_candidate_that_missed_a_whole_ownership_competes_again(
+    monkeypatch, resigns
+):
+    """One answer of the watch told of a removal, a write and a removal."""
+
+    async def main(fleet):
+        alone = await fleet.add("alone")
+        assert await fleet.until_owner(within_s=1.0) is alone
+        alone.store.path.silent, alone.store.lost_requests = True, 1000
+        other = await fleet.add("other")
+        async with asyncio.timeout(10.0):
+            while not other.is_owner:
+                await asyncio.sleep(0.01)
+        if resigns:
+            await other.election.resign()
+        other.store.path.refused, other.store.lost_requests = True, 1000
+        await asyncio.sleep(3.0)
+        alone.store.path.silent, alone.store.lost_requests = False, 0
+        owner = await fleet.until_owner(within_s=10.0)
+        assert owner is alone
+
+    run(main, monkeypatch)
--- a/testing/fleet/test_reborn_executor.py
+++ b/testing/fleet/test_reborn_executor.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import dataclasses
+import json
 
 import pytest
 
@@ -133,3 +134,56 @@
         assert len(scene.runs_of(job_id)) == 1
 
     scene_module.run_on_virtual_time(main, monkeypatch)
+
+
+async def _write_entries(scene, *specs: model.Executor | None) -> None:
+    """Write or remove the entry of e0 several times before a watch ends."""
+    key = scene_module.EXECUTORS + "e0"
+    for spec in specs:
+        scene.store.revision += 1
+        if spec is None:
+            scene.store.remove(key)
+        else:
+            value = json.dumps(dataclasses.asdict(spec)).encode()
+            scene.store.put(key, value)
+    await scene.store.notify()
+
+
+@pytest.mark.parametrize("times", [1, 2])
+@pytest.mark.parametrize("is_reborn", [False, True])
+def test_an_entry_that_is_back_in_the_same_answer_of_the_watch_gets_work(
+    monkeypatch, is_reborn, times
+):
+    """Its removal was taken to be the newest change."""
+
+    async def main(scene):
+        await scene.open(vms=1, executors=1)
+        await _run_short_jobs(scene, 1)
+        spec = scene.pool.executors["e0"].spec
+        if is_reborn:
+            await scene.crash_executor("e0")
+            spec = dataclasses.replace(spec, incarnation_ms=7)
+            scene.pool.add(spec)
+        await _write_entries(scene, *(None, spec) * times)
+        await asyncio.sleep(1.0)
+        await _run_short_jobs(scene, 2)
+
+    scene_module.run_on_virtual_time(main, monkeypatch)
+
+
+def test_an_executor_removed_last_in_an_answer_of_the_watch_gets_no_work(
+    monkeypatch,
+):
+    async def main(scene):
+        await scene.open(vms=1, executors=1)
+        spec = scene.pool.executors["e0"].spec
+        await _write_entries(scene, None, spec, None)
+        await asyncio.sleep(1.0)
+        job_id, _outcome = await scene.submit(
+            scene.vms[0], scene_module.step()
+        )
+        await asyncio.sleep(3.0)
+        assert not scene.pool.starts
+        assert await scene.state(job_id) == workflow.QUEUED
+
+    scene_module.run_on_virtual_time(main, monkeypatch)
--- a/testing/platform/test_adapter.py
+++ b/testing/platform/test_adapter.py
@@ -103,10 +103,11 @@
         at = platform.store.state.revision
         await store.commit(model.Commit({}, (model.Write("w/a", b"1"),)))
         changes = (await store.watch("w/", after=at, wait_s=1.0)).unwrap()
-        assert [item.key for item in changes.items] == ["w/a"]
+        assert changes.events == (model.Item("w/a", b"1", changes.revision),)
         await store.commit(model.Commit({}, (), ("w/a",)))
-        later = await store.watch("w/", after=changes.revision, wait_s=1.0)
-        assert later.unwrap().removed == ("w/a",)
+        watched = await store.watch("w/", after=changes.revision, wait_s=1.0)
+        later = watched.unwrap()
+        assert later.events == (model.Removal("w/a", later.revision),)
 
     _with_store(work)
 
--- a/testing/platform/test_odd_answers.py
+++ b/testing/platform/test_odd_answers.py
@@ -158,7 +158,7 @@
     assert listing.items == (model.Item("a", b"v", 5),)
     body = {"events": [odd, _item("a"), odd], "at": 7}
     changes = _ask(Script(body), _with_store(STORE_CALLS["watch"])).unwrap()
-    assert changes.items == (model.Item("a", b"v", 5),)
+    assert changes.events == (model.Item("a", b"v", 5),)
 
 
 @pytest.mark.parametrize("value", UNREADABLE, ids=lambda v: repr(v)[:20])
@@ -179,7 +179,7 @@
     gone = {"key": "b", "revision": 6, "deleted": True}
     body = {"events": [{"deleted": True}, gone], "at": 7}
     changes = _ask(Script(body), _with_store(STORE_CALLS["watch"])).unwrap()
-    assert changes.removed == ("b",)
+    assert changes.events == (model.Removal("b", 6),)
 
 
 def test_odd_items_at_the_end_of_a_page_hide_no_later_page():
