Leave out changes from before an entry that is listed already

What operators would see: an executor's session restarts and its runs are given up, though it never restarted. Changes between that and an entry on a later page came again, among them former addresses and incarnations. Change: the watcher leaves out changes of a key up to the revision that the listing has shown. Ruled out: revisions in the registry alone; all readers of a listing have the same need. Evidence: the new case of test_reborn_executor.py fails before. Not seen on real processes.

--- a/src/knapweedwharf/fleet/watcher.py
+++ b/src/knapweedwharf/fleet/watcher.py
@@ -106,6 +106,8 @@
         self._reading = _Reading()
         self._log = log.get("watcher").bind(prefix=prefix)
         self._revision = 0
+        self._listed_ahead: dict[str, int] = {}
+        """Revision of each entry that was listed newer than the listing."""
         self._is_disconnected = False
         self._asked_s = 0.0
         self._wait_ended_s: float | None = None
@@ -177,11 +179,24 @@
         self._revision = max(self._revision, changes.revision)
         self._note_answer(sent_s)
         if changes.events:
-            self._on_changes(changes)
+            self._on_changes(self._without_listed(changes))
         elif clock.elapsed_s() - sent_s >= self._wait_s:
             self._wait_ended_s = sent_s + CERTAIN_WAIT_SHARE * self._wait_s
         return None
 
+    def _without_listed(self, changes: model.Changes) -> model.Changes:
+        """Leave out what a later page of the listing has shown already.
+
+        Pages are read one after the other, and changes follow from the
+        revision of the first.
+        """
+        events = tuple(
+            event
+            for event in changes.events
+            if event.revision > self._listed_ahead.get(event.key, -1)
+        )
+        return dataclasses.replace(changes, events=events)
+
     def _note_answer(self, sent_s: float) -> None:
         now_s = clock.elapsed_s()
         has_waited = now_s - sent_s > FRESH_S
@@ -215,6 +230,11 @@
         self._reading = _Reading()
         self._asked_s = reading.began_s
         self._revision = reading.revision
+        self._listed_ahead = {
+            item.key: item.revision
+            for item in reading.items
+            if item.revision > reading.revision
+        }
         listing = model.Listing(tuple(reading.items), reading.revision)
         taken = self._on_listing(listing)
         if taken is not None:
--- a/testing/fleet/test_reborn_executor.py
+++ b/testing/fleet/test_reborn_executor.py
@@ -187,3 +187,28 @@
         assert await scene.state(job_id) == workflow.QUEUED
 
     scene_module.run_on_virtual_time(main, monkeypatch)
+
+
+def test_a_change_from_before_a_listed_entry_restarts_no_session(monkeypatch):
+    """The watch goes on from the listing's first page, the entry was newer."""
+
+    async def main(scene):
+        await scene.open(vms=1, executors=4)
+        owner = scene.owner
+        spec = scene.pool.executors["e3"].spec
+        owner.store.page_items, owner.store.path.bytes_per_s = 2, 2_000.0
+        seen = len(owner.store.pages)
+        scene.store.revision += 1
+        scene.store.remove(scene_module.EXECUTORS + "e1")
+        scene.store.compact_history()
+        await scene.store.notify()
+        await scene.until(
+            lambda: (scene_module.EXECUTORS, "") in owner.store.pages[seen:]
+        )
+        await scene.list_executor(dataclasses.replace(spec, address="old"))
+        await scene.list_executor(spec)
+        session = owner.node.tenure.registry.sessions["e3"]
+        await asyncio.sleep(3.0)
+        assert owner.node.tenure.registry.sessions["e3"] is session
+
+    scene_module.run_on_virtual_time(main, monkeypatch)
