Let no VM wait for good for an owner that is gone

Cause: a VM learned of its own election after its lease had ended, took itself to be the owner again over the newer removal of its key, and then waited for a change that doesn't come while it is alone. Nothing but an event led out of that wait. Change: what is known of the key has its revision, and older news doesn't count; a VM that waits for the key to go reads it every 30 s. Ruled out: the reading alone; 30 s are longer than a take-over may take. Evidence: two cases of test_election.py fail before.

--- a/src/knapweedwharf/fleet/election.py
+++ b/src/knapweedwharf/fleet/election.py
@@ -52,6 +52,10 @@
 MAX_CANDIDATE_DELAY_S = 0.05
 """Random spread of the candidates; a few times the store's answer time."""
 
+CHECK_INTERVAL_S = 30.0
+"""Time after which a VM that waits for the owner's key to go reads it. The
+watch tells of the removal at once, unless it has missed it."""
+
 MAX_HANDICAP_SHARE = 0.2
 """Longest additional wait of a VM that is unfit for an owner, as a share of
 the take-over time that the lease leaves. A few times the spread, so that
@@ -118,6 +122,7 @@
         self._paused_until_s = 0.0
         self._ending: asyncio.Task | None = None
         self._settled = asyncio.Event()
+        self._owner_revision = 0
         self._owner_absent = asyncio.Event()
         self._owner_present = asyncio.Event()
         self._task: asyncio.Task | None = None
@@ -219,15 +224,23 @@
         self._ending = asyncio.create_task(self._end_lease(lease_id))
 
     def _on_listing(self, listing: model.Listing) -> None:
-        present = any(i.key == records.OWNER_KEY for i in listing.items)
-        self._note_owner(present)
+        for item in listing.items:
+            if item.key == records.OWNER_KEY:
+                self._note_owner(True, item.revision)
+                return
+        self._note_owner(False, listing.revision)
 
     def _on_changes(self, changes: model.Changes) -> None:
         for change in changes.events:
             if change.key == records.OWNER_KEY:
-                self._note_owner(isinstance(change, model.Item))
+                present = isinstance(change, model.Item)
+                self._note_owner(present, change.revision)
 
-    def _note_owner(self, present: bool) -> None:
+    def _note_owner(self, present: bool, revision: int) -> None:
+        """Take note of the owner's key; older news doesn't count."""
+        if revision < self._owner_revision:
+            return
+        self._owner_revision = revision
         if present:
             self._owner_present.set()
             self._owner_absent.clear()
@@ -243,7 +256,8 @@
             if self._lease_id and not self.withdrawn:
                 await self._try_resume()
                 continue
-            await self._owner_absent.wait()
+            if not await self._sees_absence():
+                continue
             pause_s = self._paused_until_s - clock.elapsed_s()
             if pause_s > 0.0:
                 await asyncio.sleep(pause_s)
@@ -253,6 +267,20 @@
             else:
                 await asyncio.sleep(MAX_CANDIDATE_DELAY_S)
 
+    async def _sees_absence(self) -> bool:
+        """Wait until the owner's key is gone; read it from time to time."""
+        try:
+            async with asyncio.timeout(CHECK_INTERVAL_S):
+                await self._owner_absent.wait()
+        except TimeoutError:
+            listed = await self._store.list_page(records.OWNER_KEY)
+            if isinstance(listed, result.Success):
+                self._on_listing(listed.unwrap())
+            else:
+                why = listed.failure().code
+                self._log.info("owner-not-checked", why=why)
+        return self._owner_absent.is_set()
+
     async def _stays_absent(self) -> bool:
         """Let abler candidates go first; return whether none has won."""
         spread_s = self._random.uniform(0.0, MAX_CANDIDATE_DELAY_S)
@@ -378,7 +406,7 @@
             return
         self._lease_id = lease_id
         self._extend(sent_s)
-        self._note_owner(True)
+        self._note_owner(True, won.revision)
         self.ownership = won
         self._ownership_ended.clear()
         self._schedule_renewal(sent_s + self.renewal_period_s)
