Take no run for lost while ends wait behind a full list

Cause: an executor lists 500 ends at once. A run that was neither listed as running nor among those was taken for lost. Change: a report tells whether its list of ends is full; absence counts only in a report that has all runs and all ends. Ruled out: to wait for a report without new ends; an executor with many short tasks always has some, so a lost run would never be found.

--- a/src/knapweedwharf/fleet/model.py
+++ b/src/knapweedwharf/fleet/model.py
@@ -306,6 +306,7 @@
 
     :ivar clock_ms: its monotonic clock when it answered.
     :ivar has_all_runs: whether a run that it doesn't name is not there.
+    :ivar has_all_ends: whether no further ends wait to be named.
     :ivar odd_rows: number of rows that could not be decoded.
     """
 
@@ -314,8 +315,14 @@
     runs: tuple[RunStatus, ...]
     ends: tuple[RunEnd, ...]
     has_all_runs: bool = True
+    has_all_ends: bool = True
     odd_rows: int = 0
 
+    @property
+    def is_complete(self) -> bool:
+        """Whether a run that it doesn't name at all was lost."""
+        return self.has_all_runs and self.has_all_ends
+
 
 @dataclasses.dataclass(frozen=True)
 class StartOrder:
--- a/src/knapweedwharf/fleet/reports.py
+++ b/src/knapweedwharf/fleet/reports.py
@@ -74,26 +74,36 @@
             session.executor_id, session.executor.incarnation_ms
         )
         self._apply_ends(session, report, changed)
-        present = {(run.task_id, run.run) for run in report.runs}
         for run in report.runs:
             self._apply_run(session, run, changed)
+        if report.is_complete:
+            self._apply_absence(session, report, requested_s, changed)
+        self._advance_all(changed)
+        self._forget_former(session)
+        self._report_untracked(session, report)
+        self._report_progress(session, report)
+        self._pacing.adjust(session.executor_id, report.runs)
+
+    def _apply_absence(
+        self,
+        session: session_module.Session,
+        report: model.Report,
+        requested_s: float,
+        changed: ChangedAttempts,
+    ) -> None:
+        """Mark the runs as lost that a complete report doesn't name."""
+        present = {(run.task_id, run.run) for run in report.runs}
         absent = [
             (attempt, member)
             for attempt, member in self._scheduling_state.members_on(
                 session.executor_id
             )
-            if report.has_all_runs
-            and (member.task_id, attempt.run) not in present
+            if (member.task_id, attempt.run) not in present
             and member.absence_means_ended(requested_s)
         ]
         self._lost_with_former(session, present, absent)
         for attempt, member in absent:
             self._mark_lost(attempt, member, changed)
-        self._advance_all(changed)
-        self._forget_former(session)
-        self._report_untracked(session, report)
-        self._report_progress(session, report)
-        self._pacing.adjust(session.executor_id, report.runs)
 
     def _lost_with_former(
         self,
--- a/src/knapweedwharf/platform/decode.py
+++ b/src/knapweedwharf/platform/decode.py
@@ -21,6 +21,10 @@
 MAX_CHECKPOINT_CHARS = 4_000
 """As long as a specification, which a start carries as well."""
 
+MAX_LISTED_ENDS = 500
+"""An executor lists at most so many ends at once; the others follow once
+these are acknowledged."""
+
 _FULL_PERCENT = 100
 
 _MS_PER_S = 1000.0
@@ -297,13 +301,15 @@
 def report(document: Document) -> model.Report:
     """Decode an executor's report of current and ended runs."""
     runs, odd_runs = _decode_rows(_run, field.rows(document, "running"))
-    ends, odd_ends = _decode_rows(_ended_run, field.rows(document, "finished"))
+    end_rows = field.rows(document, "finished")
+    ends, odd_ends = _decode_rows(_ended_run, end_rows)
     return model.Report(
         clock_ms=field.whole(document, "clock_ms"),
         incarnation_ms=field.whole(document, "born"),
         runs=tuple(runs),
         ends=tuple(ends),
         has_all_runs=not odd_runs,
+        has_all_ends=len(end_rows) < MAX_LISTED_ENDS,
         odd_rows=odd_runs + odd_ends,
     )
 
--- a/standins/fleet_executors.py
+++ b/standins/fleet_executors.py
@@ -172,10 +172,9 @@
     def _note_start(self, task_id: str, now_s: float) -> None:
         record = self.pool.capacity_record
         used = record.used(task for task, _run in self.runs)
-        started = capacity_record.Start(
-            now_s, self.spec.executor_id, task_id, used
+        record.starts.append(
+            capacity_record.Start(now_s, self.spec.executor_id, task_id, used)
         )
-        record.starts.append(started)
 
     def _has_ticket(self, order: model.StartOrder) -> bool:
         step_id = order.task_id.rsplit(".", 1)[0]
@@ -199,10 +198,12 @@
     :ivar on_crash: called with an executor that a task has crashed, after
         how many seconds it is back, and whether under another id.
     :ivar enforces_capacity: executors refuse what doesn't fit.
+    :ivar listed_ends: maximum number of ends in a report.
     """
 
     def __init__(self) -> None:
         self.enforces_capacity = True
+        self.listed_ends = 500
         self.capacity_record = capacity_record.CapacityRecord()
         self.advisor = fleet_advisor.FakeAdvisor()
         self.refused: list[str] = []
@@ -225,8 +226,7 @@
         """Let a task crash its executor."""
         if not behaviour.get("crash_after_s", CRASH_AFTER_S):
             executor.is_crashing = True
-        task = asyncio.create_task(self._crash(executor, behaviour))
-        self._tasks.add(task)
+        self._tasks.add(asyncio.create_task(self._crash(executor, behaviour)))
 
     async def _crash(self, executor: FakeExecutor, behaviour: dict) -> None:
         await asyncio.sleep(behaviour.get("crash_after_s", CRASH_AFTER_S))
@@ -338,7 +338,8 @@
             found.clock_ms(),
             found.spec.incarnation_ms,
             tuple(rows),
-            tuple(found.ends),
+            tuple(found.ends[: self.listed_ends]),
+            has_all_ends=len(found.ends) < self.listed_ends,
         )
 
     async def start(
--- a/testing/platform/test_odd_values.py
+++ b/testing/platform/test_odd_values.py
@@ -222,6 +222,17 @@
     assert report.odd_rows == 1
 
 
+@pytest.mark.parametrize("odd", [0, 1])
+@pytest.mark.parametrize("number", [499, 500])
+def test_a_full_list_of_ends_may_not_be_all_of_them(number, odd):
+    ends = [[n, "j", n, "done", ""] for n in range(1, number - odd + 1)]
+    report = decode.report(
+        {**odd_values.REPORT, "running": [], "finished": [None] * odd + ends}
+    )
+    assert len(report.ends) == number - odd
+    assert report.has_all_ends == (number < 500)
+
+
 @pytest.mark.parametrize(
     "value", [7, [], {}, None, "x" * 100_000], ids=odd_values.shown
 )
