Count refused starts of one back-off once, and bound who backs off long

On virtual time a whole service stood idle for 60 s after its executors had refused starts for 0.3 s. Cause: each refused or unanswered start doubled its executor's back-off, also those placed side by side; eight made the longest. Nothing bounded how many executors were off at once. Change: only a start placed after the last back-off ended makes the next one longer. At most a third of the executors back off for over 2 s, as for failures. A refusal over a minute old is forgotten. A decision tells of each back-off. Ruled out: an accepted start or an answer as the end of it; an executor may accept and never begin. To let only the first refused executors off: the others would be tried without a pause.

--- a/src/knapweedwharf/core/engine.py
+++ b/src/knapweedwharf/core/engine.py
@@ -204,7 +204,7 @@
 
     @_apply.register
     def _(self, happened: event.GangRefused) -> None:
-        self._hardware.start_refused(happened.worker_id)
+        self._hardware.start_refused(happened.worker_id, happened.attempt_id)
         self._lifecycle.gang_refused(happened)
 
     @_apply.register
--- a/src/knapweedwharf/core/hardware.py
+++ b/src/knapweedwharf/core/hardware.py
@@ -198,11 +198,21 @@
         self._state.quarantine.forget_worker(worker_id)
         self._lifecycle.recheck_feasibility()
 
-    def start_refused(self, worker_id: str) -> None:
+    def start_refused(self, worker_id: str, attempt_id: str) -> None:
         """Put a worker that refused a start in back-off."""
-        if worker_id in self._state.topology.workers:
-            self._state.quarantine.record_refusal(worker_id, self._state.now_s)
-            self._state.topology.exclude(worker_id, topology_module.REFUSED)
+        state = self._state
+        if worker_id not in state.topology.workers:
+            return
+        pause_s = state.quarantine.record_refusal(
+            worker_id,
+            placed_s=state.placed_s.get(attempt_id, 0.0),
+            now_s=state.now_s,
+            workers=len(state.topology.workers),
+        )
+        if pause_s:
+            state.topology.exclude(worker_id, topology_module.REFUSED)
+            text = f"It refused a start; it gets no other for {pause_s:.0f} s."
+            self._report_standing(worker_id, "backing-off", text)
 
     def record_outcome(self, happened: event.TaskEnded) -> None:
         """Record the end of a task in its worker's failure history."""
--- a/src/knapweedwharf/core/quarantine.py
+++ b/src/knapweedwharf/core/quarantine.py
@@ -10,6 +10,11 @@
 Until then each failure makes the worker back off, longer each time. If
 tasks fail on more workers than may be faulty at once, only the worst of
 them back off.
+
+A worker that refuses starts backs off as well, longer each time it does so
+after a back-off. Starts that were placed before a back-off ended don't tell
+more than the one that began it. If more workers refuse than may be faulty
+at once, the others back off only for a short time.
 """
 
 from __future__ import annotations
@@ -31,7 +36,12 @@
 MAX_BACK_OFF_S = 60.0
 MAX_BACKED_OFF_SHARE = 1 / 3
 """Share of the workers that may be kept from work by failures; if tasks fail
-on more, the jobs are more likely at fault."""
+on more, the jobs are more likely at fault. Also the share that may back off
+for long after refused starts."""
+
+MAX_COMMON_BACK_OFF_S = 2.0
+"""Longest back-off after refused starts of the workers beyond that share, so
+that a service that was out of reach as a whole is soon in use again."""
 
 MAX_JOBS_REMEMBERED = 4000
 
@@ -50,7 +60,10 @@
     :ivar times: quarantines so far.
     :ivar until_s: end of the quarantine; 0 before the first.
     :ivar probation_tasks: tasks allowed at once; 0 sets no limit.
+    :ivar refusals: number of back-offs after refused starts, since the last
+        success.
     :ivar refused_until_s: end of the back-off after a refused start.
+    :ivar refusal_pause_s: length of that back-off.
     :ivar failures: number of failures here by step, since the last success.
     :ivar failed_s: time of the last failure.
     :ivar failed_until_s: end of the back-off after failures.
@@ -62,6 +75,7 @@
     probation_tasks: int = 0
     refusals: int = 0
     refused_until_s: float = 0.0
+    refusal_pause_s: float = 0.0
     failures: dict[str, int] = dataclasses.field(default_factory=dict)
     failed_s: float = 0.0
     failed_until_s: float = 0.0
@@ -71,6 +85,12 @@
         """End of the back-off; 0 before the first."""
         return max(self.refused_until_s, self.failed_until_s)
 
+    def is_kept_off(self, now_s: float) -> bool:
+        """Whether it is in a back-off that not all workers may be in."""
+        is_long = self.refusal_pause_s > MAX_COMMON_BACK_OFF_S
+        is_refusing = is_long and self.refused_until_s > now_s
+        return is_refusing or self.failed_until_s > now_s
+
     @property
     def failure_count(self) -> int:
         """Number of failures here since the last success."""
@@ -193,12 +213,39 @@
             self.probation[worker_id] = None
         return ended
 
-    def record_refusal(self, worker_id: str, now_s: float) -> None:
-        """Record a refused start, with exponential back-off."""
+    def record_refusal(
+        self, worker_id: str, *, placed_s: float, now_s: float, workers: int
+    ) -> float:
+        """Record a refused start, with exponential back-off.
+
+        :param placed_s: when the start was placed.
+        :param workers: number of workers.
+        :returns: length of the back-off; 0 if the start was placed before
+            the last one ended.
+        """
         history = self._history(worker_id)
+        if placed_s < history.refused_until_s:
+            return 0.0
+        if placed_s - history.refused_until_s > MAX_BACK_OFF_S:
+            history.refusals = 0
         history.refusals += 1
-        history.refused_until_s = now_s + _pause_s(history.refusals)
+        pause_s = _pause_s(history.refusals)
+        most = max(1, int(workers * MAX_BACKED_OFF_SHARE))
+        if len(self._kept_off(now_s) - {worker_id}) >= most:
+            pause_s = min(pause_s, MAX_COMMON_BACK_OFF_S)
+        history.refusal_pause_s = pause_s
+        history.refused_until_s = now_s + pause_s
         self._backing_off[worker_id] = None
+        return pause_s
+
+    def _kept_off(self, now_s: float) -> set[str]:
+        """Return the workers that are kept from work for long."""
+        backing_off = {
+            worker_id
+            for worker_id in self._backing_off
+            if self._histories[worker_id].is_kept_off(now_s)
+        }
+        return backing_off | self._quarantined.keys() | self.probation.keys()
 
     def back_off(self, worker_id: str, *, now_s: float, workers: int) -> bool:
         """Begin or extend a back-off after a failure, if one more may.
--- a/src/knapweedwharf/core/state.py
+++ b/src/knapweedwharf/core/state.py
@@ -37,6 +37,7 @@
 class State:
     """Scheduling state of one data centre.
 
+    :ivar placed_s: when each attempt was placed.
     :ivar used: accelerators held by attempts, by account.
     :ivar approved: approved workers, by the approval's name.
     :ivar holding: jobs whose attempts hold capacity, by account.
@@ -63,6 +64,7 @@
         self.headroom = headroom.Headroom()
         self.approved: dict[str, set[str]] = {}
         self.quarantine = quarantine.Quarantine()
+        self.placed_s: dict[str, float] = {}
         self.suspects = suspects.Suspects()
         self.used: dict[str, int] = {}
         self.holding: dict[str, dict[str, None]] = {}
@@ -92,11 +94,7 @@
     def reason(self, code: str, text: str, **links: str) -> model.Reason:
         """Return a reason with the current time and revision."""
         return model.Reason(
-            code=code,
-            text=text,
-            at_s=self.now_s,
-            revision=self.configuration.revision,
-            **links,
+            code, text, self.now_s, self.configuration.revision, **links
         )
 
     def transition(
@@ -344,6 +342,7 @@
         record.guarantee = unit.guarantee.name if unit else ""
         record.unit = unit.number if unit else 0
         self.hold(record)
+        self.placed_s[record.attempt_id] = self.now_s
         self.transition(record, "place", reason)
         self.decisions.append(
             decision.StartGang(
@@ -379,6 +378,7 @@
         self.topology.release(record.attempt_id)
         self.suspects.release(record.attempt_id)
         self.by_attempt.pop(record.attempt_id, None)
+        self.placed_s.pop(record.attempt_id, None)
         self.used[job.account] -= job.accelerators
         if job.rank:
             self.headroom.in_use -= job.accelerators
--- a/testing/core/test_quarantine.py
+++ b/testing/core/test_quarantine.py
@@ -102,7 +102,9 @@
     quarantine = site.engine.state.quarantine
     quarantine.begin("r0-w0", now_s=site.now_s, length_s=1.0)
     site.wait(1.1)
-    quarantine.record_refusal("r0-w0", site.now_s)
+    quarantine.record_refusal(
+        "r0-w0", placed_s=site.now_s, now_s=site.now_s, workers=3
+    )
     site.engine.topology.exclude("r0-w0", topology.REFUSED)
     job = site.run("sound", "acme").job
     for _number in range(4):
@@ -110,3 +112,77 @@
     site.tell(event.Tick())
     site.wait(2.0)
     assert "r0-w0" not in _excluded(site)
+
+
+def _refuse(site, record) -> None:
+    site.tell(event.GangRefused(record.attempt_id, _worker_of(record), "full"))
+
+
+def test_starts_refused_side_by_side_count_once(site):
+    """Eight of them made the longest back-off."""
+    site.workers(1)
+    records = [site.submit(f"job-{number}", "acme") for number in range(8)]
+    for record in records:
+        _refuse(site, record)
+    assert _excluded(site) == {"r0-w0"}
+    site.wait(1.0)
+    assert not _excluded(site)
+    assert all(record.state == "starting" for record in records)
+
+
+def test_a_start_refused_long_after_it_was_placed_counts_once(site):
+    """Its executor was out of reach; all answers come when it is back."""
+    site.workers(1)
+    records = [site.submit(f"job-{number}", "acme") for number in range(8)]
+    site.wait(5.0)
+    for record in records[:4]:
+        _refuse(site, record)
+    site.wait(1.5)
+    assert not _excluded(site)
+    for record in records[4:]:
+        _refuse(site, record)
+    assert not _excluded(site)
+
+
+def test_workers_that_all_refuse_are_soon_tried_again(site):
+    """All of a service stayed idle for a minute."""
+    site.workers(6)
+    records = [site.submit(f"job-{number}", "acme") for number in range(48)]
+    for _round in range(80):
+        for record in records:
+            if record.state == "starting":
+                _refuse(site, record)
+        site.wait(0.25)
+    refusing = _excluded(site)
+    site.wait(2.0)
+    assert len(refusing & _excluded(site)) <= 2
+
+
+def test_a_worker_that_refuses_everything_stays_off_for_long(site):
+    """It is tried again after back-offs of up to a minute."""
+    site.workers(6)
+    records = [site.submit(f"job-{number}", "acme") for number in range(60)]
+    tried = 0
+    for _quarter in range(4 * 120):
+        for record in records:
+            if record.state == "starting" and _worker_of(record) == "r0-w0":
+                tried += 1
+                _refuse(site, record)
+        site.wait(0.25)
+    assert _excluded(site) == {"r0-w0"}
+    assert tried <= 8 * 8
+
+
+def test_refusals_long_ago_make_no_back_off_longer(site):
+    """The worker has had nothing to do since, so no success ended them."""
+    site.workers(1)
+    record = site.submit("job", "acme")
+    for _round in range(4):
+        _refuse(site, record)
+        site.wait(10.0)
+    site.tell(event.JobCancelled("job"))
+    site.wait(90.0)
+    record = site.submit("next", "acme")
+    _refuse(site, record)
+    site.wait(1.0)
+    assert not _excluded(site)
