Ask the service before a machine of a wave counts as gone

Cause: a machine without a listed executor that the list of machines left out counted as gone for good; odd rows are left out. Change: it is ordered down like the others, and the answer that there is no such machine finishes it. A machine that loses its executor while it drains is no longer ordered down because some earlier list had it. Ruled out: to count odd rows as a failed listing; one odd row for good would hold up all waves. Evidence: the new case of test_maintenance.py fails before.

--- a/src/knapweedwharf/fleet/maintenance.py
+++ b/src/knapweedwharf/fleet/maintenance.py
@@ -204,15 +204,18 @@
         self, progress: wave_progress.WaveProgress, machine_id: str
     ) -> None:
         machine = self._machine_list.get(machine_id)
-        if machine is None:
-            self._finish(progress, machine_id, why="has-left")
-        elif machine_id in progress.begun:
-            if machine.state == model.MACHINE_UP:
-                self._finish(progress, machine_id, why="is-up")
-        elif machine.state == model.MACHINE_UP and not machine.executor_id:
-            # Its pool is off, so nothing runs there.
+        is_up = machine is not None and machine.state == model.MACHINE_UP
+        if machine_id in progress.begun:
+            if machine is None or is_up:
+                why = "is-up" if is_up else "has-left"
+                self._finish(progress, machine_id, why=why)
+        elif machine is None or (is_up and not machine.executor_id):
+            # Its pool is off, or it has left. The answer to its order tells
+            # whether it has, as a list may lack rows.
             if self._may_drain(machine_id):
-                progress.drains[machine_id] = wave_progress.Drain(0.0)
+                progress.drains[machine_id] = wave_progress.Drain(
+                    0.0, is_idle=True
+                )
 
     def _collect_returned(self, progress: wave_progress.WaveProgress) -> None:
         """Finish the machines that are back with a new incarnation.
@@ -335,7 +338,7 @@
         if session is None:
             if machine_id in progress.begun:
                 incarnation = progress.begun[machine_id]
-            elif machine_id in self._machine_list:
+            elif progress.drains[machine_id].is_idle:
                 incarnation = ""
             else:
                 del progress.drains[machine_id]
--- a/src/knapweedwharf/fleet/wave_progress.py
+++ b/src/knapweedwharf/fleet/wave_progress.py
@@ -23,11 +23,13 @@
         is stopped.
     :ivar incarnation: executor incarnation that gets no new work; empty
         until one is seen.
+    :ivar is_idle: nothing runs on it, though no executor of it is known.
     """
 
     turn_s: float
     deadline_s: float = math.inf
     incarnation: str = ""
+    is_idle: bool = False
 
 
 @dataclasses.dataclass(slots=True)
--- a/testing/fleet/test_maintenance.py
+++ b/testing/fleet/test_maintenance.py
@@ -6,6 +6,7 @@
 import json
 
 import pytest
+from returns import result
 
 from knapweedwharf.core import workflow
 from knapweedwharf.fleet import model
@@ -147,6 +148,29 @@
     scene_module.run_on_virtual_time(main, monkeypatch)
 
 
+def test_a_machine_that_a_list_leaves_out_is_still_maintained(monkeypatch):
+    """Its row can't be read, and its executor isn't listed for a while."""
+
+    async def main(scene):
+        await scene.open(vms=1, executors=2)
+        await scene.store.external_remove(scene_module.EXECUTORS + "e1")
+        machines = scene.machines
+        listed = machines.list
+
+        async def list_without():
+            rows = (await listed()).unwrap()
+            return result.Success(
+                tuple(m for m in rows if m.machine_id != "m-e1")
+            )
+
+        machines.list = list_without
+        await _request_wave(scene, ["m-e0", "m-e1"])
+        await scene.until(lambda: _published(scene) is True, within_s=60)
+        assert machines.done == {("m-e0", 3), ("m-e1", 3)}
+
+    scene_module.run_on_virtual_time(main, monkeypatch)
+
+
 def test_a_machine_whose_executor_is_missing_keeps_the_wave_open(monkeypatch):
     """The machine is still listed, so it must still be maintained."""
 
