Carry out waves whose record can't be read

What operators would see: one unreadable record holds up all waves; since the limit is held across waves, none starts before all records are read. Change: such a wave is carried out from the start, which is safe, as a repeated order has no effect. Ruled out: to leave the wave out of the limit; it would never complete. Evidence: five cases of test_maintenance.py fail before. The search for tasks that may move goes to availability.py, for the size of the module.

--- a/src/knapweedwharf/fleet/availability.py
+++ b/src/knapweedwharf/fleet/availability.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections import abc
+
 from knapweedwharf.core import workflow
 from knapweedwharf.fleet import attempt as attempt_module
 from knapweedwharf.fleet import scheduling_state as scheduling_state_module
@@ -45,3 +47,20 @@
     """Return whether an attempt's tasks run until they are stopped."""
     step: workflow.Step = attempt.job.steps[attempt.part.step]
     return step.is_lasting
+
+
+def movable(
+    scheduling_state: scheduling_state_module.SchedulingState,
+    executor_id: str,
+) -> abc.Iterator[attempt_module.Attempt]:
+    """Yield the long-running attempts on an executor that may be stopped.
+
+    Each is checked when it is asked for, as a stop counts for the next one.
+    """
+    seen: set[str] = set()
+    for attempt, _member in scheduling_state.members_on(executor_id):
+        if attempt.attempt_id in seen or attempt.stopping:
+            continue
+        seen.add(attempt.attempt_id)
+        if is_lasting(attempt) and may_stop(scheduling_state, attempt):
+            yield attempt
--- a/src/knapweedwharf/fleet/maintenance.py
+++ b/src/knapweedwharf/fleet/maintenance.py
@@ -15,6 +15,7 @@
 from returns import result
 
 from knapweedwharf import backoff
+from knapweedwharf import codec
 from knapweedwharf.core import event
 from knapweedwharf import errors
 from knapweedwharf.fleet import availability
@@ -129,7 +130,16 @@
             status=self._value_at(status_key),
         )
         if item is not None:
-            progress.load(item.value)
+            try:
+                progress.load(item.value)
+            except codec.UNDECODABLE as error:
+                # Orders are repeated; those carried out have no effect.
+                self._log.error(
+                    "wave-record-malformed",
+                    wave=wave.number,
+                    revision=item.revision,
+                    why=str(error),
+                )
             turn_s = self._drain_time_s(progress)
             progress.drains = {
                 # It may have crashed since and run work.
@@ -362,20 +372,13 @@
 
     def _move_lasting(self, session: session_module.Session) -> None:
         """Move long-running tasks as far as their step allows misses."""
-        seen: set[str] = set()
-        for attempt, _member in self._scheduling_state.members_on(
-            session.executor_id
+        for attempt in availability.movable(
+            self._scheduling_state, session.executor_id
         ):
-            if attempt.attempt_id in seen or attempt.stopping:
-                continue
-            seen.add(attempt.attempt_id)
-            if not availability.is_lasting(attempt):
-                continue
-            if availability.may_stop(self._scheduling_state, attempt):
-                moved = event.JobMoved(
-                    attempt.part.part_id, "Its machine is to be maintained."
-                )
-                self._tell(session.executor.service, moved)
+            moved = event.JobMoved(
+                attempt.part.part_id, "Its machine is to be maintained."
+            )
+            self._tell(session.executor.service, moved)
 
     async def _order_maintenance(
         self,
--- a/testing/fleet/test_maintenance.py
+++ b/testing/fleet/test_maintenance.py
@@ -461,3 +461,20 @@
         assert scene.machines.done == {(m, 3) for m in machines}
 
     scene_module.run_on_virtual_time(main, monkeypatch)
+
+
+@pytest.mark.parametrize("value", [b"", b"[]", b"{}", b"7", b'{"begun":7}'])
+def test_a_wave_whose_record_is_malformed_is_carried_out(monkeypatch, value):
+    """It held up all waves."""
+
+    async def main(scene):
+        await scene.open(vms=1, executors=2)
+        await scene.store.external_write("waves/3", value)
+        await _request_wave(scene, ["m-e0"], number=3)
+        await _request_wave(scene, ["m-e1"], number=4)
+        await scene.until(
+            lambda: _published(scene, 3) and _published(scene, 4), within_s=60
+        )
+        assert scene.machines.done == {("m-e0", 3), ("m-e1", 4)}
+
+    scene_module.run_on_virtual_time(main, monkeypatch)
