--- a/testing/fleet/test_listed_ends.py
+++ b/testing/fleet/test_listed_ends.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 
 import pytest
 import structlog
 
 from knapweedwharf.core import workflow
+from knapweedwharf.fleet import model
 from testing.fleet import scene as scene_module
 
 TASKS = 200
@@ -139,3 +141,24 @@
         ]
 
     scene_module.run_on_virtual_time(main, monkeypatch)
+
+
+def test_a_draining_executor_with_ends_that_wait_loses_none(monkeypatch):
+    async def main(scene):
+        await scene.open(vms=1, executors=2)
+        scene.pool.listed_ends = LISTED_ENDS
+        job_id = await _submit_small_tasks(scene, run_s=1.5)
+        await scene.until(lambda: len(scene.pool.starts) == TASKS)
+        for executor in scene.pool.executors.values():
+            executor.silent = True
+            draining = dataclasses.replace(
+                executor.spec, state=model.DRAINING, remaining_s=4.0
+            )
+            await scene.list_executor(draining)
+        await asyncio.sleep(2.0)
+        for executor in scene.pool.executors.values():
+            executor.silent = False
+        await scene.until_state(job_id, workflow.COMPLETED, within_s=10)
+        assert len(scene.pool.starts) == TASKS
+
+    scene_module.run_on_virtual_time(main, monkeypatch)
--- a/testing/fleet/test_maintenance.py
+++ b/testing/fleet/test_maintenance.py
@@ -478,3 +478,18 @@
         assert scene.machines.done == {("m-e0", 3), ("m-e1", 4)}
 
     scene_module.run_on_virtual_time(main, monkeypatch)
+
+
+def test_orders_without_an_answer_finish_no_machine_that_is_up(monkeypatch):
+    """A machine that is up counts as back only after an accepted order."""
+
+    async def main(scene):
+        await scene.open(vms=1, executors=2)
+        scene.machines.drop_orders = 10
+        await _request_wave(scene, ["m-e0"])
+        await scene.until(lambda: scene.machines.drop_orders == 0)
+        assert _published(scene) is False
+        await scene.until(lambda: _published(scene) is True, within_s=30)
+        assert scene.machines.done == {("m-e0", 3)}
+
+    scene_module.run_on_virtual_time(main, monkeypatch)
