--- a/testing/fleet/test_listed_ends.py
+++ b/testing/fleet/test_listed_ends.py
@@ -16,6 +16,17 @@
 LISTED_ENDS = 50
 
 
+async def _run_small_tasks(
+    scene, *, vms: int = 1, executors: int = 1, run_s: float = 1.5
+) -> str:
+    """Open a scene and start many tasks; return the id of their job."""
+    await scene.open(vms=vms, executors=executors)
+    scene.pool.listed_ends = LISTED_ENDS
+    job_id = await _submit_small_tasks(scene, run_s=run_s)
+    await scene.until(lambda: len(scene.pool.starts) == TASKS)
+    return job_id
+
+
 async def _submit_small_tasks(scene, *, run_s: float, tasks=TASKS) -> str:
     """Submit a job whose tasks all fit one executor at once."""
     job_id, _outcome = await scene.submit(
@@ -36,10 +47,7 @@
     """Runs whose ends were not listed yet were started again."""
 
     async def main(scene):
-        await scene.open(vms=1, executors=1)
-        scene.pool.listed_ends = LISTED_ENDS
-        job_id = await _submit_small_tasks(scene, run_s=1.5)
-        await scene.until(lambda: len(scene.pool.starts) == TASKS)
+        job_id = await _run_small_tasks(scene)
         scene.pool.executors["e0"].silent = True
         await asyncio.sleep(silent_s)
         scene.pool.executors["e0"].silent = False
@@ -53,10 +61,7 @@
     """It knows the runs from their records, and the report is cut."""
 
     async def main(scene):
-        await scene.open(vms=2, executors=1)
-        scene.pool.listed_ends = LISTED_ENDS
-        job_id = await _submit_small_tasks(scene, run_s=2.0)
-        await scene.until(lambda: len(scene.pool.starts) == TASKS)
+        job_id = await _run_small_tasks(scene, vms=2, run_s=2.0)
         await asyncio.sleep(0.5)
         await scene.owner.kill()
         await scene.until(lambda: scene.owner is not None)
@@ -96,10 +101,7 @@
     """Once all ends are listed, what is named nowhere was lost."""
 
     async def main(scene):
-        await scene.open(vms=1, executors=1)
-        scene.pool.listed_ends = LISTED_ENDS
-        job_id = await _submit_small_tasks(scene, run_s=1.5)
-        await scene.until(lambda: len(scene.pool.starts) == TASKS)
+        job_id = await _run_small_tasks(scene)
         executor = scene.pool.executors["e0"]
         executor.silent = True
         await asyncio.sleep(1.0)
@@ -119,10 +121,7 @@
     monkeypatch, how
 ):
     async def main(scene):
-        await scene.open(vms=1, executors=2)
-        scene.pool.listed_ends = LISTED_ENDS
-        job_id = await _submit_small_tasks(scene, run_s=1.5)
-        await scene.until(lambda: len(scene.pool.starts) >= TASKS)
+        job_id = await _run_small_tasks(scene, executors=2)
         executor_id = scene.pool.starts[0][1]
         executor = scene.pool.executors[executor_id]
         executor.silent = True
@@ -145,10 +144,7 @@
 
 def test_a_draining_executor_with_ends_that_wait_loses_none(monkeypatch):
     async def main(scene):
-        await scene.open(vms=1, executors=2)
-        scene.pool.listed_ends = LISTED_ENDS
-        job_id = await _submit_small_tasks(scene, run_s=1.5)
-        await scene.until(lambda: len(scene.pool.starts) == TASKS)
+        job_id = await _run_small_tasks(scene, executors=2)
         for executor in scene.pool.executors.values():
             executor.silent = True
             draining = dataclasses.replace(
