--- a/src/knapweedwharf/core/quarantine.py
+++ b/src/knapweedwharf/core/quarantine.py
@@ -225,6 +225,7 @@
         """
         history = self._history(worker_id)
         if placed_s < history.refused_until_s:
+            # Placed beside the start that began the back-off.
             return 0.0
         if placed_s - history.refused_until_s > MAX_BACK_OFF_S:
             history.refusals = 0
--- a/src/knapweedwharf/fleet/election.py
+++ b/src/knapweedwharf/fleet/election.py
@@ -256,7 +256,7 @@
             if self._lease_id and not self.withdrawn:
                 await self._try_resume()
                 continue
-            if not await self._sees_absence():
+            if not await self._await_absence():
                 continue
             pause_s = self._paused_until_s - clock.elapsed_s()
             if pause_s > 0.0:
@@ -267,8 +267,11 @@
             else:
                 await asyncio.sleep(MAX_CANDIDATE_DELAY_S)
 
-    async def _sees_absence(self) -> bool:
-        """Wait until the owner's key is gone; read it from time to time."""
+    async def _await_absence(self) -> bool:
+        """Wait for the owner's key to go; return whether it is gone.
+
+        A missed removal is found by reading the key after a while.
+        """
         try:
             async with asyncio.timeout(CHECK_INTERVAL_S):
                 await self._owner_absent.wait()
--- a/src/knapweedwharf/fleet/maintenance.py
+++ b/src/knapweedwharf/fleet/maintenance.py
@@ -140,9 +140,9 @@
                     revision=item.revision,
                     why=str(error),
                 )
+            # These may have crashed since and run work.
             turn_s = self._drain_time_s(progress)
             progress.drains = {
-                # It may have crashed since and run work.
                 machine_id: wave_progress.Drain(turn_s)
                 for machine_id in progress.unconfirmed
             }
