Work out in one place how many workers may be kept off

Cause: the bound for refused starts repeated the one for failures. No change of behaviour. Ruled out: to share the set of workers kept off as well; failures don't count refusing workers, and would then. Evidence: the tests of core, of fleet and of docs pass (697).

--- a/src/knapweedwharf/core/quarantine.py
+++ b/src/knapweedwharf/core/quarantine.py
@@ -231,8 +231,8 @@
             history.refusals = 0
         history.refusals += 1
         pause_s = _pause_s(history.refusals)
-        most = max(1, int(workers * MAX_BACKED_OFF_SHARE))
-        if len(self._kept_off(now_s) - {worker_id}) >= most:
+        others = self._kept_off(now_s) - {worker_id}
+        if len(others) >= _most_kept_off(workers):
             pause_s = min(pause_s, MAX_COMMON_BACK_OFF_S)
         history.refusal_pause_s = pause_s
         history.refused_until_s = now_s + pause_s
@@ -263,8 +263,7 @@
             if self._histories[other].failed_until_s > now_s
         ]
         kept_off = {*failing, *self._quarantined, *self.probation}
-        most = max(1, int(workers * MAX_BACKED_OFF_SHARE))
-        if len(kept_off - {worker_id}) >= most:
+        if len(kept_off - {worker_id}) >= _most_kept_off(workers):
             least = min(
                 failing,
                 key=lambda other: self._histories[other].failure_count,
@@ -323,6 +322,11 @@
     return min(BACK_OFF_S * 2 ** min(times - 1, 10), MAX_BACK_OFF_S)
 
 
+def _most_kept_off(workers: int) -> int:
+    """Return how many of the workers may be kept from work for long."""
+    return max(1, int(workers * MAX_BACKED_OFF_SHARE))
+
+
 def _failed_until_s(history: FailureHistory) -> float:
     count = history.failure_count
     return history.failed_s + _pause_s(count) if count else 0.0
