Move the queue's order out of the state, and note warming workers

The order is a module of its own now; core/speed.py holds what is known of speeds. Ruled out: a mix-in, which hides what the state depends on.

--- a/src/knapweedwharf/core/engine.py
+++ b/src/knapweedwharf/core/engine.py
@@ -166,6 +166,10 @@
     def _(self, happened: event.WorkerGone) -> None:
         self._hardware.gone(happened.worker_id)
 
+    @_apply.register
+    def _(self, happened: event.WorkerWarming) -> None:
+        self.state.speeds.set_warming(happened.worker_id, happened.until_s)
+
     @_apply.register
     def _(self, happened: event.UntrackedSeen) -> None:
         self.topology.set_untracked(happened.worker_id, happened.taken)
--- a/src/knapweedwharf/core/event.py
+++ b/src/knapweedwharf/core/event.py
@@ -69,6 +69,17 @@
     worker_id: str
 
 
+@dataclasses.dataclass(frozen=True)
+class WorkerWarming:
+    """A worker is slow for a while, such as after its start.
+
+    :ivar until_s: when it is expected to be warm.
+    """
+
+    worker_id: str
+    until_s: float
+
+
 @dataclasses.dataclass(frozen=True)
 class JobSubmitted:
     """A job was accepted and stored durably.
@@ -234,6 +245,7 @@
     UsageReported,
     UntrackedSeen,
     JobMoved,
+    WorkerWarming,
     WorkersApproved,
     ProgressSeen,
     Tick,
--- a/src/knapweedwharf/core/state.py
+++ b/src/knapweedwharf/core/state.py
@@ -13,26 +13,19 @@
 from knapweedwharf.core import headroom
 from knapweedwharf.core import ledger
 from knapweedwharf.core import model
+from knapweedwharf.core import order as order_module
 from knapweedwharf.core import placement
 from knapweedwharf.core import progress
 from knapweedwharf.core import quarantine
 from knapweedwharf.core import record as record_module
+from knapweedwharf.core import speed
 from knapweedwharf.core import suspects
 from knapweedwharf.core import topology
 from knapweedwharf.core import waiting
 
-MAX_RUN_AGEINGS = 4
-"""Ageing times that a long run adds at most to a job's sort key."""
-
-_RANKS_PER_PRECEDENCE = 2
-"""Ranks for each precedence: on time, then late."""
-
 HEADROOM_SHARE = 0.8
 """Share of its objective; a job that would end later ignores headroom."""
 
-_NO_VALUE_RANK = 10
-"""Rank of jobs without value left; after the ranks of all precedences."""
-
 
 class State:
     """Scheduling state of one data centre.
@@ -60,6 +53,10 @@
         self.claims = claim.Claims(self.topology)
         self.reservations = claim.Reservations(self.topology)
         self.estimates = estimate.Estimates()
+        self.order = order_module.Order(
+            self.estimates, reserves=self.policy.reserves
+        )
+        self.speeds = speed.Speeds()
         self.progress = progress.Progress()
         self.headroom = headroom.Headroom()
         self.approved: dict[str, set[str]] = {}
@@ -139,57 +136,13 @@
             record.note(job_class.blocked)
 
     def order_of(self, job: model.JobSpec, run_s: float) -> waiting.OrderKey:
-        """Return a job's sort key in the queue.
-
-        Urgent work goes first. Each lower urgency adds one ageing time
-        to the submission time, and a longer run adds a bounded amount.
-        So ageing prevents starvation within one precedence.
-        """
+        """Return a job's sort key in the queue."""
         policy = self.configuration.policy
-        if not self.policy.reserves:
-            return (0, job.submitted_s + job.handicap_s, job.job_id)
-        if job.urgency == model.URGENT:
-            return (-job.precedence, job.submitted_s, job.job_id)
-        level = model.URGENCIES.index(job.urgency) - 1
-        length_s = min(run_s, MAX_RUN_AGEINGS * policy.ageing_s)
-        length_s *= 1.0 - policy.fragmentation_weight
-        later_s = level * policy.ageing_s + length_s + job.handicap_s
-        rank = self._rank(job, run_s)
-        return (rank, job.submitted_s + later_s, job.job_id)
-
-    def _rank(self, job: model.JobSpec, run_s: float) -> int:
-        """Return a job's rank by precedence and objective.
-
-        Within a precedence, jobs that can still meet their objective go
-        before late ones; jobs without value left go last of all.
-        """
-        late_factor = self.configuration.policy.late_factor
-        base = (1 - job.precedence) * _RANKS_PER_PRECEDENCE
-        if not late_factor or not job.objective_s:
-            return base
-        ends_s = self._completion_s(job, run_s)
-        objective_s = self._likely_objective_s(job)
-        if ends_s <= objective_s:
-            return base
-        if ends_s <= objective_s * late_factor:
-            return base + 1
-        return _NO_VALUE_RANK
+        return self.order.key(job, run_s, policy=policy, now_s=self.now_s)
 
     def is_on_time(self, job: model.JobSpec) -> bool:
         """Tell whether a job meets its objective if it starts now."""
-        if not job.objective_s:
-            return False
-        ends_s = self._completion_s(job, self.estimates.run_s(job))
-        return ends_s <= self._likely_objective_s(job)
-
-    def _completion_s(self, job: model.JobSpec, run_s: float) -> float:
-        """Return a job's time from submission to completion if started now."""
-        return self.now_s - job.submitted_s + run_s + job.after_s
-
-    def _likely_objective_s(self, job: model.JobSpec) -> float:
-        """Return a job's objective, adjusted to its likely run time."""
-        longer_s = self.estimates.cautious_run_s(job) - job.declared_run_s
-        return job.objective_s + job.slowdown * max(0.0, longer_s)
+        return self.order.is_on_time(job, self.now_s)
 
     def sample_headroom(self) -> None:
         """Sample the use of work with precedence for the headroom."""
@@ -216,8 +169,9 @@
         kept = self.headroom.required(policy.headroom_deviations)
         if self.topology.open_accelerators - job.accelerators >= kept:
             return True
-        ends_s = self._completion_s(job, self.estimates.run_s(job))
-        return ends_s >= HEADROOM_SHARE * self._likely_objective_s(job)
+        run_s = self.estimates.run_s(job)
+        ends_s = order_module.completion_s(job, run_s, self.now_s)
+        return ends_s >= HEADROOM_SHARE * self.order.likely_objective_s(job)
 
     def search(self, job: model.JobSpec) -> placement.Share | None:
         """Find free workers, near its data or in one rack if preferred.
