Keep the retries of refused starts in a module of their own

Cause: a start that is not sent, as the operator forbids it, says nothing of the job; lifecycle had no room for the difference.

Change: core/start_retries.py counts the refusals; GangRefused tells whether the start was withheld, which neither counts nor delays.

--- a/src/knapweedwharf/core/event.py
+++ b/src/knapweedwharf/core/event.py
@@ -152,11 +152,13 @@
     """The start failed and every task was released.
 
     :ivar worker_id: the worker that refused, or empty.
+    :ivar is_withheld: a start wasn't sent, as the operator forbids it.
     """
 
     attempt_id: str
     worker_id: str
     reason: str
+    is_withheld: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/knapweedwharf/core/lifecycle.py
+++ b/src/knapweedwharf/core/lifecycle.py
@@ -10,14 +10,10 @@
 from knapweedwharf.core import model
 from knapweedwharf.core import reclaim
 from knapweedwharf.core import record as record_module
+from knapweedwharf.core import start_retries
 from knapweedwharf.core import state as state_module
 from knapweedwharf.core import usage
 
-START_RETRY_S = 1.0
-MAX_START_RETRY_S = 30.0
-"""Delay of a job whose start failed without a worker to blame; doubles up
-to the maximum."""
-
 
 class Lifecycle:
     """Applies events to job records by the job's state chart.
@@ -32,7 +28,7 @@
         self._state = state
         self._reclaim = reclaimer
         self._usage = usage.Usage()
-        self._refusals: dict[str, int] = {}
+        self._retries = start_retries.StartRetries()
         self._not_in_units: dict[str, None] = {}
         self.feasibility = feasibility.Feasibility(state)
 
@@ -237,7 +233,7 @@
         if record is None or record.state != record_module.STARTING:
             return
         record.started_s = state.now_s
-        self._refusals.pop(record.job.job_id, None)
+        self._retries.forget(record.job.job_id)
         state.transition(
             record, "started", state.reason("started", "All tasks run.")
         )
@@ -277,11 +273,8 @@
             return
         self._release(record)
         state.transition(record, "refused", reason)
-        count = self._refusals.get(record.job.job_id, 0)
-        self._refusals[record.job.job_id] = count + 1
-        delay_s = min(START_RETRY_S * 2 ** min(count, 10), MAX_START_RETRY_S)
-        # A worker that refused is in back-off itself; the job need not be.
-        state.enqueue(record, delay_s=0.0 if happened.worker_id else delay_s)
+        delay_s = self._retries.delay_s(record.job.job_id, happened)
+        state.enqueue(record, delay_s=delay_s)
 
     def gang_stopped(self, happened: event.GangStopped) -> None:
         """Handle the confirmed stop of a gang."""
