Start nothing in a data centre that is to be evacuated

Change: fleet/evacuations.py follows the requests in the watch of the operator's entries. The owner tells the core that executors there get no new work (fleet/evacuated_executors.py, fleet/announcements.py) and looks once more right before each start is sent (fleet/start_gate.py). Pools take no machines from there.

Ruled out: a check at placement alone (starts that wait for their record or are repeated were sent), an acknowledgement of the system's own.

--- a/src/knapweedwharf/fleet/attempt.py
+++ b/src/knapweedwharf/fleet/attempt.py
@@ -89,6 +89,7 @@
     :ivar start_reported: the engine was told that all members run.
     :ivar stopping: the engine has requested a stop.
     :ivar refused_by: executor that refused a start, or empty.
+    :ivar is_withheld: a start wasn't sent, as its data centre is evacuated.
     :ivar closed: the engine was told that the attempt has ended.
     :ivar on_ends_reported: callbacks to call once the engine has been
         told of all ends.
@@ -102,6 +103,7 @@
     start_reported: bool = False
     stopping: bool = False
     refused_by: str = ""
+    is_withheld: bool = False
     closed: bool = False
     on_ends_reported: list[abc.Callable[[], None]] = dataclasses.field(
         default_factory=list
--- a/src/knapweedwharf/fleet/desired.py
+++ b/src/knapweedwharf/fleet/desired.py
@@ -5,6 +5,7 @@
 from collections import abc
 
 from knapweedwharf.fleet import clock
+from knapweedwharf.fleet import evacuations as evacuations_module
 from knapweedwharf.fleet import model
 from knapweedwharf.fleet import watcher as watcher_module
 from knapweedwharf import log
@@ -13,8 +14,9 @@
 """Limits for how long a dead connection hides a change."""
 
 WATCH_WAIT_SHARE = 0.3
-"""Share of the time within which a removed key must stop working that a watch
-may wait; while it waits, its copy grows older."""
+"""Share of the time within which a removed key must stop working, or starts in
+an evacuated data centre must cease, that a watch may wait; while it waits, its
+copy grows older."""
 
 AGE_MARGIN_S = 0.7
 """Part of the revocation time reserved for the answer's way back."""
@@ -25,6 +27,7 @@
 
     :ivar current: newest known state, or None before the first.
     :ivar waves: maintenance waves requested by the operator, by number.
+    :ivar evacuations: data centres in which nothing may be started.
     """
 
     def __init__(
@@ -44,11 +47,14 @@
         self.watcher = watcher_module.Watcher(
             store,
             store_schema.operator_prefix,
-            wait_s=min(
-                MAX_WATCH_WAIT_S, WATCH_WAIT_SHARE * bounds.revocation_s
-            ),
-            on_listing=lambda listing: self._apply_items(listing.items),
-            on_changes=lambda changes: self._apply_items(changes.items),
+            wait_s=_watch_wait_s(bounds),
+            on_listing=self._apply_listing,
+            on_changes=self._apply_changes,
+        )
+        self.evacuations = evacuations_module.Evacuations(
+            store_schema=store_schema,
+            evacuation_s=bounds.evacuation_s,
+            age_s=lambda: self.watcher.age_s,
         )
 
     async def start(self) -> None:
@@ -89,6 +95,14 @@
         """Apply an entry returned by a transaction."""
         self._apply_items((item,))
 
+    def _apply_listing(self, listing: model.Listing) -> None:
+        self.evacuations.apply_listing(listing)
+        self._apply_items(listing.items)
+
+    def _apply_changes(self, changes: model.Changes) -> None:
+        self.evacuations.apply_changes(changes)
+        self._apply_items(changes.items)
+
     def _apply_items(self, items: abc.Iterable[model.Item]) -> None:
         for item in items:
             if item.key.startswith(self._store_schema.wave_prefix):
@@ -144,3 +158,10 @@
             routes=len(desired.routes),
             accounts=len(desired.accounts),
         )
+
+
+def _watch_wait_s(bounds: model.TimeLimits) -> float:
+    limits_s = [bounds.revocation_s]
+    if bounds.evacuation_s:
+        limits_s.append(bounds.evacuation_s)
+    return min(MAX_WATCH_WAIT_S, WATCH_WAIT_SHARE * min(limits_s))
--- a/src/knapweedwharf/fleet/metric_definitions.py
+++ b/src/knapweedwharf/fleet/metric_definitions.py
@@ -116,6 +116,24 @@
     unit="ownerships",
     text="Times that this VM became the owner.",
 )
+EVACUATIONS = metrics.define(
+    "fleet.evacuations",
+    kind=metrics.GAUGE,
+    unit="data centres",
+    text="Data centres in which the owner starts nothing, on request.",
+)
+EXECUTORS_EVACUATED = metrics.define(
+    "fleet.executors_evacuated",
+    kind=metrics.GAUGE,
+    unit="executors",
+    text="Executors that the owner gives no work for that.",
+)
+STARTS_WITHHELD = metrics.define(
+    "fleet.starts_withheld",
+    kind=metrics.COUNTER,
+    unit="starts",
+    text="Starts not sent, as their data centre is evacuated.",
+)
 ACCELERATOR_MS_LOST = metrics.define(
     "fleet.accelerator_ms_lost",
     kind=metrics.COUNTER,
--- a/src/knapweedwharf/fleet/model.py
+++ b/src/knapweedwharf/fleet/model.py
@@ -43,6 +43,8 @@
     :ivar status_retention_s: how long an ended job stays readable.
     :ivar cancel_s: longest time for which a cancelled job is started.
     :ivar reclaim_timeout_s: longest time until guaranteed work starts.
+    :ivar evacuation_s: longest time for which work is started in a data
+        centre that is to be evacuated; 0 if the platform sets no limit.
     :ivar maintenance_s: how long a machine is down for maintenance.
     :ivar migration_s: how long a machine is down for a move.
     """
@@ -57,6 +59,7 @@
     reclaim_timeout_s: float = 3.4
     maintenance_s: float = 2.0
     migration_s: float = 1.5
+    evacuation_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -191,6 +194,8 @@
     :ivar labels: its kind and its rack, in this order.
     :ivar remaining_s: while it drains, the least time until it leaves.
     :ivar machine_id: the machine that it runs on, or empty.
+    :ivar cold_s: how much longer it is slow after its start, when the
+        entry was written; it ticks down without being news.
     """
 
     executor_id: str
@@ -205,6 +210,7 @@
     incarnation_ms: int = 0
     remaining_s: float = 0.0
     machine_id: str = ""
+    cold_s: float = dataclasses.field(default=0.0, compare=False)
 
     @property
     def rack(self) -> str:
@@ -237,6 +243,7 @@
     :ivar pool: the service that it belongs to now.
     :ivar labels: its kind and its rack, in this order.
     :ivar executor_id: its current executor, or empty.
+    :ivar data_centre: where it is, or empty if that isn't told.
     """
 
     machine_id: str
@@ -247,6 +254,7 @@
     accelerators: int
     labels: tuple[str, ...] = ()
     executor_id: str = ""
+    data_centre: str = ""
 
     @property
     def kind(self) -> str:
@@ -425,6 +433,9 @@
     :ivar decode_wave: takes an entry's value.
     :ivar wave_status: returns the (key, value) that publish a wave's
         status, from its number and whether it is complete.
+    :ivar evacuation_prefix: prefix of the operator's requests to evacuate
+        a data centre, whose name follows.
+    :ivar decode_evacuation: takes a request's value.
 
     The decoders raise ``ValueError`` on a malformed entry.
     """
@@ -437,6 +448,8 @@
     wave_prefix: str
     decode_wave: abc.Callable[[bytes], MaintenanceWave]
     wave_status: abc.Callable[[int, bool], tuple[str, bytes]]
+    evacuation_prefix: str
+    decode_evacuation: abc.Callable[[bytes], None]
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/knapweedwharf/fleet/orders.py
+++ b/src/knapweedwharf/fleet/orders.py
@@ -19,6 +19,7 @@
 from knapweedwharf.fleet import scheduling_state as scheduling_state_module
 from knapweedwharf.fleet import session as session_module
 from knapweedwharf.fleet import start_delay as start_delay_module
+from knapweedwharf.fleet import start_gate as start_gate_module
 from knapweedwharf.fleet import start_window as start_window_module
 from knapweedwharf import log
 from knapweedwharf import metrics
@@ -40,8 +41,7 @@
     :param advice: provides the tickets of steps that need them.
     :param window: bounds the starts in flight.
     :param start_delay: is told how long stops take.
-    :param may_start: returns whether starts may be sent; waits while
-        cancellations may be unknown or the ownership is in doubt.
+    :param gate: decides whether a start may be sent now.
     """
 
     def __init__(
@@ -57,7 +57,7 @@
         advice: advice_module.Advice,
         window: start_window_module.StartWindow,
         start_delay: start_delay_module.StartDelay,
-        may_start: abc.Callable[[], abc.Awaitable[bool]],
+        gate: start_gate_module.StartGate,
     ) -> None:
         self._scheduling_state = scheduling_state
         self._progress_writer = progress_writer
@@ -69,7 +69,7 @@
         self._advice = advice
         self._window = window
         self._start_delay = start_delay
-        self._may_start = may_start
+        self._gate = gate
         self._log = log.get("orders").bind(epoch=epoch)
         self._tasks: set[asyncio.Task] = set()
         self._strays: set[tuple[str, str, int]] = set()
@@ -182,10 +182,7 @@
         """Send a start when it is its turn; None if it is not to be sent."""
         size = len(order.specification)
         async with self._window.slot(attempt.job.priority, size):
-            may_start = await self._may_start()
-            if not may_start or member.phase != attempt_module.ORDERED:
-                return None
-            if attempt.must_stop or not session.takes_starts:
+            if not await self._gate.admits(attempt, member, session):
                 return None
             sent_s = clock.elapsed_s()
             member.sent_s = member.sent_s or sent_s
@@ -391,7 +388,10 @@
             if member.outcome == model.FAILED:
                 self._report_end(attempt, member, succeeded=False)
         refused = event.GangRefused(
-            attempt.attempt_id, attempt.refused_by, "A member did not start."
+            attempt.attempt_id,
+            attempt.refused_by,
+            "A member did not start.",
+            is_withheld=attempt.is_withheld,
         )
         self._tell(attempt.job.service, refused)
 
--- a/src/knapweedwharf/fleet/pool_scaling.py
+++ b/src/knapweedwharf/fleet/pool_scaling.py
@@ -69,6 +69,7 @@
     ) -> None:
         self._machines = context.clients.machines
         self._desired = context.desired
+        self._evacuations = context.desired.evacuations
         self._registry = context.registry
         self._scheduling_state = context.scheduling_state
         self._election = context.election
@@ -139,12 +140,16 @@
     ) -> None:
         own = [m for m in self._machine_list if m.pool == service]
         kinds = {m.kind for m in own}
-        coming = sum(m.state == model.MACHINE_MOVING for m in own)
+        coming = sum(
+            m.state == model.MACHINE_MOVING and self._may_get_work(m)
+            for m in own
+        )
         spare = [
             m
             for m in self._machine_list
             if m.pool in standby
             and m.state == model.MACHINE_UP
+            and self._may_get_work(m)
             and (not kinds or m.kind in kinds)
             and (m.kind, service) not in self._unfit_pools
             and not self._has_other_orders(m.machine_id)
@@ -155,6 +160,9 @@
         for machine in spare[: max(0, min(count, MAX_MOVES_PER_TICK))]:
             await self._move(machine, service, why="work-waits")
 
+    def _may_get_work(self, machine: model.Machine) -> bool:
+        return not self._evacuations.forbids(machine.data_centre)
+
     # Fewer machines
 
     def _update_idle(self, working: list[str]) -> None:
--- a/src/knapweedwharf/fleet/registry.py
+++ b/src/knapweedwharf/fleet/registry.py
@@ -9,10 +9,11 @@
 
 from knapweedwharf.core import amount
 from knapweedwharf.core import event
-from knapweedwharf.core import model as core_model
+from knapweedwharf.fleet import announcements as announcements_module
 from knapweedwharf.fleet import answer_times as answer_times_module
 from knapweedwharf.fleet import awaited_executors
 from knapweedwharf.fleet import clients as clients_module
+from knapweedwharf.fleet import evacuations as evacuations_module
 from knapweedwharf.fleet import executor_loss
 from knapweedwharf.fleet import model
 from knapweedwharf.fleet import session as session_module
@@ -26,6 +27,7 @@
 class Registry:
     """Follows the executors' entries and keeps a session with each.
 
+    :param evacuations: data centres whose executors get no work.
     :param hooks: callbacks for the sessions' events.
     :param used_on: returns what attempts take on an executor.
     :param changed: called when an executor that answers may get work anew
@@ -44,6 +46,7 @@
         process_config: model.ProcessConfig,
         clients: clients_module.PlatformClients,
         epoch: int,
+        evacuations: evacuations_module.Evacuations,
         hooks: session_module.Hooks,
         used_on: abc.Callable[[model.Executor], amount.Amount],
         changed: abc.Callable[[session_module.Session], None],
@@ -59,13 +62,12 @@
         self._on_changed = changed
         self._on_reborn = reborn
         self._log = log.get("registry")
-        self._announced: dict[str, model.Executor] = {}
+        self._announcements = announcements_module.Announcements(evacuations)
         self.awaited = awaited_executors.AwaitedExecutors(
             process_config.bounds
         )
         self._malformed: dict[str, int] = {}
         """Revision of each entry that could not be decoded."""
-        self._retired: set[str] = set()
         self._by_machine: dict[str, str] = {}
         self._tasks: set[asyncio.Task] = set()
         self.sessions: dict[str, session_module.Session] = {}
@@ -188,9 +190,10 @@
         is_ready = executor.state == model.READY
         session.executor = executor
         session.listed = True
+        self._announcements.note_entry(executor)
         if executor.capacity != before:
             self._log_resized(executor, before, revision)
-            if executor_id in self._announced and is_ready:
+            if self._announcements.covers(executor_id) and is_ready:
                 self._on_changed(session)
         if not was_listed and session.sealed and not session.is_silent:
             self._on_changed(session)
@@ -270,7 +273,7 @@
     def _drop_session(self, session: session_module.Session) -> None:
         session.is_dropped = True
         del self.sessions[session.executor_id]
-        self._announced.pop(session.executor_id, None)
+        self._announcements.forget(session.executor_id)
         self.answer_times.forget(session.executor_id)
 
     def _open_session(
@@ -297,7 +300,8 @@
             reborn=self._session_reborn,
         )
         self.sessions[executor.executor_id] = session
-        self._retired.discard(executor.executor_id)
+        self._announcements.reinstate(executor.executor_id)
+        self._announcements.note_entry(executor)
         self._log.info(
             "executor-seen",
             executor=executor.executor_id,
@@ -328,9 +332,14 @@
         self._cordon(session)
 
     def _cordon(self, session: session_module.Session) -> None:
-        self._announced.pop(session.executor_id, None)
+        self._announcements.withdraw(session.executor_id)
         self._hooks.cordoned(session)
 
+    def cordon_announced(self, session: session_module.Session) -> None:
+        """Keep new work off an executor, unless it gets none anyway."""
+        if self._announcements.covers(session.executor_id):
+            self._cordon(session)
+
     def session_of_machine(
         self, machine_id: str
     ) -> session_module.Session | None:
@@ -341,12 +350,11 @@
 
     def retire(self, session: session_module.Session) -> None:
         """Keep new work off an executor until it is reinstated or restarts."""
-        self._retired.add(session.executor_id)
-        self._announced.pop(session.executor_id, None)
+        self._announcements.retire(session.executor_id)
 
     def reinstate(self, session: session_module.Session) -> None:
         """Let a retired executor get work again after its next report."""
-        self._retired.discard(session.executor_id)
+        self._announcements.reinstate(session.executor_id)
 
     def _report_leaving(self, session: session_module.Session) -> None:
         """Move work off a draining executor once it is sealed."""
@@ -369,10 +377,8 @@
 
     def _how_lost(self, session: session_module.Session, how: str) -> str:
         """Return how an executor was lost, whatever showed the loss."""
-        is_planned = (
-            session.executor.is_draining
-            or session.executor_id in self._retired
-        )
+        is_retired = self._announcements.is_retired(session.executor_id)
+        is_planned = session.executor.is_draining or is_retired
         return executor_loss.LEFT if is_planned else how
 
     def _session_gone(self, session: session_module.Session, how: str) -> None:
@@ -382,12 +388,12 @@
         self._drop_session(session)
         self._on_gone(session, self._how_lost(session, how))
         if session.listed:
-            retired = session.executor_id in self._retired
+            is_retired = self._announcements.is_retired(session.executor_id)
             self._open_session(
                 session.executor, 0, incarnations=session.former
             )
-            if retired:
-                self._retired.add(session.executor_id)
+            if is_retired:
+                self._announcements.retire(session.executor_id)
 
     def incarnation_of(self, executor_id: str) -> int:
         """Return an executor's incarnation; 0 if it isn't known."""
@@ -398,7 +404,7 @@
 
     def usable(self, service: str) -> list[model.Executor]:
         """Return a service's executors that may get work now."""
-        return [e for e in self._announced.values() if e.service == service]
+        return self._announcements.usable(service)
 
     def announce(
         self, session: session_module.Session, tell: event.EventSink
@@ -407,36 +413,11 @@
 
         :returns: whether the engine was told anything new.
         """
-        executor = session.executor
-        if executor.is_draining:
+        if session.executor.is_draining:
             self._report_leaving(session)
-        usable = (
-            session.listed
-            and executor.state == model.READY
-            and session.executor_id not in self._retired
-        )
-        known = self._announced.get(executor.executor_id)
-        if not usable or (
-            known == executor and not session.needs_announcement
-        ):
-            return False
-        session.needs_announcement = False
-        self._announced[executor.executor_id] = executor
-        tell(
-            executor.service,
-            event.WorkerSealed(
-                core_model.WorkerSpec(
-                    worker_id=executor.executor_id,
-                    rack=executor.rack,
-                    data_centre=executor.service,
-                    accelerators=executor.accelerators,
-                    cores=executor.cores_milli,
-                    memory_mib=executor.memory_mib,
-                    labels=frozenset(executor.labels),
-                )
-            ),
-        )
-        return True
+        if self._announcements.is_evacuated(session.executor):
+            self.cordon_announced(session)
+        return self._announcements.announce(session, tell)
 
 
 def _has_restarted(known: model.Executor, seen: model.Executor) -> bool:
--- a/src/knapweedwharf/fleet/tenure.py
+++ b/src/knapweedwharf/fleet/tenure.py
@@ -20,6 +20,7 @@
 from knapweedwharf.fleet import decider as decider_module
 from knapweedwharf.fleet import desired as desired_module
 from knapweedwharf.fleet import election as election_module
+from knapweedwharf.fleet import evacuated_executors
 from knapweedwharf.fleet import executor_loss
 from knapweedwharf.fleet import intake as intake_module
 from knapweedwharf.fleet import job_specs as job_specs_module
@@ -38,6 +39,7 @@
 from knapweedwharf.fleet import scheduling_state as scheduling_state_module
 from knapweedwharf.fleet import session as session_module
 from knapweedwharf.fleet import start_delay as start_delay_module
+from knapweedwharf.fleet import start_gate as start_gate_module
 from knapweedwharf.fleet import start_window as start_window_module
 from knapweedwharf.fleet import take_over as take_over_module
 from knapweedwharf.fleet import versioned_value
@@ -99,11 +101,13 @@
             process_config=process_config,
             clients=clients,
             epoch=ownership.epoch,
+            evacuations=desired.evacuations,
             hooks=self._hooks(),
             used_on=lambda executor: self._decider.used_on(executor),
             changed=self._announce,
             reborn=lambda session, how: self._reports.reborn(session, how),
         )
+        self._evacuations = desired.evacuations
         self._connect(desired)
 
     def _connect(self, desired: desired_module.DesiredState) -> None:
@@ -146,10 +150,19 @@
             advice=self._advice,
             window=start_window_module.StartWindow(capacity.link_bps),
             start_delay=self._start_delay,
-            may_start=self._may_start,
+            gate=self._start_gate(desired),
         )
         self._connect_inputs(desired)
 
+    def _start_gate(
+        self, desired: desired_module.DesiredState
+    ) -> start_gate_module.StartGate:
+        return start_gate_module.StartGate(
+            may_start=self._may_start,
+            evacuations=desired.evacuations,
+            sender=self._sender,
+        )
+
     def _job_specs(
         self, desired: desired_module.DesiredState
     ) -> job_specs_module.JobSpecs:
@@ -202,7 +215,14 @@
         self._connect_machines(desired)
 
     def _connect_machines(self, desired: desired_module.DesiredState) -> None:
-        """Create the components that send orders for machines."""
+        """Create the components that concern machines."""
+        self._evacuated = evacuated_executors.EvacuatedExecutors(
+            evacuations=desired.evacuations,
+            sessions=self.registry.sessions,
+            cordon=self.registry.cordon_announced,
+            announce=self._announce,
+            sender=self._sender,
+        )
         context = context_module.MachineOrderContext(
             bounds=self._process_config.bounds,
             clients=self._clients,
@@ -260,6 +280,7 @@
         await self._intake.close()
         await self._maintenance.close()
         await self._pools.close()
+        self._evacuated.close()
         await self.registry.close()
         await self._advice.close()
         await self._orders.close()
@@ -299,6 +320,7 @@
             for member in attempt.members.values():
                 self.registry.awaited.add(member.executor_id)
         await self.registry.start()
+        self._evacuated.start()
         await self._maintenance.start()
         await self._pools.start()
         await background.keep_running(self._tick_forever, "ticks")
@@ -315,9 +337,11 @@
 
     async def _may_start(self) -> bool:
         """Return whether to place and start work; wait while cancellations
-        may be unknown or the ownership is in doubt.
+        or evacuations may be unknown or the ownership is in doubt.
         """
         await self._intake.until_confirmed()
+        while await self._evacuations.until_confirmed():
+            await self._intake.until_confirmed()
         return await self._election.may_order()
 
     def _tick(self) -> None:
--- a/src/knapweedwharf/platform/decode.py
+++ b/src/knapweedwharf/platform/decode.py
@@ -127,9 +127,23 @@
         incarnation_ms=field.whole(document, "born"),
         remaining_s=_remaining_s(document),
         machine_id=field.first_text(document.get("machine")),
+        cold_s=_cold_s(document),
     )
 
 
+def _cold_s(document: Document) -> float:
+    """Read for how long an executor stays slow; 0 for what is no time.
+
+    It is a hint, for which an executor isn't left out.
+    """
+    value = document.get("cold_remaining_ms")
+    if type(value) not in (int, float):
+        return 0.0
+    if not 0 <= value <= field.MAX_DURATION_MS:
+        return 0.0
+    return value / _MS_PER_S
+
+
 def _remaining_s(document: Document) -> float:
     """Read the least time that is left; one that has passed is 0."""
     value = document.get("remaining_ms", 0.0)
@@ -208,9 +222,18 @@
         accelerators=field.amount(capacity, "gpu"),
         labels=tuple(map(field.first_text, field.rows(document, "labels"))),
         executor_id=field.first_text(document.get("id")),
+        data_centre=_text_or_none(document.get("zone")),
     )
 
 
+def _text_or_none(value: object) -> str:
+    """Return a name that may be missing; an odd one is as good as none."""
+    try:
+        return field.first_text(value)
+    except Malformed:
+        return ""
+
+
 @field.border
 def wave(text: bytes) -> model.MaintenanceWave:
     """Decode a maintenance wave."""
@@ -229,6 +252,12 @@
     )
 
 
+@field.border
+def evacuation(text: bytes) -> None:
+    """Check a request to evacuate a data centre; its key says which."""
+    parse(text)
+
+
 def wave_status(number: int, completed: bool) -> tuple[str, bytes]:
     """Return key and value of the entry that reports a wave's state."""
     state = "completed" if completed else "active"
--- a/src/knapweedwharf/platform/program.py
+++ b/src/knapweedwharf/platform/program.py
@@ -47,6 +47,8 @@
     wave_prefix="op/wave/",
     decode_wave=decode.wave,
     wave_status=decode.wave_status,
+    evacuation_prefix="op/evacuate/",
+    decode_evacuation=decode.evacuation,
 )
 
 
--- a/src/knapweedwharf/platform/settings.py
+++ b/src/knapweedwharf/platform/settings.py
@@ -102,6 +102,7 @@
     status_s = _positive()
     maintenance_s = _positive()
     migration_s = _positive()
+    evacuation_ms = _positive()
 
 
 _BOUND_FIELDS = {
@@ -115,6 +116,7 @@
     "status_s": "status_retention_s",
     "maintenance_s": "maintenance_s",
     "migration_s": "migration_s",
+    "evacuation_ms": "evacuation_s",
 }
 """Field of the settings file to field of ``model.TimeLimits``."""
 
--- a/standins/users_platform.py
+++ b/standins/users_platform.py
@@ -278,7 +278,7 @@
                 "machine": m.machine_id,
                 "pool": m.pool,
                 "state": _MACHINE_STATES.get(m.state, m.state),
-                "zone": "dc",
+                "zone": m.data_centre,
                 "labels": list(m.labels),
                 "capacity": {
                     "cpu": m.cores_milli,
--- a/testing/fleet/entries.py
+++ b/testing/fleet/entries.py
@@ -9,6 +9,7 @@
 
 CONFIG_KEY = "operator/config"
 EXECUTORS = "executors/"
+EVACUATIONS = "operator/evacuate/"
 HOST = "queue.example"
 PREFIX = "/q/"
 URGENT_PREFIX = "/u/"
@@ -91,6 +92,10 @@
     return f"shown/wave/{number}", json.dumps(completed).encode()
 
 
+def _decode_evacuation(value: bytes) -> None:
+    json.loads(value)
+
+
 STORE_SCHEMA = model.StoreSchema(
     config_key=CONFIG_KEY,
     operator_prefix="operator/",
@@ -100,4 +105,6 @@
     wave_prefix="operator/wave/",
     decode_wave=_decode_wave,
     wave_status=_wave_status,
+    evacuation_prefix=EVACUATIONS,
+    decode_evacuation=_decode_evacuation,
 )
--- a/testing/fleet/scene.py
+++ b/testing/fleet/scene.py
@@ -173,6 +173,7 @@
             accelerators=spec.accelerators,
             labels=spec.labels,
             executor_id=spec.executor_id,
+            data_centre=spec.data_centre,
         )
         await self.list_executor(spec)
 
@@ -188,6 +189,7 @@
             memory_mib=64_000,
             accelerators=8,
             labels=(kind, "r8"),
+            data_centre="dc",
         )
 
     async def _end_executor(self, machine: model.Machine) -> None:
@@ -211,6 +213,7 @@
             rack=machine.labels[1],
             machine_id=machine.machine_id,
             service=machine.pool,
+            data_centre=machine.data_centre,
             incarnation_ms=self._incarnations,
         )
 
--- a/testing/platform/test_adapter.py
+++ b/testing/platform/test_adapter.py
@@ -285,6 +285,7 @@
         memory_mib=8000,
         accelerators=8,
         labels=("a", "r1"),
+        data_centre="dc",
     )
 
 
--- a/testing/platform/test_settings.py
+++ b/testing/platform/test_settings.py
@@ -37,6 +37,14 @@
     assert process_config.bounds.status_retention_s == 120.0
 
 
+def test_the_limit_of_an_evacuation_is_optional():
+    bare = settings.parse(TEXT, source="test").unwrap()
+    assert bare.bounds.evacuation_s == 0.0
+    text = TEXT + "bounds.evacuation_ms=5000\n"
+    limited = settings.parse(text, source="test").unwrap()
+    assert limited.bounds.evacuation_s == 5.0
+
+
 def test_every_fault_is_named_at_once():
     broken = TEXT.replace("10.200.1.7:8524", "nowhere").replace(
         "bounds.max_hold_ms=6000", "bounds.max_hold_ms=-1"
