--- a/src/knapweedwharf/fleet/evacuations.py
+++ b/src/knapweedwharf/fleet/evacuations.py
@@ -107,8 +107,10 @@
             item.key: item for item in listing.items if self._covers(item.key)
         }
         changed = [self._apply_request(item) for item in requests.values()]
-        for data_centre in list(self.in_force):
-            if self._key_of(data_centre) not in requests:
+        for data_centre, revision in list(self.in_force.items()):
+            # One that was read before a request says nothing of it.
+            is_older = listing.revision < revision
+            if not is_older and self._key_of(data_centre) not in requests:
                 self._lift(data_centre, listing.revision)
                 changed.append(True)
         self._notify(any(changed))
--- a/testing/fleet/test_evacuation.py
+++ b/testing/fleet/test_evacuation.py
@@ -168,3 +168,28 @@
         assert not evacuation.starts_in(scene, "north", after_s=asked_s)
 
     scene_module.run_on_virtual_time(main, monkeypatch)
+
+
+def test_a_gang_that_waits_for_room_there_waits_for_other_room(monkeypatch):
+    """It has reserved what is free and soon will be."""
+
+    async def main(scene):
+        await evacuation.add_executors(scene, "south", 2)
+        await scene.open(vms=1, executors=0)
+        await evacuation.submit(scene, tasks=2, run_s=25.0)
+        await scene.until(lambda: len(scene.pool.starts) == 2)
+        await evacuation.add_executors(scene, "north", 2)
+        await asyncio.sleep(0.5)
+        gang = await evacuation.submit(
+            scene, tasks=3, is_gang=True, behaviour={"gang": 3}
+        )
+        state = scene.owner.node.tenure._decider.engines["pool"].state
+        await scene.until(lambda: state.reservations.on_worker("north-0"))
+        asked_s = await evacuation.evacuate(scene, "north")
+        await asyncio.sleep(evacuation.KNOWN_WITHIN_S)
+        assert not state.reservations.on_worker("north-0")
+        await evacuation.add_executors(scene, "west", 1)
+        await scene.until_state(gang.job_id, workflow.COMPLETED)
+        assert not evacuation.starts_in(scene, "north", after_s=asked_s)
+
+    scene_module.run_on_virtual_time(main, monkeypatch)
--- a/testing/fleet/test_evacuations.py
+++ b/testing/fleet/test_evacuations.py
@@ -83,6 +83,15 @@
     assert not scene.evacuations.in_force
 
 
+def test_a_listing_from_before_a_request_does_not_lift_it():
+    scene = _Scene()
+    scene.apply(_request("a", 7))
+    scene.list(revision=5)
+    assert scene.evacuations.in_force == {"a": 7}
+    scene.list(revision=7)
+    assert not scene.evacuations.in_force
+
+
 def test_only_what_changes_is_passed_on():
     scene = _Scene()
     scene.apply(_request("a", 2))
