--- a/testing/fleet/test_evacuation_take_over.py
+++ b/testing/fleet/test_evacuation_take_over.py
@@ -10,7 +10,8 @@
 from testing.fleet import evacuation
 from testing.fleet import scene as scene_module
 
-IN_TOUCH_S = scene_module.CONTACT_S
+LISTED_AFTER_S = 8.0
+"""Longer than a take-over."""
 
 
 @pytest.fixture(autouse=True)
@@ -181,6 +182,32 @@
     scene_module.run_on_virtual_time(main, monkeypatch)
 
 
+def test_an_owner_that_has_not_read_the_requests_starts_nothing(monkeypatch):
+    """It became the owner before its first listing."""
+
+    async def main(scene):
+        await evacuation.open_scene(scene, vms=1)
+        await evacuation.evacuate(scene, "north")
+        job = await evacuation.submit(scene, tasks=4, run_s=2.0)
+        late = scene_module.Vm("vm-late", scene)
+        list_page = late.store.list_page
+
+        async def list_late(prefix, **fields):
+            if prefix == scene_module.STORE_SCHEMA.operator_prefix:
+                await asyncio.sleep(LISTED_AFTER_S)
+            return await list_page(prefix, **fields)
+
+        monkeypatch.setattr(late.store, "list_page", list_late)
+        former = scene.owner
+        scene.vms.append(late)
+        await late.node.start()
+        await former.kill()
+        await scene.until_state(job.job_id, workflow.COMPLETED, vm=late)
+        assert not evacuation.starts_in(scene, "north")
+
+    scene_module.run_on_virtual_time(main, monkeypatch)
+
+
 def test_without_a_limit_of_the_platform_a_mute_watch_holds_up_no_work(
     monkeypatch,
 ):
--- a/testing/platform/test_odd_entry.py
+++ b/testing/platform/test_odd_entry.py
@@ -171,6 +171,29 @@
     assert "task-broken" not in events
 
 
+@pytest.mark.parametrize("value", [b"{}", b"\xff{"])
+def test_an_evacuation_holds_whatever_its_value(value):
+    key = "op/evacuate/dc"
+
+    async def before(platform):
+        await _add_executor(platform, "z-good")
+        await _write(platform, key, value)
+
+    async def work(running, platform):
+        body = json.dumps(SUBMISSION)
+        posted = await _call(running, JOB, method="POST", body=body)
+        assert posted.code == 200
+        sessions = running.node.tenure.registry.sessions
+        while not any(session.sealed for session in sessions.values()):
+            await asyncio.sleep(0.02)
+        await asyncio.sleep(0.5)
+        assert not platform.pool.starts
+        await platform.store.state.external_remove(key)
+        await _until_completed(running, JOB)
+
+    _run(work, before=before)
+
+
 ODD_BODIES = {
     "no-text": b"\xff",
     "deep": b'{"phases":' + b"[" * 50_000 + b"]" * 50_000 + b"}",
