--- a/src/knapweedwharf/fleet/registry.py
+++ b/src/knapweedwharf/fleet/registry.py
@@ -286,6 +286,8 @@
     ) -> None:
         """Open a session.
 
+        :param revision: that of the executor's entry; 0 if it wasn't just
+            read.
         :param former: the executor that its machine was before, if known.
         :param incarnations: the executor's incarnations before this one.
         """
@@ -301,7 +303,8 @@
         )
         self.sessions[executor.executor_id] = session
         self._announcements.reinstate(executor.executor_id)
-        self._announcements.note_entry(executor)
+        if revision:
+            self._announcements.note_entry(executor)
         self._log.info(
             "executor-seen",
             executor=executor.executor_id,
--- a/src/knapweedwharf/request_trace.py
+++ b/src/knapweedwharf/request_trace.py
@@ -13,6 +13,7 @@
 EVENT_SENTENCES = {
     "call-refused": "The call was refused: {why} ({detail})",
     "start-not-confirmed": "A start was not confirmed: {why}",
+    "start-withheld": "A start was not sent: {data_centre} is evacuated",
     "run-ended": "A run ended: {how}",
     "part-placed": "Part {part} waited {waited_s} s for {waited_for}",
     "part-stopping": "Its run was stopped: {why}",
@@ -166,6 +167,7 @@
     return line.event in (
         "part-stopping",
         "start-not-confirmed",
+        "start-withheld",
         "task-given-up",
     )
 
--- a/testing/test_request_trace.py
+++ b/testing/test_request_trace.py
@@ -105,6 +105,17 @@
     assert explanation == "The call was refused: did-not-run (x)."
 
 
+def test_a_start_that_was_withheld_is_told_with_its_data_centre():
+    texts = [
+        _log_line("start-withheld", "01", job_id=JOB, data_centre="north"),
+        _log_line("job-completed", "02", job_id=JOB, after_s=2),
+    ]
+    explanation = request_trace.explain_outcome(
+        request_trace.find_lines(texts, JOB)
+    )
+    assert "A start was not sent: north is evacuated" in explanation
+
+
 def test_no_line_is_said_so():
     assert "reached none" in request_trace.explain_outcome(
         request_trace.find_lines([], JOB)
