Use workers that are cold after the warm ones

Cause: executors of a data centre come back together and cold, and what waits was placed on them as on any other.

Change: core/warming.py marks them until they are warm; the index of free room lists them last. Random events include them.

Ruled out: a limit on how much they take; what waits for them to be warm ends later than what begins slowly. The choice of a rack for a gang is left as it was.

--- a/src/knapweedwharf/core/engine.py
+++ b/src/knapweedwharf/core/engine.py
@@ -18,6 +18,7 @@
 from knapweedwharf.core import scheduler
 from knapweedwharf.core import state as state_module
 from knapweedwharf.core import topology
+from knapweedwharf.core import warming
 
 JobRecord = record_module.JobRecord
 
@@ -47,6 +48,7 @@
             self.state, self._scheduler.reclaim
         )
         self._hardware = hardware.Hardware(self.state, self._lifecycle)
+        self._warming = warming.Warming(self.state)
 
     @property
     def data_centre(self) -> str:
@@ -165,10 +167,11 @@
     @_apply.register
     def _(self, happened: event.WorkerGone) -> None:
         self._hardware.gone(happened.worker_id)
+        self._warming.forget(happened.worker_id)
 
     @_apply.register
     def _(self, happened: event.WorkerWarming) -> None:
-        self.state.speeds.set_warming(happened.worker_id, happened.until_s)
+        self._warming.begin(happened.worker_id, happened.until_s)
 
     @_apply.register
     def _(self, happened: event.UntrackedSeen) -> None:
@@ -240,4 +243,5 @@
     @_apply.register
     def _(self, _happened: event.Tick) -> None:
         self._hardware.tick()
+        self._warming.tick()
         self._scheduler.tick()
--- a/src/knapweedwharf/core/topology.py
+++ b/src/knapweedwharf/core/topology.py
@@ -26,9 +26,9 @@
 SHORT_EXCLUSIONS = frozenset({REFUSED, STILL})
 """Reasons for short exclusions, which end by themselves within seconds."""
 
-BucketKey = tuple[bool, int, int, int]
-"""(has cells or reservations, open accelerators, bit length of the open
-cores, bit length of the open memory)"""
+BucketKey = tuple[int, int, int, int]
+"""(0, 1 with cells or reservations or 2 while warming up, open accelerators,
+bit length of the open cores, bit length of the open memory)"""
 
 
 @dataclasses.dataclass(slots=True)
@@ -50,6 +50,7 @@
     :ivar held: held by claims whose victims are being stopped.
     :ivar reserved: used by reservations; other jobs may use it too.
     :ivar promised: accelerators of guarantee cells on this worker.
+    :ivar is_warming: slow for a while, and used after the others.
     :ivar open: free capacity without claims; nothing while excluded.
     :ivar key: bucket that lists the worker, or None.
     :ivar counted_whole: its capacity as included in the totals.
@@ -72,6 +73,7 @@
     held: amount.Amount = amount.NOTHING
     reserved: amount.Amount = amount.NOTHING
     promised: int = 0
+    is_warming: bool = False
     open: amount.Amount = amount.NOTHING
     key: BucketKey | None = None
     counted_whole: amount.Amount = amount.NOTHING
@@ -152,6 +154,7 @@
         if known is not None:
             room.held, room.reserved = known.held, known.reserved
             room.promised = known.promised
+            room.is_warming = known.is_warming
             room.occupants = known.occupants
         else:
             room.occupants = self._orphans.pop(spec.worker_id, {})
@@ -312,6 +315,13 @@
             room.promised += accelerators
             self.refresh(room)
 
+    def set_warming(self, worker_id: str, is_warming: bool) -> None:
+        """Use a worker after the others, or like them."""
+        room = self.workers.get(worker_id)
+        if room is not None:
+            room.is_warming = is_warming
+            self.refresh(room)
+
     def refresh(self, room: WorkerRoom) -> None:
         """Update the index for one worker."""
         before = room.open
@@ -398,8 +408,9 @@
         return None
     if min(room.open.cores, room.open.memory_mib) < 0:
         return None
+    is_awaited = room.promised > 0 or room.reserved != amount.NOTHING
     return (
-        room.promised > 0 or room.reserved != amount.NOTHING,
+        2 if room.is_warming else int(is_awaited),
         max(room.open.accelerators, 0),
         room.open.cores.bit_length(),
         room.open.memory_mib.bit_length(),
--- a/testing/core/test_random_events.py
+++ b/testing/core/test_random_events.py
@@ -33,6 +33,7 @@
     "tick",
     "configure",
     "usage",
+    "warming",
 )
 SHAPES = (
     {"accelerators_per_task": 0, "cores_per_task": 8},
@@ -167,6 +168,11 @@
         )
         self.site.tell(event.WorkerSealed(resized))
 
+    def _warming(self, first: int, second: int) -> None:
+        worker_id = self.specs[first % len(self.specs)].worker_id
+        until_s = self.site.now_s + second % 20
+        self.site.tell(event.WorkerWarming(worker_id, until_s))
+
     def _tick(self, _first: int, second: int) -> None:
         self.site.wait(second)
 
