--- a/src/knapweedwharf/fleet/evacuated_executors.py
+++ b/src/knapweedwharf/fleet/evacuated_executors.py
@@ -4,12 +4,17 @@
 
 from collections import abc
 
+from knapweedwharf.fleet import clock
 from knapweedwharf.fleet import evacuations as evacuations_module
 from knapweedwharf.fleet import metric_definitions
 from knapweedwharf.fleet import session as session_module
 from knapweedwharf import log
 from knapweedwharf import metrics
 
+REPORT_INTERVAL_S = 2.0
+"""A new owner sees the executors within a second; bounds the log lines while
+executors come and go."""
+
 SessionCallback = abc.Callable[[session_module.Session], None]
 
 
@@ -39,6 +44,8 @@
         self._sender = sender
         self._log = log.get("evacuations")
         self._has_reported = False
+        self._kept_off = 0
+        self._checked_s = clock.elapsed_s()
 
     def start(self) -> None:
         """Follow the evacuations; those in force are known to the others."""
@@ -46,6 +53,17 @@
         if self._evacuations.in_force:
             self._report()
 
+    def tick(self) -> None:
+        """Report again if executors have come or gone since."""
+        now_s = clock.elapsed_s()
+        if not self._evacuations.in_force:
+            return
+        if now_s - self._checked_s < REPORT_INTERVAL_S:
+            return
+        self._checked_s = now_s
+        if self._count_kept_off() != self._kept_off:
+            self._report()
+
     def close(self) -> None:
         """Stop following the evacuations."""
         self._evacuations.unsubscribe(self._changed)
@@ -63,8 +81,11 @@
     def _is_evacuated(self, session: session_module.Session) -> bool:
         return self._evacuations.forbids(session.executor.data_centre)
 
+    def _count_kept_off(self) -> int:
+        return sum(map(self._is_evacuated, self._sessions.values()))
+
     def _report(self) -> None:
-        kept_off = sum(map(self._is_evacuated, self._sessions.values()))
+        kept_off = self._kept_off = self._count_kept_off()
         in_force = self._evacuations.in_force
         self._has_reported = True
         self._send_gauges(len(in_force), kept_off)
--- a/src/knapweedwharf/fleet/tenure.py
+++ b/src/knapweedwharf/fleet/tenure.py
@@ -354,6 +354,7 @@
             self._pruned_s = clock.elapsed_s()
             self._prune()
         self._waiting_report.tick()
+        self._evacuated.tick()
 
     def _prune(self) -> None:
         kept_s = (
