Close connections without progress instead of refusing new ones

A node refused each new connection once max_connections were open, and reserved the announced length of bodies that never came: a crowd that stops short of its requests' ends locked out everyone else.

Now each connection has a phase and the time of its last progress. A new connection closes the one that waits for its client without progress for longest; a complete request keeps its connection until its answer is out. Stalled bodies give their room to others, and the first 16 KB of a body need none. At most four bodies may come in chunks of under 1 KB on average. A body is held once: it is handed over when it is complete.

test_open_connections_are_bounded asked for 503 at the connection after the last; that is what locked callers out. In its place: as many silent connections again are taken, the first are closed for them, and a call is served beside them (here), and a new connection gets 503 with its outcome where all others wait for answers (test_limited_server.py).

Ruled out: a limit on the chunks of one body, as a single request in small chunks is allowed; limits by address, as a balancer stands between.

--- a/src/knapweedwharf/node.py
+++ b/src/knapweedwharf/node.py
@@ -182,7 +182,7 @@
 
     async def close(self) -> None:
         """Close all parts."""
-        self._server.stop()
+        self._server.close()
         await self.dispatcher.close()
         for task in self._tasks:
             task.cancel()
--- a/src/knapweedwharf/web/base.py
+++ b/src/knapweedwharf/web/base.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import json
 import math
 import typing
@@ -14,6 +13,7 @@
 from knapweedwharf import errors
 from knapweedwharf.web import auth
 from knapweedwharf.web import body as body_module
+from knapweedwharf.web import limited_server
 
 if typing.TYPE_CHECKING:
     from knapweedwharf import node as node_module
@@ -21,7 +21,6 @@
 OUTCOME_HEADER = "Knapweedwharf-Outcome"
 NO_CONFIGURATION_RETRY_AFTER_S = 5.0
 REQUEST_ID_HEADER = "Knapweedwharf-Request-Id"
-BODY_TIMEOUT_S = 10.0
 _MAX_DISCARDED_BYTES = 65_536
 
 
@@ -48,7 +47,6 @@
         self.node = node
         self._in_flight_counted = False
         self._started = False
-        self._body_timer: object | None = None
         self._refusal: errors.Fault | None = None
         self._caller: auth.Caller | None = None
         self._body = body_module.Body(
@@ -67,6 +65,8 @@
         """
         self.node.in_flight.begin()
         self._in_flight_counted = True
+        opened = limited_server.opened_by(self.request)
+        opened.hold(self._body, self._refuse_and_close)
         try:
             self._authenticate()
             self.check()
@@ -75,10 +75,6 @@
             self._refusal = refused.fault
             if self._content_length() > _MAX_DISCARDED_BYTES:
                 raise
-        loop = asyncio.get_running_loop()
-        self._body_timer = loop.call_later(
-            BODY_TIMEOUT_S, self._on_body_timeout
-        )
 
     def check(self) -> None:
         """Refuse by path and headers, before the body; for subclasses."""
@@ -119,17 +115,10 @@
         if self._dropped_bytes > _MAX_DISCARDED_BYTES and not self._finished:
             self._refuse_and_close(self._refusal)
 
-    def _on_body_timeout(self) -> None:
-        if not (self._started or self._finished):
-            self._refuse_and_close(
-                errors.TooSlow(
-                    message="The body did not arrive in time.",
-                    remedy=f"Send it within {BODY_TIMEOUT_S:.0f} s.",
-                )
-            )
-
     def _refuse_and_close(self, fault: errors.Fault) -> None:
         """Respond and close the connection without the whole body."""
+        if self._started or self._finished:
+            return
         self._started = True
         self.refuse(fault)
         self.finish()
@@ -139,7 +128,7 @@
         self._started = True
         if self._refusal is not None:
             raise Refused(self._refusal)
-        self.request.body = self._body.content()
+        self.request.body = self._body.take()
 
     def caller(self, *, operator: bool = False) -> auth.Caller:
         """Return the authenticated caller or refuse the request."""
@@ -166,8 +155,6 @@
         self._release()
 
     def _release(self) -> None:
-        if self._body_timer is not None:
-            self._body_timer.cancel()
         self._body.release()
         if self._in_flight_counted:
             self._in_flight_counted = False
--- a/src/knapweedwharf/web/server.py
+++ b/src/knapweedwharf/web/server.py
@@ -4,13 +4,14 @@
 
 import typing
 
-from tornado import httpserver
-from tornado import iostream
 from tornado import web
 
 from knapweedwharf.web import base
 from knapweedwharf.web import configuration
+from knapweedwharf.web import connections
 from knapweedwharf.web import job
+from knapweedwharf.web import limited_server
+from knapweedwharf.web import limits as limits_module
 from knapweedwharf.web import request
 from knapweedwharf.web import status
 from knapweedwharf.web import tls
@@ -18,15 +19,6 @@
 if typing.TYPE_CHECKING:
     from knapweedwharf import node as node_module
 
-_HEADER_TIMEOUT_S = 30.0
-_CHUNK_BYTES = 16_384
-_UNLIMITED = 1 << 62
-_TOO_MANY_CONNECTIONS_RESPONSE = (
-    b"HTTP/1.1 503 Service Unavailable\r\n"
-    + f"{base.OUTCOME_HEADER}: did-not-run\r\n".encode()
-    + b"Retry-After: 1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
-)
-
 ROUTES = (
     (r"/healthz", status.HealthHandler),
     (r"/readyz", status.ReadyHandler),
@@ -41,35 +33,8 @@
 )
 
 
-class Server(httpserver.HTTPServer):
-    """HTTP server with a limit on open connections."""
-
-    def initialize(
-        self,
-        request_callback: web.Application,
-        *,
-        max_connections: int,
-        **options: typing.Any,
-    ) -> None:
-        """Accept the limit in addition to Tornado's options."""
-        super().initialize(request_callback, **options)
-        self._max_connections = max_connections
-        self._open_connections = 0
-
-    def handle_stream(self, stream: iostream.IOStream, address: tuple) -> None:
-        """Serve a connection; respond 503 when too many are open."""
-        if self._open_connections >= self._max_connections:
-            stream.write(_TOO_MANY_CONNECTIONS_RESPONSE).add_done_callback(
-                lambda _f: stream.close()
-            )
-            return
-        self._open_connections += 1
-        super().handle_stream(stream, address)
-
-    def on_close(self, server_conn: object) -> None:
-        """Update the count of open connections."""
-        self._open_connections -= 1
-        super().on_close(server_conn)
+class Server(limited_server.LimitedServer):
+    """HTTP server of a node."""
 
     def disable_keep_alive(self) -> None:
         """Close each connection after its next response."""
@@ -90,13 +55,18 @@
         default_handler_class=base.NoRouteHandler,
         default_handler_args={"node": node},
     )
+    limits = limits_module.Limits(
+        max_connections=settings.max_connections,
+        max_header_bytes=settings.max_header_bytes,
+    )
     return Server(
         application,
         ssl_options=tls.server_context(settings).unwrap(),
-        max_connections=settings.max_connections,
-        max_body_size=_UNLIMITED,
-        max_buffer_size=_CHUNK_BYTES + settings.max_header_bytes,
-        max_header_size=settings.max_header_bytes,
-        chunk_size=_CHUNK_BYTES,
-        idle_connection_timeout=_HEADER_TIMEOUT_S,
+        limits=limits,
+        connections=connections.Connections(
+            limits,
+            name="node",
+            budget=node.body_budget,
+            sender=node.metrics,
+        ),
     )
