Limit what callers hold on the users' platform

The callers' server buffered each body twice, up to the end of its request, and took connections without a limit; 300 connections that stop a byte short of their end took 133 to 181 MB and 310 sockets where 112 MB and 160 sockets were allowed.

It is now the limited server of a node's own interface, with limits from limits.memory_mb and limits.file_descriptors.

--- a/src/knapweedwharf/fleet/capacity.py
+++ b/src/knapweedwharf/fleet/capacity.py
@@ -19,11 +19,13 @@
     :ivar cores: processor capacity, in cores of normal speed.
     :ivar link_bps: bandwidth of its network link, in bits per second.
     :ivar memory_bytes: memory above which the process is killed.
+    :ivar file_descriptors: most open descriptors of the process.
     """
 
     cores: float = 1.0
     link_bps: float = 1e9
     memory_bytes: float = 512e6
+    file_descriptors: float = 1024
 
     @property
     def shortfall(self) -> float:
--- a/src/knapweedwharf/platform/ingress.py
+++ b/src/knapweedwharf/platform/ingress.py
@@ -11,17 +11,20 @@
 import typing
 
 from returns import result
-from tornado import httpserver
 from tornado import web
 
 from knapweedwharf import errors
 from knapweedwharf.fleet import clock
 from knapweedwharf.fleet import job_api as job_api_module
+from knapweedwharf.fleet import model
 from knapweedwharf import log
+from knapweedwharf import metrics as metrics_module
 from knapweedwharf.platform import decode
-
-MAX_BODY_BYTES = 262_144
-"""The platform operator's usual limit for a request body."""
+from knapweedwharf.platform import limits as limits_module
+from knapweedwharf.web import body as body_module
+from knapweedwharf.web import connections
+from knapweedwharf.web import limited_server
+from knapweedwharf.web import limits as web_limits
 
 DEFAULT_WAIT_S = 3.0
 """Assumed for callers that send no deadline; the usual target of routes."""
@@ -40,6 +43,9 @@
 class Ingress(typing.Protocol):
     """What the request handlers need from the process."""
 
+    process_config: model.ProcessConfig
+    sender: metrics_module.Metrics
+    body_budget: body_module.BodyBudget
     job_api: job_api_module.JobApi
     draining: bool
     in_flight: int
@@ -77,6 +83,7 @@
         self.finish(self._ingress.metrics_text())
 
 
+@web.stream_request_body
 class CallHandler(web.RequestHandler):
     """Submits, shows and cancels jobs, and counts pending ones."""
 
@@ -84,15 +91,60 @@
         """Store the handler's arguments; called by tornado."""
         self._ingress = ingress
         self._logger = log.get("ingress")
-        ingress.in_flight += 1
+        self._is_in_flight = False
+        self._body = body_module.Body(
+            budget=ingress.body_budget,
+            max_bytes=limits_module.MAX_BODY_BYTES,
+        )
 
     def set_default_headers(self) -> None:
         """Drop the header that names the server software."""
         self.clear_header("Server")
 
+    def prepare(self) -> None:
+        """Reserve room for the body, or refuse the request."""
+        length = self.request.headers.get("Content-Length", "0")
+        if length == "0" and "Transfer-Encoding" not in self.request.headers:
+            return
+        opened = limited_server.opened_by(self.request)
+        opened.hold(self._body, self._refuse_incomplete)
+        if length.isascii() and length.isdigit():
+            self._check_room(self._body.reserve_up_to(int(length)))
+
+    def data_received(self, chunk: bytes) -> None:
+        """Buffer a part of the body."""
+        if not self._finished:
+            self._check_room(self._body.add(chunk))
+
+    def _check_room(self, reserved: result.Result[None, errors.Fault]) -> None:
+        if isinstance(reserved, result.Failure):
+            self._refuse_incomplete(reserved.failure())
+
+    def _refuse_incomplete(self, fault: errors.Fault) -> None:
+        """Respond to a request whose body is not complete.
+
+        It may be one of many; the connections' log line counts them.
+        """
+        if not self._finished:
+            self._respond_with(fault)
+
+    def _begin(self) -> None:
+        """Take the request as complete."""
+        self._is_in_flight = True
+        self._ingress.in_flight += 1
+        self.request.body = self._body.take()
+
     def on_finish(self) -> None:
         """Count the request as no longer in flight."""
-        self._ingress.in_flight -= 1
+        self._body.release()
+        if self._is_in_flight:
+            self._ingress.in_flight -= 1
+
+    def on_connection_close(self) -> None:
+        """Release the room of a request whose body never arrived."""
+        super().on_connection_close()
+        if not self._is_in_flight:
+            self._body.release()
 
     def finish(self, chunk: typing.Any = None):
         """Finish the response; close the connection while draining."""
@@ -102,6 +154,7 @@
 
     async def post(self) -> None:
         """Submit a job."""
+        self._begin()
         call = self._parse_call()
         permitted = self._authorize(call)
         if permitted is None:
@@ -128,6 +181,7 @@
 
     async def get(self) -> None:
         """Return a job's state, or the number of pending jobs of a queue."""
+        self._begin()
         call = self._parse_call()
         permitted = self._authorize(call)
         if permitted is None:
@@ -141,6 +195,7 @@
 
     async def delete(self) -> None:
         """Cancel a job."""
+        self._begin()
         call = self._parse_call()
         if self._authorize(call) is not None:
             cancelled = await self._ingress.job_api.cancel(call)
@@ -191,8 +246,6 @@
         self._write(200, body(outcome.unwrap()))
 
     def _refuse(self, fault: errors.Fault) -> None:
-        if isinstance(fault, errors.DidNotRun):
-            self.set_header("Retry-After", str(math.ceil(fault.retry_after_s)))
         self._logger.info(
             "call-refused",
             method=self.request.method,
@@ -201,6 +254,11 @@
             why=fault.code,
             detail=fault.message,
         )
+        self._respond_with(fault)
+
+    def _respond_with(self, fault: errors.Fault) -> None:
+        if isinstance(fault, errors.DidNotRun):
+            self.set_header("Retry-After", str(math.ceil(fault.retry_after_s)))
         self._write(fault.http_status, fault.to_dict())
 
     def _write(self, status: int, document: dict) -> None:
@@ -209,30 +267,42 @@
         self.finish(json.dumps(document))
 
 
-def frontend(ingress: Ingress) -> httpserver.HTTPServer:
+def frontend(ingress: Ingress) -> limited_server.LimitedServer:
     """Create the server for callers."""
-    application = web.Application(
+    return _server(
         [(r".*", CallHandler, {"ingress": ingress})],
-        log_function=lambda handler: None,
-    )
-    return httpserver.HTTPServer(
-        application, max_body_size=MAX_BODY_BYTES, idle_connection_timeout=60
+        limits_module.callers(ingress.process_config.capacity),
+        name="callers",
+        budget=ingress.body_budget,
+        sender=ingress.sender,
     )
 
 
-def readiness(ingress: Ingress) -> httpserver.HTTPServer:
+def readiness(ingress: Ingress) -> limited_server.LimitedServer:
     """Create the server for the load balancer's probes."""
-    application = web.Application(
+    return _server(
         [(r"/readiness", ReadinessHandler, {"ingress": ingress})],
-        log_function=lambda handler: None,
+        limits_module.PROBES,
+        name="readiness",
     )
-    return httpserver.HTTPServer(application)
 
 
-def metrics(ingress: Ingress) -> httpserver.HTTPServer:
+def metrics(ingress: Ingress) -> limited_server.LimitedServer:
     """Create the server for the metrics."""
-    application = web.Application(
+    return _server(
         [(r"/metrics", MetricsHandler, {"ingress": ingress})],
-        log_function=lambda handler: None,
+        limits_module.PROBES,
+        name="metrics",
+    )
+
+
+def _server(
+    routes: list[tuple],
+    limits: web_limits.Limits,
+    **options: typing.Any,
+) -> limited_server.LimitedServer:
+    return limited_server.LimitedServer(
+        web.Application(routes, log_function=lambda handler: None),
+        limits=limits,
+        connections=connections.Connections(limits, **options),
     )
-    return httpserver.HTTPServer(application)
--- a/src/knapweedwharf/platform/program.py
+++ b/src/knapweedwharf/platform/program.py
@@ -19,9 +19,11 @@
 from knapweedwharf.platform import decode
 from knapweedwharf.platform import executors as executors_module
 from knapweedwharf.platform import ingress as ingress_module
+from knapweedwharf.platform import limits
 from knapweedwharf.platform import machines as machines_module
 from knapweedwharf.platform import settings as settings_module
 from knapweedwharf.platform import store as store_module
+from knapweedwharf.web import body
 
 STORE_TIMEOUT_S = 1.0
 """A hundred times the usual response time; still enough for a slow store."""
@@ -55,6 +57,8 @@
 
     :ivar draining: whether SIGTERM or SIGINT has been received.
     :ivar in_flight: number of requests without a finished response.
+    :ivar sender: of all metrics.
+    :ivar body_budget: room for the bodies of callers' requests.
     :ivar stopped: set once the drain is over and the process may exit.
     """
 
@@ -94,7 +98,10 @@
             ),
             sender=sender,
         )
-        self._sender = sender
+        self.sender = sender
+        self.body_budget = body.BodyBudget(
+            limits.max_buffered_bytes(process_config.capacity)
+        )
         self._frontend = ingress_module.frontend(self)
         self._readiness = ingress_module.readiness(self)
         self._metrics = ingress_module.metrics(self)
@@ -114,7 +121,7 @@
     def metrics_text(self) -> bytes:
         """Return the values of all metrics."""
         age_s = min(self.node.desired.age_s, MAX_AGE_S)
-        self._sender.gauge(metric_definitions.DESIRED_AGE, age_s * 1000)
+        self.sender.gauge(metric_definitions.DESIRED_AGE, age_s * 1000)
         return self._prometheus.text()
 
     async def start(self) -> None:
@@ -149,9 +156,9 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self.node.close()
-        self._frontend.stop()
-        self._readiness.stop()
-        self._metrics.stop()
+        self._frontend.close()
+        self._readiness.close()
+        self._metrics.close()
         self._executors.close()
         self._advisor.close()
         self._machines.close()
--- a/src/knapweedwharf/platform/settings.py
+++ b/src/knapweedwharf/platform/settings.py
@@ -88,6 +88,10 @@
         load_default=_DEFAULT_CAPACITY.memory_bytes / _BYTES_PER_MB,
         data_key="limits.memory_mb",
     )
+    file_descriptors = _positive(
+        load_default=_DEFAULT_CAPACITY.file_descriptors,
+        data_key="limits.file_descriptors",
+    )
     link_mbps = _positive(
         load_default=_DEFAULT_CAPACITY.link_bps / _BITS_PER_MEGABIT,
         data_key="limits.link_mbps",
@@ -198,4 +202,5 @@
         cores=loaded["cpu_share"] * loaded["cores"],
         link_bps=loaded["link_mbps"] * _BITS_PER_MEGABIT,
         memory_bytes=loaded["memory_mb"] * _BYTES_PER_MB,
+        file_descriptors=loaded["file_descriptors"],
     )
--- a/testing/platform/test_settings.py
+++ b/testing/platform/test_settings.py
@@ -23,6 +23,7 @@
 limits.cpu_share=0.7
 limits.cores=3
 limits.memory_mb=552
+limits.file_descriptors=8192
 limits.link_mbps=200.0
 some.new.field=whatever
 """
@@ -57,6 +58,7 @@
     assert process_config.capacity.cores == pytest.approx(2.1)
     assert process_config.capacity.link_bps == 200e6
     assert process_config.capacity.memory_bytes == 552e6
+    assert process_config.capacity.file_descriptors == 8192
 
 
 def test_limits_that_are_not_stated_have_defaults():
@@ -69,7 +71,8 @@
 
 @pytest.mark.parametrize("value", ["", "0", "-1", "nan", "inf", "many"])
 @pytest.mark.parametrize(
-    "name", ["cpu_share", "cores", "memory_mb", "link_mbps"]
+    "name",
+    ["cpu_share", "cores", "memory_mb", "file_descriptors", "link_mbps"],
 )
 def test_a_broken_limit_is_refused_with_the_other_faults(name, value):
     broken = TEXT.replace("10.200.1.7:8524", "nowhere")
