--- a/src/knapweedwharf/platform/ingress.py
+++ b/src/knapweedwharf/platform/ingress.py
@@ -102,13 +102,12 @@
         self.clear_header("Server")
 
     def prepare(self) -> None:
-        """Reserve room for the body, or refuse the request."""
-        length = self.request.headers.get("Content-Length", "0")
-        if length == "0" and "Transfer-Encoding" not in self.request.headers:
-            return
+        """Reserve room for the request, or refuse it."""
         opened = limited_server.opened_by(self.request)
         opened.hold(self._body, self._refuse_incomplete)
-        if length.isascii() and length.isdigit():
+        self._check_room(self._body.reserve_for_fields(self.request))
+        length = self.request.headers.get("Content-Length", "")
+        if length.isascii() and length.isdigit() and not self._finished:
             self._check_room(self._body.reserve_up_to(int(length)))
 
     def data_received(self, chunk: bytes) -> None:
