Parse heads with very many fields one at a time, where there is room

The room for headers was reserved after they had been parsed: with 359 connections of the smallest VM (160 MB) and heads of 20 KB in 2,800 very short headers a trial peaked at 320 MB and blocked the loop for 8 to 15 s (28 ms and 0.76 MB a head). Room is now reserved before, from a count of lines and arguments, and one such head is parsed in a turn of the event loop. With 1,500 connections it still loses the store for 3 to 5 s: the heads' 28 ms of processor stay, and the trial's client shares a process with its stand-in of the store.

Besides: a new connection waits in the kernel's queue where all open ones have made progress within 0.1 s, and the oldest is closed only after all that was received has been read. Before, an accepting loop of 128 could close a connection whose request was there but not read yet (an ordinary call beside 900 connections got no answer in a trial). A head on the users' platform has 20 KB at most, before 32 KB.

--- a/src/knapweedwharf/platform/limits.py
+++ b/src/knapweedwharf/platform/limits.py
@@ -8,8 +8,8 @@
 MAX_BODY_BYTES = 262_144
 """The platform operator's usual limit for a request body."""
 
-MAX_HEADER_BYTES = 32_768
-"""Twice the operator's usual limit, which may leave out the request line."""
+MAX_HEADER_BYTES = 20_480
+"""The operator's usual limit of 16 KB, and 4 KB for the request line."""
 
 HEADER_TIMEOUT_S = 15.0
 BODY_TIMEOUT_S = 30.0
@@ -42,7 +42,7 @@
 MIN_BUFFERED_BYTES = 4 * MAX_BODY_BYTES
 """Enough to serve single requests on a VM that is too small."""
 
-MAX_PROBES = 8
+MAX_PROBES = 16
 """The balancer and an operator's programs use one or two connections."""
 
 
--- a/src/knapweedwharf/web/base.py
+++ b/src/knapweedwharf/web/base.py
@@ -67,7 +67,6 @@
         self._in_flight_counted = True
         opened = limited_server.opened_by(self.request)
         opened.hold(self._body, self._refuse_and_close)
-        unwrap(self._body.reserve_for_fields(self.request))
         try:
             self._authenticate()
             self.check()
--- a/src/knapweedwharf/web/body.py
+++ b/src/knapweedwharf/web/body.py
@@ -5,7 +5,6 @@
 from collections import abc
 
 from returns import result
-from tornado import httputil
 
 from knapweedwharf import errors
 from knapweedwharf.routing import request as request_module
@@ -14,17 +13,12 @@
 """Part of each body that needs no reservation, so that small requests are
 served while large ones hold all room; counted for each connection."""
 
-USUAL_FIELDS = 32
-FIELD_BYTES = 256
-"""Memory of a parsed header or query argument; a head holds thousands of
-very short ones. The usual number needs no reservation."""
-
 
 class BodyBudget:
     """Limit on the bytes that requests hold while they are open.
 
     :param max_bytes: limit for all open requests together, beyond
-        ``SHARE_BYTES`` and ``USUAL_FIELDS`` of each.
+        ``SHARE_BYTES`` of each.
     """
 
     def __init__(self, max_bytes: int) -> None:
@@ -78,26 +72,12 @@
             )
         if length <= self._room_bytes:
             return result.Success(None)
-        reserved = self._reserve(length - self._room_bytes)
-        if isinstance(reserved, result.Success):
-            self._room_bytes = length
-        return reserved
-
-    def reserve_for_fields(
-        self, request: httputil.HTTPServerRequest
-    ) -> result.Result[None, errors.Fault]:
-        """Reserve room for headers and query arguments; call it once."""
-        count = len(request.headers) + len(request.arguments)
-        if count <= USUAL_FIELDS:
-            return result.Success(None)
-        return self._reserve((count - USUAL_FIELDS) * FIELD_BYTES)
-
-    def _reserve(self, count: int) -> result.Result[None, errors.Fault]:
-        if not self._budget.reserve(count):
+        if not self._budget.reserve(length - self._room_bytes):
             return request_module.did_not_run(
                 "The node buffers too many bytes of other requests."
             )
-        self.reserved_bytes += count
+        self.reserved_bytes += length - self._room_bytes
+        self._room_bytes = length
         return result.Success(None)
 
     def add(self, chunk: bytes) -> result.Result[None, errors.Fault]:
--- a/src/knapweedwharf/web/connections.py
+++ b/src/knapweedwharf/web/connections.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import collections
 from collections import abc
 import time
@@ -34,6 +35,15 @@
 
 PHASES = (NEW, HEADERS, BODY, ANSWER, KEPT)
 
+ADMIT = "admit"
+REFUSE = "refuse"
+WAIT = "wait"
+"""What to do with a new connection."""
+
+SETTLE_S = 0.1
+"""A connection gets this long for its next packet before it may be closed
+for a new one; it covers a round trip between regions."""
+
 PROGRESS_BYTES = 1_024
 """Less than this of a body counts as no progress."""
 
@@ -49,6 +59,11 @@
 MAX_SMALL_CHUNK_BODIES = 4
 """Each takes the processor for 256 chunks in a turn of the event loop."""
 
+USUAL_FIELDS = 32
+FIELD_BYTES = 320
+"""Memory of a parsed header or query argument; a head holds thousands of
+very short ones. The usual number needs no room."""
+
 RETRY_AFTER_S = 1.0
 
 
@@ -81,6 +96,7 @@
         self.progress_s = 0.0
         self.body: body_module.Body | None = None
         self.refuse: abc.Callable[[errors.Fault], None] | None = None
+        self.fields_bytes = 0
         self._request_bytes = 0
         self._unnoted_bytes = 0
         self._chunks = 0
@@ -112,6 +128,17 @@
             return self._group.allow_small_chunks(self)
         return True
 
+    async def may_parse(self, fields: int) -> bool:
+        """Wait for the turn and the room to parse a head.
+
+        :param fields: number of its headers and query arguments.
+
+        Return False if the connection was given up.
+        """
+        if fields <= USUAL_FIELDS:
+            return True
+        return await self._group.allow_large_head(self, fields)
+
     def hold(
         self,
         body: body_module.Body,
@@ -126,6 +153,7 @@
 
     def next_request(self) -> None:
         """Forget the request that was answered."""
+        self._group.free_fields(self)
         self.body = self.refuse = None
         self._request_bytes = self._unnoted_bytes = self._chunks = 0
         if self.phase != NEW:
@@ -160,6 +188,7 @@
             str, collections.OrderedDict[OpenConnection, None]
         ] = {phase: collections.OrderedDict() for phase in PHASES}
         self._small_chunks: set[OpenConnection] = set()
+        self._large_head = asyncio.Lock()
         self._given_up: collections.Counter[str] = collections.Counter()
 
     @property
@@ -178,6 +207,12 @@
         """Remove a connection that is closed; idempotent."""
         self._by_phase[opened.phase].pop(opened, None)
         self._small_chunks.discard(opened)
+        self.free_fields(opened)
+
+    def free_fields(self, opened: OpenConnection) -> None:
+        """Free the room of a request's headers; idempotent."""
+        self._budget.free(opened.fields_bytes)
+        opened.fields_bytes = 0
 
     def enter(self, opened: OpenConnection, phase: str) -> None:
         """Change a connection's phase, which is progress."""
@@ -199,16 +234,27 @@
 
     # Limits
 
-    def admit(self) -> bool:
-        """Make room for a new connection; return False if there is none."""
-        if self.count < self._limits.max_connections:
-            return True
+    @property
+    def is_full(self) -> bool:
+        """Whether a new connection needs the place of another."""
+        return self.count >= self._limits.max_connections
+
+    def admit(self) -> str:
+        """Make room for a new connection, if need be and possible.
+
+        Return ``ADMIT``, ``REFUSE`` where all others wait for their
+        answers, or ``WAIT`` where all have made progress just now.
+        """
+        if not self.is_full:
+            return ADMIT
         oldest = self._without_progress()
         if oldest is None:
             self._count("no-connection")
-            return False
+            return REFUSE
+        if self._clock() - oldest.progress_s < SETTLE_S:
+            return WAIT
         self._give_up(oldest, "connections")
-        return True
+        return ADMIT
 
     def _without_progress(self) -> OpenConnection | None:
         firsts = [
@@ -223,7 +269,8 @@
     def _make_room(self, count: int) -> None:
         """Give up all bodies that hold room and don't progress."""
         for opened in self._stalled_bodies():
-            if opened.body is not None and opened.body.reserved_bytes:
+            body_bytes = opened.body.reserved_bytes if opened.body else 0
+            if body_bytes or opened.fields_bytes:
                 self._give_up(opened, "bytes")
         if not self._budget.has_room(count):
             self._count("no-room")
@@ -255,6 +302,28 @@
         self._small_chunks.add(opened)
         return True
 
+    async def allow_large_head(
+        self, opened: OpenConnection, fields: int
+    ) -> bool:
+        """Let one head of very many fields be parsed in a turn.
+
+        Parsing may take milliseconds, and 40 times the head's bytes.
+        Return False if there is no room, or the connection was closed
+        meanwhile.
+        """
+        async with self._large_head:
+            await asyncio.sleep(0)
+        if opened not in self._by_phase[opened.phase]:
+            return False
+        needed_bytes = (fields - USUAL_FIELDS) * FIELD_BYTES
+        if not self._budget.reserve(needed_bytes):
+            # The refusal is counted already.
+            self.forget(opened)
+            opened.stream.close()
+            return False
+        opened.fields_bytes = needed_bytes
+        return True
+
     def sweep(self) -> None:
         """Give up what has taken too long; report what was given up."""
         now_s = self._clock()
--- a/src/knapweedwharf/web/limited_server.py
+++ b/src/knapweedwharf/web/limited_server.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 import socket
 import typing
@@ -17,6 +18,9 @@
 from knapweedwharf.web import connections as connections_module
 from knapweedwharf.web import limits as limits_module
 
+ADMIT_INTERVAL_S = 0.02
+"""How often a connection that waits for a place asks again."""
+
 SWEEP_INTERVAL_S = 1.0
 """How late a time limit of a connection may be enforced."""
 
@@ -40,6 +44,16 @@
             self.opened.sent()
         return count
 
+    async def read_until_regex(
+        self, regex: bytes, max_bytes: int | None = None
+    ) -> bytes:
+        """Wait for room to parse; Tornado reads each head with this."""
+        head = await super().read_until_regex(regex, max_bytes)
+        fields = head.count(b"\n") + head.count(b"&")
+        if not await self.opened.may_parse(fields):
+            raise iostream.StreamClosedError()
+        return head
+
     def read_until(self, delimiter: bytes, max_bytes: int | None = None):
         """Report a chunk; Tornado reads each chunk's size with this."""
         if not self.opened.chunk_begins():
@@ -111,22 +125,24 @@
         # The sweep enforces the limit, without a timer for each request.
         self.conn_params.header_timeout = None
         self.connections = connections
-        self._listening: list[tuple[socket.socket, typing.Callable]] = []
+        self._listening: list[socket.socket] = []
+        self._remove_handlers: list[typing.Callable[[], None]] = []
+        self._waiting: list[tuple[socket.socket, typing.Any]] = []
+        self._admission: asyncio.TimerHandle | None = None
         self._sweeper = ioloop.PeriodicCallback(
             connections.sweep, SWEEP_INTERVAL_S * 1000
         )
 
     def add_sockets(self, sockets: typing.Iterable[socket.socket]) -> None:
         """Accept connections on listening sockets."""
-        for listening in sockets:
-            remove = netutil.add_accept_handler(listening, self._accept)
-            self._listening.append((listening, remove))
+        self._listening.extend(sockets)
+        self._accept_more()
         self._sweeper.start()
 
     def stop(self) -> None:
         """Close the listening sockets; open connections stay open."""
-        for listening, remove in self._listening:
-            remove()
+        self._accept_no_more()
+        for listening in self._listening:
             listening.close()
         self._listening.clear()
 
@@ -134,11 +150,51 @@
         """Stop, and end the sweep."""
         self.stop()
         self._sweeper.stop()
+        if self._admission is not None:
+            self._admission.cancel()
+        for accepted, _address in self._waiting:
+            accepted.close()
+        self._waiting.clear()
+
+    def _accept_more(self) -> None:
+        self._remove_handlers = [
+            netutil.add_accept_handler(listening, self._accept)
+            for listening in self._listening
+        ]
+
+    def _accept_no_more(self) -> None:
+        for remove in self._remove_handlers:
+            remove()
+        self._remove_handlers.clear()
 
     def _accept(self, accepted: socket.socket, address: typing.Any) -> None:
-        if not self.connections.admit():
-            _refuse(accepted, tls=self.ssl_options is not None)
+        if not self.connections.is_full:
+            self._serve(accepted, address)
             return
+        # Others stay in the kernel's queue. What was received on open
+        # connections is read before one of them is closed.
+        self._accept_no_more()
+        self._waiting.append((accepted, address))
+        self._admit_after(0.0)
+
+    def _admit_after(self, delay_s: float) -> None:
+        loop = asyncio.get_running_loop()
+        self._admission = loop.call_later(delay_s, self._admit_waiting)
+
+    def _admit_waiting(self) -> None:
+        while self._waiting:
+            admitted = self.connections.admit()
+            if admitted == connections_module.WAIT:
+                self._admit_after(ADMIT_INTERVAL_S)
+                return
+            accepted, address = self._waiting.pop(0)
+            if admitted == connections_module.ADMIT:
+                self._serve(accepted, address)
+            else:
+                _refuse(accepted, tls=self.ssl_options is not None)
+        self._accept_more()
+
+    def _serve(self, accepted: socket.socket, address: typing.Any) -> None:
         options = {
             "max_buffer_size": self.max_buffer_size,
             "read_chunk_size": self.read_chunk_size,
--- a/src/knapweedwharf/web/metric_definitions.py
+++ b/src/knapweedwharf/web/metric_definitions.py
@@ -18,7 +18,7 @@
 )
 _REASONS = {
     "no-connection": "Connections refused: too many answers were due.",
-    "no-room": "Requests refused: other bodies held all room.",
+    "no-room": "Requests refused: others held all room.",
     "connections": "Connections closed to make room for new ones.",
     "bytes": "Requests given up to make room for other bodies.",
     "chunks": "Requests given up: too many bodies in very small chunks.",
