Go on where the refusal of one request fails

It is logged, and the connection is closed without an answer. Found by reading; a unit test holds it.

testing/web, testing/docs and testing/platform/test_limits.py pass.

--- a/src/knapweedwharf/web/connections.py
+++ b/src/knapweedwharf/web/connections.py
@@ -363,7 +363,11 @@
         self._count(reason)
         self.forget(opened)
         if opened.phase == BODY and opened.refuse is not None:
-            opened.refuse(_fault(reason))
+            try:
+                opened.refuse(_fault(reason))
+            except Exception as error:
+                # It ends without an answer; the others go on.
+                self._log.error("refusal-failed", why=repr(error))
         if opened.body is not None:
             opened.body.release()
         opened.stream.close()
--- a/testing/web/test_connections.py
+++ b/testing/web/test_connections.py
@@ -290,6 +290,21 @@
     asyncio.run(scenario())
 
 
+def test_a_refusal_that_fails_still_closes_the_connection():
+    server = _Server()
+    opened, other = server.open(), server.open()
+    server.begin_body(opened)
+    opened.refuse = {}.pop
+    other.received(10)
+    server.now_s += LIMITS.body_timeout_s + 1.0
+    with structlog.testing.capture_logs() as lines:
+        server.connections.sweep()
+    assert "refusal-failed" in {line["event"] for line in lines}
+    assert _is_closed(opened)
+    assert _is_closed(other)
+    assert server.budget.reserved_bytes == 0
+
+
 def test_a_thousand_refusals_are_one_log_line():
     server = _Server()
     for opened in [server.open() for _n in range(LIMITS.max_connections)]:
