Ask the store for changes more often while it gives no answers

Cause: a watch that was sent while the store was away is never answered, and hid its return until its whole wait and margin had passed.

Change: after a watch without an answer the next ones hardly wait, and every second of them is given up 0.3 s later, the others after the usual margin, so that a slow store or link is still heard. The pause before the next one counts the time that the failed call took. The stand-in's silent watches now hang for the margin as the client's do.

Ruled out: a shorter margin for all watches, as a choked link answers late; reading the configuration beside the watch, which leaves the owner's watch of the records as slow as before.

--- a/src/knapweedwharf/fleet/watcher.py
+++ b/src/knapweedwharf/fleet/watcher.py
@@ -26,6 +26,15 @@
 clock may run slightly faster than the local one."""
 
 
+POLL_WAIT_S = 0.05
+"""Wait of a watch while the store gives no answers. A longer one would still
+hang after the store's return, if it was sent before."""
+
+POLL_MARGIN_S = 0.3
+"""Time beyond that wait for every second such watch; the others have the
+client's usual margin, which a slow store or link may need."""
+
+
 FRESH_S = 0.25
 """A watch that has waited longer is answered because of its first change; the
 answer takes no longer than this, save on a very slow link."""
@@ -77,6 +86,7 @@
     :param max_silence_factor: multiple of the store's default timeout up
         to which a page without any answer is given more time at each
         attempt.
+    :param on_regained: called when the store answers after failures.
     :ivar pages: number of pages read so far.
     :ivar failures: number of failed calls so far.
     :ivar progressed_s: when the last page was read; 0 before the first.
@@ -96,6 +106,7 @@
         on_listing: ListingCallback,
         on_changes: abc.Callable[[model.Changes], None],
         max_silence_factor: float = 1.0,
+        on_regained: abc.Callable[[], None] = lambda: None,
     ) -> None:
         self._store = store
         self._prefix = prefix
@@ -103,12 +114,15 @@
         self._on_listing = on_listing
         self._on_changes = on_changes
         self._max_silence_factor = max_silence_factor
+        self._on_regained = on_regained
         self._reading = _Reading()
         self._log = log.get("watcher").bind(prefix=prefix)
         self._revision = 0
         self._listed_ahead: dict[str, int] = {}
         """Revision of each entry that was listed newer than the listing."""
         self._is_disconnected = False
+        self._polls = 0
+        """Watches sent since the store has stopped to answer."""
         self._asked_s = 0.0
         self._wait_ended_s: float | None = None
         self._answered_s = -math.inf
@@ -130,6 +144,7 @@
             initial_s=_FIRST_RETRY_S, max_s=_LONGEST_RETRY_S
         )
         while True:
+            begun_s = clock.elapsed_s()
             try:
                 fault = await self._step()
             except Exception as error:
@@ -151,7 +166,9 @@
                 )
                 if self._is_disconnected:
                     self._log.info("store-regained", revision=self._revision)
+                    self._on_regained()
                 self._is_disconnected = False
+                self._polls = 0
                 continue
             self.failures += 1
             if not self._is_disconnected:
@@ -159,15 +176,16 @@
                     "store-lost", why=fault.code, age_s=round(self.age_s, 3)
                 )
             self._is_disconnected = True
-            await asyncio.sleep(delays.next_s())
+            spent_s = clock.elapsed_s() - begun_s
+            await asyncio.sleep(max(0.0, delays.next_s() - spent_s))
 
     async def _step(self) -> errors.Fault | None:
         if not self._revision:
             return await self._list()
         sent_s = self._asked_s = clock.elapsed_s()
-        changed = await self._store.watch(
-            self._prefix, after=self._revision, wait_s=self._wait_s
-        )
+        is_poll = self._is_disconnected
+        wait_s = POLL_WAIT_S if is_poll else self._wait_s
+        changed = await self._watch(wait_s)
         if isinstance(changed, result.Failure):
             fault = changed.failure()
             if not isinstance(fault, errors.NotFound):
@@ -177,13 +195,27 @@
             return await self._list()
         changes = changed.unwrap()
         self._revision = max(self._revision, changes.revision)
-        self._note_answer(sent_s)
+        self._note_answer(sent_s, may_have_waited=not is_poll)
         if changes.events:
             self._on_changes(self._without_listed(changes))
-        elif clock.elapsed_s() - sent_s >= self._wait_s:
-            self._wait_ended_s = sent_s + CERTAIN_WAIT_SHARE * self._wait_s
+        elif clock.elapsed_s() - sent_s >= wait_s:
+            self._wait_ended_s = sent_s + CERTAIN_WAIT_SHARE * wait_s
         return None
 
+    def _watch(self, wait_s: float) -> abc.Awaitable:
+        """Send a watch; while the store gives no answers, ask more often."""
+        if not self._is_disconnected:
+            return self._store.watch(
+                self._prefix, after=self._revision, wait_s=wait_s
+            )
+        self._polls += 1
+        return self._store.watch(
+            self._prefix,
+            after=self._revision,
+            wait_s=wait_s,
+            margin_s=POLL_MARGIN_S if self._polls % 2 else None,
+        )
+
     def _without_listed(self, changes: model.Changes) -> model.Changes:
         """Leave out what a later page of the listing has shown already.
 
@@ -197,9 +229,9 @@
         )
         return dataclasses.replace(changes, events=events)
 
-    def _note_answer(self, sent_s: float) -> None:
+    def _note_answer(self, sent_s: float, *, may_have_waited: bool) -> None:
         now_s = clock.elapsed_s()
-        has_waited = now_s - sent_s > FRESH_S
+        has_waited = may_have_waited and now_s - sent_s > FRESH_S
         since_s = now_s - FRESH_S if has_waited else self._answered_s
         self.max_change_age_s = now_s - since_s
         self._answered_s = now_s
--- a/src/knapweedwharf/platform/store.py
+++ b/src/knapweedwharf/platform/store.py
@@ -177,13 +177,22 @@
             self._log.warning("store-items-odd", prefix=prefix, items=odd)
 
     async def watch(
-        self, prefix: str, *, after: int, wait_s: float
+        self,
+        prefix: str,
+        *,
+        after: int,
+        wait_s: float,
+        margin_s: float | None = None,
     ) -> result.Result[model.Changes, errors.Fault]:
         """Wait for changes after a revision.
 
+        :param margin_s: time beyond the wait after which the watch has
+            timed out; None for the default.
         :returns: ``NotFound`` if the history after the revision is no longer
             kept; list the prefix again.
         """
+        if margin_s is None:
+            margin_s = _WATCH_MARGIN_S
         query = {
             "prefix": prefix,
             "after": str(after),
@@ -193,7 +202,7 @@
             "GET",
             "/kv-watch",
             query,
-            timeout_s=wait_s + _WATCH_MARGIN_S,
+            timeout_s=wait_s + margin_s,
             silence_s=_WATCH_MARGIN_S,
         )
         return answer.bind(
--- a/standins/fleet_store.py
+++ b/standins/fleet_store.py
@@ -18,7 +18,7 @@
 """Time beyond the wait after which clients give up an unanswered watch."""
 
 _UNREACHABLE = errors.Unreachable(message="Nothing sent.", remedy="Wait.")
-_UNKNOWN = errors.OutcomeUnknown(message="No answer.", remedy="Ask again.")
+UNKNOWN = errors.OutcomeUnknown(message="No answer.", remedy="Ask again.")
 _GONE = errors.NotFound(message="Gone.", remedy="List again.")
 
 
@@ -209,7 +209,7 @@
             return _UNREACHABLE
         if self.path.silent:
             await asyncio.sleep(timeout_s or self._timeout_s)
-            return _UNKNOWN
+            return UNKNOWN
         return None
 
     async def read(self, key: str, *, timeout_s: float = 0.0):
@@ -272,29 +272,36 @@
         """Wait while a page arrives; ``timeout_s`` bounds all of it."""
         if self.path.stalled:
             await asyncio.sleep(silence_s)
-            return _UNKNOWN
+            return UNKNOWN
         if self.path.bytes_per_s:
             needed_s = _sent_bytes(page) / self.path.bytes_per_s
             if timeout_s and needed_s > timeout_s:
                 await asyncio.sleep(timeout_s)
-                return _UNKNOWN
+                return UNKNOWN
             await asyncio.sleep(needed_s)
         if self.path.cut_pages:
             self.path.cut_pages -= 1
-            return _UNKNOWN
+            return UNKNOWN
         return None
 
-    async def watch(self, prefix: str, *, after: int, wait_s: float):
+    async def watch(
+        self,
+        prefix: str,
+        *,
+        after: int,
+        wait_s: float,
+        margin_s: float | None = None,
+    ):
         """Wait for changes under a prefix."""
-        fault = await self._simulate_path(wait_s)
+        if margin_s is None:
+            margin_s = WATCH_MARGIN_S
+        fault = await self._simulate_path(wait_s + margin_s)
         if fault is not None:
             return result.Failure(fault)
         if after < self.state.compacted_revision:
             return result.Failure(_GONE)
         mutings = self.path.mutings
-        gives_up_s = (
-            asyncio.get_running_loop().time() + wait_s + WATCH_MARGIN_S
-        )
+        gives_up_s = asyncio.get_running_loop().time() + wait_s + margin_s
         try:
             async with asyncio.timeout(wait_s):
                 while not self._changes(prefix, after):
@@ -302,12 +309,13 @@
                         await self.state.changed.wait()
         except TimeoutError:
             await self.state.expire()
-        if self.path.mutes(prefix) or self.path.mutings > mutings:
+        is_muted = self.path.mutes(prefix) or self.path.mutings > mutings
+        if is_muted or self.path.silent:
             left_s = gives_up_s - asyncio.get_running_loop().time()
             await asyncio.sleep(left_s)
-            return result.Failure(_UNKNOWN)
-        if self.path.refused or self.path.silent:
-            return result.Failure(_UNKNOWN)
+            return result.Failure(UNKNOWN)
+        if self.path.refused:
+            return result.Failure(UNKNOWN)
         if after < self.state.compacted_revision:
             return result.Failure(_GONE)
         return result.Success(
@@ -331,7 +339,7 @@
             self._late.add(task)
             task.add_done_callback(self._late.discard)
             await asyncio.sleep(timeout_s or self._timeout_s)
-            return result.Failure(_UNKNOWN)
+            return result.Failure(UNKNOWN)
         fault = await self._simulate_path(timeout_s)
         if fault is not None:
             return result.Failure(fault)
--- a/testing/fleet/candidates.py
+++ b/testing/fleet/candidates.py
@@ -44,9 +44,9 @@
         await asyncio.sleep(self.late_commit_s)
         return committed
 
-    async def watch(self, prefix: str, *, after: int, wait_s: float):
+    async def watch(self, prefix: str, **fields):
         """Wait for changes; some removals are never told of."""
-        seen = await super().watch(prefix, after=after, wait_s=wait_s)
+        seen = await super().watch(prefix, **fields)
         if isinstance(seen, result.Failure) or not self.hidden_removals:
             return seen
         changes = seen.unwrap()
