Spread the return of callers by the length of the store's outage

Cause: every refusal named one second. Callers that were refused during a long outage come back together, over and over, and all of them within the second after its end.

`call-refused` tells the time.

Ruled out: random times, which tests can't repeat; times by the answer times of the store, which say nothing of an outage's end.

--- a/src/knapweedwharf/fleet/job_api.py
+++ b/src/knapweedwharf/fleet/job_api.py
@@ -22,6 +22,7 @@
 from knapweedwharf.fleet import metric_definitions
 from knapweedwharf.fleet import model
 from knapweedwharf.fleet import records
+from knapweedwharf.fleet import retry_after
 from knapweedwharf import log
 from knapweedwharf import metrics
 
@@ -37,9 +38,6 @@
 STORE_SUSPECT_S = 2.7
 """A whole watch and its slack without an answer from the store."""
 
-RETRY_AFTER_S = 1.0
-"""Outages last seconds, and another VM may reach the store earlier."""
-
 MAX_SPECIFICATION_BYTES = 4_000
 PENDING_AGE_S = 0.5
 FINAL_STATES_KEPT = 4_096
@@ -104,7 +102,7 @@
         """Return the route and the account of a call if it is allowed."""
         desired = self._desired.current
         if desired is None or not self._desired.is_fresh:
-            return self._refuse("desired-state-not-confirmed")
+            return self._refuse("desired-state-not-confirmed", call)
         route = desired.route_for(call.host, call.path)
         if route is None:
             return result.Failure(
@@ -124,16 +122,25 @@
         job_id = call.path[len(route.prefix) :]
         return result.Success(Allowed(desired, route, account, job_id))
 
-    def _refuse(self, why: str) -> result.Failure:
+    def _refuse(self, why: str, call: Call) -> result.Failure:
         self._sender.count(metric_definitions.CALLS_REFUSED)
         return result.Failure(
             errors.DidNotRun(
                 message=f"Nothing was done: {why}.",
                 remedy="Ask again, any VM will do.",
-                retry_after_s=RETRY_AFTER_S,
+                retry_after_s=self._retry_after_s(call),
             )
         )
 
+    def _retry_after_s(self, call: Call) -> float:
+        """Return when to come back; other VMs have a desired state."""
+        is_known = self._desired.current is not None
+        return retry_after.retry_after_s(
+            call.path,
+            away_s=self._desired.age_s if is_known else 0.0,
+            left_s=call.deadline_s - clock.elapsed_s(),
+        )
+
     # Submission
 
     async def submit(
@@ -183,31 +190,23 @@
         while True:
             permitted = self.allow(call)
             if isinstance(permitted, result.Failure):
-                return self._failure(permitted.failure(), maybe_stored)
-            allowed = permitted.unwrap()
+                return self._outcome_unknown() if maybe_stored else permitted
             left_s = call.deadline_s - clock.elapsed_s()
             if left_s < MIN_TRY_S:
-                return self._failure(_deadline_passed(), maybe_stored)
+                if maybe_stored:
+                    return self._outcome_unknown()
+                return self._refuse("deadline-passed", call)
             if self._desired.age_s > STORE_SUSPECT_S and not maybe_stored:
-                return self._refuse("store-silent")
+                return self._refuse("store-silent", call)
             tries += 1
+            allowed = permitted.unwrap()
             sent_s = clock.elapsed_s()
             stored = await self._store.commit(
                 commit_for(allowed), timeout_s=min(TRY_TIMEOUT_S, left_s)
             )
             if isinstance(stored, result.Success):
                 self._desired.mark_confirmed(sent_s)
-                self._sender.count(metric_definitions.CALLS_STORED)
-                self._log.info(
-                    "call-stored",
-                    call=event,
-                    job_id=allowed.job_id,
-                    route=allowed.route.name,
-                    account=allowed.account,
-                    desired_revision=allowed.desired.revision,
-                    revision=stored.unwrap(),
-                    tries=tries,
-                )
+                self._note_stored(allowed, event, stored.unwrap(), tries)
                 return result.Success(allowed.job_id)
             fault = stored.failure()
             if isinstance(fault, errors.Conflict):
@@ -216,9 +215,24 @@
                 continue
             maybe_stored |= not isinstance(fault, errors.Unreachable)
             if not maybe_stored:
-                return self._refuse("store-not-reached")
+                return self._refuse("store-not-reached", call)
             await asyncio.sleep(RETRY_PAUSE_S)
 
+    def _note_stored(
+        self, allowed: Allowed, event: str, revision: int, tries: int
+    ) -> None:
+        self._sender.count(metric_definitions.CALLS_STORED)
+        self._log.info(
+            "call-stored",
+            call=event,
+            job_id=allowed.job_id,
+            route=allowed.route.name,
+            account=allowed.account,
+            desired_revision=allowed.desired.revision,
+            revision=revision,
+            tries=tries,
+        )
+
     def _is_stored(self, mismatch: model.Mismatch, allowed: Allowed) -> bool:
         config = mismatch.current.get(self._config_key)
         if config is not None and config.revision:
@@ -226,11 +240,7 @@
         spec = mismatch.current.get(records.key(allowed.job_id, records.SPEC))
         return spec is not None and spec.revision > 0
 
-    def _failure(
-        self, fault: errors.Fault, maybe_stored: bool
-    ) -> result.Failure:
-        if not maybe_stored:
-            return result.Failure(fault)
+    def _outcome_unknown(self) -> result.Failure:
         self._sender.count(metric_definitions.CALLS_UNKNOWN)
         return result.Failure(
             errors.OutcomeUnknown(
@@ -272,19 +282,19 @@
         self, call: Call, allowed: Allowed
     ) -> result.Result[dict[str, model.Item], errors.Fault]:
         if self._desired.age_s > STORE_SUSPECT_S:
-            return self._refuse("store-silent")
+            return self._refuse("store-silent", call)
         prefix = records.job_prefix(allowed.job_id)
         while True:
             left_s = call.deadline_s - clock.elapsed_s()
             if left_s < MIN_TRY_S:
-                return self._refuse("store-too-slow")
+                return self._refuse("store-too-slow", call)
             listed = await self._store.list(
                 prefix, timeout_s=min(TRY_TIMEOUT_S, left_s)
             )
             if isinstance(listed, result.Success):
                 break
             if isinstance(listed.failure(), errors.Unreachable):
-                return self._refuse("store-not-reached")
+                return self._refuse("store-not-reached", call)
         kinds = {
             records.split_key(item.key)[1]: item
             for item in listed.unwrap().items
@@ -299,7 +309,7 @@
             self._log.error(
                 "job-malformed", job_id=allowed.job_id, why=str(error)
             )
-            return self._refuse("record-malformed")
+            return self._refuse("record-malformed", call)
         if not is_there:
             return result.Failure(
                 Gone(
@@ -343,7 +353,7 @@
                 records.PENDING_KEY, timeout_s=TRY_TIMEOUT_S
             )
             if isinstance(read, result.Failure):
-                return self._refuse("store-not-reached")
+                return self._refuse("store-not-reached", call)
             item = read.unwrap()
             self._pending = records.load_pending(item.value) if item else {}
             self._pending_s = sent_s
@@ -353,14 +363,6 @@
         )
 
 
-def _deadline_passed() -> errors.DidNotRun:
-    return errors.DidNotRun(
-        message="Nothing was done in the caller's time.",
-        remedy="Ask again, any VM will do.",
-        retry_after_s=RETRY_AFTER_S,
-    )
-
-
 def _same_account(owner: str, account: str) -> bool:
     """Return whether a caller may see a job; public queues have no owner."""
     return not owner or not account or owner == account
--- a/src/knapweedwharf/platform/ingress.py
+++ b/src/knapweedwharf/platform/ingress.py
@@ -191,8 +191,10 @@
         self._write(200, body(outcome.unwrap()))
 
     def _refuse(self, fault: errors.Fault) -> None:
+        retry_after_s = 0
         if isinstance(fault, errors.DidNotRun):
-            self.set_header("Retry-After", str(math.ceil(fault.retry_after_s)))
+            retry_after_s = math.ceil(fault.retry_after_s)
+            self.set_header("Retry-After", str(retry_after_s))
         self._logger.info(
             "call-refused",
             method=self.request.method,
@@ -200,6 +202,7 @@
             status=fault.http_status,
             why=fault.code,
             detail=fault.message,
+            retry_after_s=retry_after_s,
         )
         self._write(fault.http_status, fault.to_dict())
 
