Hand the use of work with precedence on to the next owner

Cause: a new owner's headroom began at nothing, also when the same VM resumed after an outage of the store. What waits then is work that can wait, as callers of the first priority were refused or have given up. It took all room in the first pass, and was stopped again for the callers that came back.

Ruled out: working it out from the ended jobs in the store, which hold no steps; a time after the return in which only work with precedence starts.

--- a/src/knapweedwharf/core/engine.py
+++ b/src/knapweedwharf/core/engine.py
@@ -170,6 +170,12 @@
     def _(self, happened: event.WorkerWarming) -> None:
         self.state.speeds.set_warming(happened.worker_id, happened.until_s)
 
+    @_apply.register
+    def _(self, happened: event.DemandRecalled) -> None:
+        self.state.headroom.restore(
+            happened.mean, happened.mean_square, self.state.now_s
+        )
+
     @_apply.register
     def _(self, happened: event.UntrackedSeen) -> None:
         self.topology.set_untracked(happened.worker_id, happened.taken)
--- a/src/knapweedwharf/core/event.py
+++ b/src/knapweedwharf/core/event.py
@@ -80,6 +80,18 @@
     until_s: float
 
 
+@dataclasses.dataclass(frozen=True)
+class DemandRecalled:
+    """What work with precedence used under an earlier epoch is known.
+
+    :ivar mean: mean of the accelerators in use.
+    :ivar mean_square: mean of their square.
+    """
+
+    mean: float
+    mean_square: float
+
+
 @dataclasses.dataclass(frozen=True)
 class JobSubmitted:
     """A job was accepted and stored durably.
@@ -246,6 +258,7 @@
     UntrackedSeen,
     JobMoved,
     WorkerWarming,
+    DemandRecalled,
     WorkersApproved,
     ProgressSeen,
     Tick,
--- a/src/knapweedwharf/core/headroom.py
+++ b/src/knapweedwharf/core/headroom.py
@@ -21,6 +21,16 @@
         self._mean_square = 0.0
         self._sampled_s: float | None = None
 
+    @property
+    def averages(self) -> tuple[float, float]:
+        """The means of the use and of its square."""
+        return self._mean, self._mean_square
+
+    def restore(self, mean: float, mean_square: float, now_s: float) -> None:
+        """Continue from averages of before, as if nothing had passed."""
+        self._mean, self._mean_square = mean, mean_square
+        self._sampled_s = now_s
+
     def sample(self, now_s: float, *, memory_s: float) -> None:
         """Update the moving averages with the use since the last call.
 
--- a/src/knapweedwharf/fleet/records.py
+++ b/src/knapweedwharf/fleet/records.py
@@ -15,6 +15,7 @@
 OWNER_KEY = "control/owner"
 EPOCH_KEY = "control/epoch"
 PENDING_KEY = "published/pending"
+DEMAND_KEY = "control/demand"
 WAVES = "waves/"
 
 SPEC = "spec"
@@ -280,6 +281,23 @@
     return json.loads(value)
 
 
+def dump_demand(
+    averages: dict[str, tuple[float, float]], unix_s: float
+) -> bytes:
+    """Encode the averages of each service's headroom and their time."""
+    return _dump({"at_s": unix_s, "averages": averages})
+
+
+def load_demand(value: bytes) -> tuple[dict[str, tuple[float, float]], float]:
+    """Decode the averages of each service's headroom and their time."""
+    document = json.loads(value)
+    averages = {
+        service: (float(mean), float(mean_square))
+        for service, (mean, mean_square) in document["averages"].items()
+    }
+    return averages, float(document["at_s"])
+
+
 def wave_key(number: int) -> str:
     """Return the key of a maintenance wave's progress."""
     return f"{WAVES}{number}"
--- a/src/knapweedwharf/fleet/tenure.py
+++ b/src/knapweedwharf/fleet/tenure.py
@@ -18,6 +18,7 @@
 from knapweedwharf.fleet import clock
 from knapweedwharf.fleet import crashes as crashes_module
 from knapweedwharf.fleet import decider as decider_module
+from knapweedwharf.fleet import demand_record as demand_record_module
 from knapweedwharf.fleet import desired as desired_module
 from knapweedwharf.fleet import election as election_module
 from knapweedwharf.fleet import executor_loss
@@ -196,10 +197,20 @@
             won_s=self._won_s,
             sender=self._sender,
         )
+        self._connect_reports()
+        self._connect_machines(desired)
+
+    def _connect_reports(self) -> None:
+        """Create the components that tell of the engines' state."""
         self._waiting_report = waiting_report_module.WaitingReport(
             engines=self._decider.engines, epoch=self._ownership.epoch
         )
-        self._connect_machines(desired)
+        self._demand_record = demand_record_module.DemandRecord(
+            store=self._clients.store,
+            ownership=self._ownership,
+            engines=self._decider.engines,
+            tell=self._decider.tell,
+        )
 
     def _connect_machines(self, desired: desired_module.DesiredState) -> None:
         """Create the components that send orders for machines."""
@@ -258,6 +269,7 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self._decider.close()
         await self._intake.close()
+        await self._demand_record.close()
         await self._maintenance.close()
         await self._pools.close()
         await self.registry.close()
@@ -295,6 +307,7 @@
 
     async def _schedule_forever(self) -> None:
         await self._intake.loaded.wait()
+        await self._demand_record.start()
         for attempt in self.scheduling_state.attempts.values():
             for member in attempt.members.values():
                 self.registry.awaited.add(member.executor_id)
--- a/testing/core/test_objectives.py
+++ b/testing/core/test_objectives.py
@@ -135,6 +135,18 @@
     assert _started(engine.handle(event.JobSubmitted(job), now_s=20.0))
 
 
+def test_a_new_engine_keeps_the_headroom_that_was_used_before():
+    """Its first tick, with nothing of precedence at work, changes little."""
+    engine = _crowded(busy=2, free=1)
+    recalled = event.DemandRecalled(mean=24.0, mean_square=24.0**2)
+    engine.handle(recalled, now_s=20.0)
+    engine.handle(event.Tick(), now_s=20.2)
+    job = _job("p", 20.2, objective_s=60.0, declared_run_s=9.0)
+    assert not _started(engine.handle(event.JobSubmitted(job), now_s=20.2))
+    first = engine.handle(event.JobSubmitted(_first("next", 20.3)), now_s=20.3)
+    assert _started(first) == ["next"]
+
+
 def test_no_job_waits_for_headroom_beyond_the_limit():
     """Work with precedence used three workers, and is expected back."""
     engine = _crowded(busy=2, free=1)
--- a/testing/fleet/entries.py
+++ b/testing/fleet/entries.py
@@ -23,11 +23,13 @@
     attempts: int = 3,
     standby: abc.Iterable[str] = (),
     enforces_capacity: bool = True,
+    slowdown: float = 0.0,
 ) -> bytes:
     """Return a desired state with one account and a queue of each kind.
 
     :param standby: names of standby pools, whose machines are off.
     :param enforces_capacity: executors refuse what doesn't fit.
+    :param slowdown: multiple of their run times that jobs may take.
     """
     return json.dumps(
         {
@@ -36,6 +38,7 @@
             "attempts": attempts,
             "standby": list(standby),
             "enforces_capacity": enforces_capacity,
+            "slowdown": slowdown,
         }
     ).encode()
 
@@ -55,6 +58,7 @@
                 service="pool",
                 priority=priority,
                 max_attempts=document["attempts"],
+                slowdown=document.get("slowdown", 0.0),
                 advice=(
                     model.AdvisorTerms() if prefix == ADVISED_PREFIX else None
                 ),
