Write the records of urgent jobs before those of other work

Cause: records are written in the order of their changes.

Change: changed jobs are written by their queue's priority, and the one that was changed first is in each transaction, so none waits for ever.

Ruled out: more transactions at the same time, which a slow link shares.

--- a/src/knapweedwharf/fleet/progress_writer.py
+++ b/src/knapweedwharf/fleet/progress_writer.py
@@ -63,6 +63,8 @@
     :param dump_ended: returns the specification to keep of a job that is
         over; None for any other. It is written with the last progress.
     :param on_fenced: called when another owner has taken over.
+    :param priority_of: returns a job's priority; lower values are written
+        first.
     """
 
     def __init__(
@@ -74,12 +76,14 @@
         dump_ended: abc.Callable[[str], bytes | None] = lambda _job_id: None,
         on_fenced: abc.Callable[[], None],
         sender: metrics.Metrics,
+        priority_of: abc.Callable[[str], int] = lambda _job_id: 0,
     ) -> None:
         self._store = store
         self._epoch_revision = epoch_revision
         self._dump = dump
         self._dump_ended = dump_ended
         self._on_fenced = on_fenced
+        self._priority_of = priority_of
         self._sender = sender
         self._log = log.get("ledger")
         self._revisions: dict[str, int] = {}
@@ -160,7 +164,7 @@
         ended: dict[str, bytes] = {}
         left = MAX_ENTRIES_PER_COMMIT
         left_bytes = MAX_BYTES_PER_COMMIT
-        for job_id in self._dirty:
+        for job_id in self._in_turn():
             value = self._dump(job_id)
             spec = None
             if value is not None and job_id not in self._shrunk:
@@ -177,6 +181,18 @@
                 ended[job_id] = spec
         return values, ended
 
+    def _in_turn(self) -> list[str]:
+        """Return the changed jobs in the order in which they are written.
+
+        Starts wait for their record, so after an outage those of the first
+        priority go before the ends of all other work. The record that was
+        changed first is in each transaction, so none waits for ever.
+        """
+        if not self._dirty:
+            return []
+        first, *others = self._dirty
+        return [first, *sorted(others, key=self._priority_of)]
+
     def _run_callback(self, then: Callback) -> None:
         """Call back for a stored record; an error must not stop the writer."""
         try:
--- a/src/knapweedwharf/fleet/scheduling_state.py
+++ b/src/knapweedwharf/fleet/scheduling_state.py
@@ -14,6 +14,10 @@
 """from (task id, run number) to an attempt and a member's task index"""
 
 
+REMOVED_PRIORITY = 1_000
+"""After the priorities of all queues, as nobody waits for a removal."""
+
+
 class SchedulingState:
     """Jobs and attempts of one ownership.
 
@@ -47,6 +51,11 @@
             return None
         return records.dump_ended_job(flow.job)
 
+    def priority_of(self, job_id: str) -> int:
+        """Return the priority of a job's queue; removed jobs go last."""
+        flow = self.workflows.get(job_id)
+        return REMOVED_PRIORITY if flow is None else flow.job.priority
+
     def _is_over(self, flow: workflow.Workflow) -> bool:
         """Return whether a job has ended and none of its runs is left."""
         return flow.is_final and flow.job.job_id not in self._attempts_by_job
--- a/src/knapweedwharf/fleet/tenure.py
+++ b/src/knapweedwharf/fleet/tenure.py
@@ -95,6 +95,7 @@
             dump_ended=self.scheduling_state.dump_ended,
             on_fenced=lambda: election.give_up("fenced-by-store"),
             sender=sender,
+            priority_of=self.scheduling_state.priority_of,
         )
         self.registry = registry_module.Registry(
             process_config=process_config,
--- a/testing/fleet/test_progress_writer.py
+++ b/testing/fleet/test_progress_writer.py
@@ -19,6 +19,9 @@
 ENDED = {f"{number:016x}": b"[]" for number in range(100, 140)}
 """The specifications to keep of jobs that are over."""
 
+URGENT = {f"{number:016x}" for number in range(200, 210)}
+"""Jobs of the first priority."""
+
 
 class _LimitedStore(fleet_store.FakeStore):
     """A store that enforces the platform's limit on transaction size."""
@@ -59,6 +62,7 @@
             dump_ended=ENDED.get,
             on_fenced=lambda: None,
             sender=metrics.Metrics(None),
+            priority_of=lambda job_id: 0 if job_id in URGENT else 1,
         )
         await progress_writer.start()
         try:
@@ -119,6 +123,68 @@
     _run_with_ledger(main)
 
 
+def test_urgent_records_wait_for_no_backlog_of_an_outage():
+    """The ends of 300 jobs are to be written, 1 MB over a slow link."""
+
+    async def main(store, progress_writer, values):
+        loop = asyncio.get_running_loop()
+        stored_s: dict[str, float] = {}
+
+        def mark(job_id: str) -> None:
+            values[job_id] = b"x" * 3_500
+            progress_writer.mark_dirty(
+                job_id, lambda: stored_s.setdefault(job_id, loop.time())
+            )
+
+        store.path.silent = True
+        for number in range(1_000, 1_300):
+            mark(f"{number:016x}")
+        await asyncio.sleep(4.0)
+        for job_id in URGENT:
+            mark(job_id)
+        store.path.silent = False
+        await asyncio.sleep(60.0)
+        assert len(stored_s) == 300 + len(URGENT)
+        before = [
+            job_id
+            for job_id, at_s in stored_s.items()
+            if at_s < max(stored_s[urgent] for urgent in URGENT)
+        ]
+        in_transaction = (
+            MAX_ENTRIES // progress_writer_module.ENTRIES_PER_WRITE
+        )
+        assert len(set(before) - URGENT) <= in_transaction
+
+    _run_with_ledger(main, _SlowStore)
+
+
+def test_other_records_are_written_beside_urgent_ones_all_the_time():
+    async def main(store, progress_writer, values):
+        others = [f"{number:016x}" for number in range(1_000, 1_040)]
+        stored: set[str] = set()
+        for job_id in others:
+            values[job_id] = b"{}"
+            progress_writer.mark_dirty(
+                job_id, lambda job_id=job_id: stored.add(job_id)
+            )
+
+        def mark_again(job_id: str) -> None:
+            values[job_id] = b"{}"
+            progress_writer.mark_dirty(job_id, lambda: mark_again(job_id))
+
+        many = [f"{number:016x}" for number in range(5_000, 5_060)]
+        URGENT.update(many)
+        try:
+            for job_id in many:
+                mark_again(job_id)
+            await asyncio.sleep(5.0)
+        finally:
+            URGENT.difference_update(many)
+        assert stored == set(others)
+
+    _run_with_ledger(main)
+
+
 def test_an_error_in_one_callback_does_not_stop_the_writer():
     async def main(store, progress_writer, values):
         def broken() -> None:
