--- a/src/knapweedwharf/fleet/watcher.py
+++ b/src/knapweedwharf/fleet/watcher.py
@@ -86,7 +86,6 @@
     :param max_silence_factor: multiple of the store's default timeout up
         to which a page without any answer is given more time at each
         attempt.
-    :param on_regained: called when the store answers after failures.
     :ivar pages: number of pages read so far.
     :ivar failures: number of failed calls so far.
     :ivar progressed_s: when the last page was read; 0 before the first.
@@ -106,7 +105,6 @@
         on_listing: ListingCallback,
         on_changes: abc.Callable[[model.Changes], None],
         max_silence_factor: float = 1.0,
-        on_regained: abc.Callable[[], None] = lambda: None,
     ) -> None:
         self._store = store
         self._prefix = prefix
@@ -114,7 +112,6 @@
         self._on_listing = on_listing
         self._on_changes = on_changes
         self._max_silence_factor = max_silence_factor
-        self._on_regained = on_regained
         self._reading = _Reading()
         self._log = log.get("watcher").bind(prefix=prefix)
         self._revision = 0
@@ -166,7 +163,6 @@
                 )
                 if self._is_disconnected:
                     self._log.info("store-regained", revision=self._revision)
-                    self._on_regained()
                 self._is_disconnected = False
                 self._polls = 0
                 continue
