--- a/src/knapweedwharf/fleet/tenure.py
+++ b/src/knapweedwharf/fleet/tenure.py
@@ -18,6 +18,7 @@
 from knapweedwharf.fleet import clock
 from knapweedwharf.fleet import crashes as crashes_module
 from knapweedwharf.fleet import decider as decider_module
+from knapweedwharf.fleet import demand_record as demand_record_module
 from knapweedwharf.fleet import desired as desired_module
 from knapweedwharf.fleet import election as election_module
 from knapweedwharf.fleet import evacuated_executors
@@ -96,6 +97,7 @@
             dump_ended=self.scheduling_state.dump_ended,
             on_fenced=lambda: election.give_up("fenced-by-store"),
             sender=sender,
+            priority_of=self.scheduling_state.priority_of,
         )
         self.registry = registry_module.Registry(
             process_config=process_config,
@@ -209,10 +211,20 @@
             won_s=self._won_s,
             sender=self._sender,
         )
+        self._connect_reports()
+        self._connect_machines(desired)
+
+    def _connect_reports(self) -> None:
+        """Create the components that tell of the engines' state."""
         self._waiting_report = waiting_report_module.WaitingReport(
             engines=self._decider.engines, epoch=self._ownership.epoch
         )
-        self._connect_machines(desired)
+        self._demand_record = demand_record_module.DemandRecord(
+            store=self._clients.store,
+            ownership=self._ownership,
+            engines=self._decider.engines,
+            tell=self._decider.tell,
+        )
 
     def _connect_machines(self, desired: desired_module.DesiredState) -> None:
         """Create the components that concern machines."""
@@ -278,6 +290,7 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self._decider.close()
         await self._intake.close()
+        await self._demand_record.close()
         await self._maintenance.close()
         await self._pools.close()
         self._evacuated.close()
@@ -316,6 +329,7 @@
 
     async def _schedule_forever(self) -> None:
         await self._intake.loaded.wait()
+        await self._demand_record.start()
         for attempt in self.scheduling_state.attempts.values():
             for member in attempt.members.values():
                 self.registry.awaited.add(member.executor_id)
--- a/src/knapweedwharf/platform/ingress.py
+++ b/src/knapweedwharf/platform/ingress.py
@@ -251,12 +251,14 @@
             status=fault.http_status,
             why=fault.code,
             detail=fault.message,
+            retry_after_s=_retry_after_s(fault),
         )
         self._respond_with(fault)
 
     def _respond_with(self, fault: errors.Fault) -> None:
-        if isinstance(fault, errors.DidNotRun):
-            self.set_header("Retry-After", str(math.ceil(fault.retry_after_s)))
+        retry_after_s = _retry_after_s(fault)
+        if retry_after_s:
+            self.set_header("Retry-After", str(retry_after_s))
         self._write(fault.http_status, fault.to_dict())
 
     def _write(self, status: int, document: dict) -> None:
@@ -265,6 +267,13 @@
         self.finish(json.dumps(document))
 
 
+def _retry_after_s(fault: errors.Fault) -> int:
+    """Return the whole seconds of a refusal; 0 for other faults."""
+    if isinstance(fault, errors.DidNotRun):
+        return math.ceil(fault.retry_after_s)
+    return 0
+
+
 def frontend(ingress: Ingress) -> limited_server.LimitedServer:
     """Create the server for callers."""
     return _server(
