Take a gang's slowest member for its progress

Cause: a gang's progress was the highest share that any of its workers had reported. Where workers are unlike, the fast ones are at 1.0 while the slow ones work on at a steady rate; the gang counted as stalled and was restarted once it had "stalled" for as long as it had run, often just before its end.

Change: the share is that of the slowest worker heard in the last 2.5 s. A hanging member is seen at once instead of when the others are done; a worker out of reach is left to its lease.

Ruled out: faults of executors (the late ones happen with none near) and a lost report of the end.

--- a/src/knapweedwharf/core/hardware.py
+++ b/src/knapweedwharf/core/hardware.py
@@ -123,7 +123,9 @@
         """Record the progress of attempts; act on those that are stalled."""
         state = self._state
         for attempt_id, share in happened.shares:
-            state.progress.record(attempt_id, share, state.now_s)
+            state.progress.record(
+                attempt_id, share, state.now_s, happened.worker_id
+            )
         stalled = [a for a, _share in happened.shares if self._is_stalled(a)]
         worker_id = happened.worker_id
         if any(self._runs_only_on(a, worker_id) for a in stalled):
--- a/src/knapweedwharf/core/progress.py
+++ b/src/knapweedwharf/core/progress.py
@@ -20,10 +20,13 @@
 """Several workers of a gang may report at the same time; a rate needs
 reports at least this far apart."""
 
+FRESH_S = 2.5
+"""Age at which a report no longer counts; busy workers report each second."""
+
 
 @dataclasses.dataclass(slots=True)
 class _Track:
-    """Reports on one attempt.
+    """Reports on one attempt; the share of a gang is its slowest member's.
 
     :ivar anchor: (time, share) that the rate is measured from.
     :ivar next_anchor: the next anchor.
@@ -42,26 +45,47 @@
 
     def __init__(self) -> None:
         self._tracks: dict[str, _Track] = {}
+        self._members: dict[str, dict[str, tuple[float, float]]] = {}
+
+    def record(
+        self, attempt_id: str, share: float, now_s: float, worker_id: str = ""
+    ) -> None:
+        """Record the share that an attempt has done, from 0 to 1.
 
-    def record(self, attempt_id: str, share: float, now_s: float) -> None:
-        """Record the share that an attempt has done, from 0 to 1."""
+        The workers of a gang are not equally fast, and it ends with the
+        slowest of those that report.
+        """
+        share = self._slowest_share(attempt_id, share, now_s, worker_id)
         point = (now_s, share)
         track = self._tracks.get(attempt_id)
         if track is None:
             self._tracks[attempt_id] = _Track(point, point, point, now_s)
             return
-        if share > track.last[1]:
-            track.advanced_s = now_s
         if share < track.last[1]:
-            # Another worker of the gang is behind; the highest share counts.
+            # A worker of the gang that is further behind reports now.
+            self._tracks[attempt_id] = _Track(point, point, point, now_s)
             return
+        if share > track.last[1]:
+            track.advanced_s = now_s
         track.last = point
         if now_s - track.next_anchor[0] >= WINDOW_S:
             track.anchor, track.next_anchor = track.next_anchor, point
 
+    def _slowest_share(
+        self, attempt_id: str, share: float, now_s: float, worker_id: str
+    ) -> float:
+        members = self._members.setdefault(attempt_id, {})
+        members[worker_id] = (now_s, share)
+        return min(
+            known
+            for at_s, known in members.values()
+            if now_s - at_s <= FRESH_S
+        )
+
     def forget(self, attempt_id: str) -> None:
         """Drop an attempt that has ended."""
         self._tracks.pop(attempt_id, None)
+        self._members.pop(attempt_id, None)
 
     def remaining_s(self, attempt_id: str, now_s: float) -> float | None:
         """Return the remaining run time at the present rate of progress.
--- a/testing/core/test_progress.py
+++ b/testing/core/test_progress.py
@@ -92,6 +92,56 @@
     assert abs(stopped_s - (3.0 + 3.0 + restart_s)) < 0.3
 
 
+def _stops_of_a_gang(shares_at) -> list[float]:
+    """Run a gang of two workers; return when it is stopped.
+
+    :param shares_at: returns what both have done at a time.
+    """
+    engine = short_runs.engine(4)
+    start = short_runs.start(
+        engine, short_runs.job("g", tasks=2, saves_progress=False), 0.0
+    )
+    workers = [place.worker_id for place in start.assignments]
+    stops = []
+    for second in range(1, 14):
+        for worker_id, share in zip(workers, shares_at(float(second))):
+            seen = event.ProgressSeen(worker_id, ((start.attempt_id, share),))
+            taken = engine.handle(seen, now_s=float(second))
+            if any(isinstance(t, decision.StopGang) for t in taken):
+                stops.append(float(second))
+    return stops
+
+
+def test_a_gang_whose_slow_member_works_on_is_not_stalled():
+    """One worker is done after 4 s; the other is a third as fast."""
+    stops = _stops_of_a_gang(
+        lambda now_s: (min(1.0, now_s / 4.0), now_s / 13.0)
+    )
+    assert not stops
+
+
+def test_a_gang_is_stalled_if_one_member_is():
+    """One member hangs from the start; the other works on."""
+    stops = _stops_of_a_gang(lambda now_s: (now_s / 13.0, 0.0))
+    assert stops[0] <= 4.0
+
+
+def test_the_end_of_a_gang_is_that_of_its_slowest_member():
+    progress = progress_module.Progress()
+    for second in range(4):
+        progress.record("a", 0.2 * second, float(second), "fast")
+        progress.record("a", 0.05 * second, float(second), "slow")
+    assert round(progress.remaining_s("a", 3.0), 3) == 17.0
+
+
+def test_a_worker_out_of_reach_does_not_make_its_gang_stalled():
+    progress = progress_module.Progress()
+    progress.record("a", 0.1, 1.0, "silent")
+    for second in range(1, 8):
+        progress.record("a", 0.1 * second, float(second), "heard")
+    assert progress.stalled_s("a") == 0.0
+
+
 def test_work_without_an_end_never_counts_as_stalled():
     engine = short_runs.engine(1)
     start = short_runs.start(engine, short_runs.job("j", is_lasting=True), 0.0)
