Tell the wait of a second start by itself

Cause: `waited_s` of `part-placed` counts from the submission, so the 10 to 15 s of a gang that lost a member hold its first run and the time until its executor's lease has surely ended.

Change: a record knows when it queued again, and the line `part-placed` tells that wait as `queued_s`.

Ruled out: quarantine, patience for one rack, a delayed queue and a blocked class. A shorter lease was weighed and left: with objectives of about 3 s the second start would be late all the same.

--- a/src/knapweedwharf/core/record.py
+++ b/src/knapweedwharf/core/record.py
@@ -28,6 +28,8 @@
     :ivar guarantee: the guarantee the attempt runs inside, or empty.
     :ivar unit: number of the guarantee's unit, from 1.
     :ivar has_failed: whether ``failures`` counts the current attempt.
+    :ivar requeued_s: when it last queued again after a lost attempt; 0
+        before that.
     :ivar preemptions: how often other jobs preempted this one.
     """
 
@@ -46,6 +48,7 @@
     guarantee: str = ""
     unit: int = 0
     preemptions: int = 0
+    requeued_s: float = 0.0
 
     def note(self, reason: model.Reason) -> None:
         """Add a reason; it replaces the last one if that has its code."""
@@ -54,6 +57,11 @@
             earlier = earlier[:-1]
         self.reasons = (*earlier, reason)[-MAX_REASONS:]
 
+    @property
+    def queued_s(self) -> float:
+        """When it joined the queue: submitted, or queued again."""
+        return self.requeued_s or self.job.submitted_s
+
     @property
     def waited_for(self) -> list[str]:
         """Reason codes for which it did not start earlier, newest last."""
--- a/src/knapweedwharf/core/state.py
+++ b/src/knapweedwharf/core/state.py
@@ -102,6 +102,8 @@
     ) -> None:
         """Apply an event of the job's state chart."""
         record.state = self.chart.step(record.state, chart_event)
+        if record.state == record_module.QUEUED:
+            record.requeued_s = self.now_s
         if record.state in self.chart.final:
             record.ended_s = self.now_s
             self.quarantine.forget_job(record.job.job_id)
--- a/src/knapweedwharf/fleet/decider.py
+++ b/src/knapweedwharf/fleet/decider.py
@@ -409,7 +409,7 @@
         attempt = self._scheduling_state.add(
             decided.attempt_id, flow, part, phase=attempt_module.INTENDED
         )
-        records = self._engine(service).records
+        record = self._engine(service).records[decided.job.job_id]
         waited_s = clock.steady_s() - decided.job.submitted_s
         self._sender.count(metric_definitions.PARTS_PLACED)
         self._sender.timing(metric_definitions.PART_WAIT_MS, waited_s * 1000)
@@ -422,7 +422,8 @@
             reason=decided.reason.code,
             urgency=decided.job.urgency,
             waited_s=round(waited_s, 3),
-            waited_for=records[decided.job.job_id].waited_for,
+            queued_s=round(clock.steady_s() - record.queued_s, 3),
+            waited_for=record.waited_for,
             declared_s=decided.job.declared_run_s,
         )
         self._progress_writer.mark_dirty(
