--- a/src/knapweedwharf/core/progress.py
+++ b/src/knapweedwharf/core/progress.py
@@ -76,6 +76,8 @@
     ) -> float:
         members = self._members.setdefault(attempt_id, {})
         members[worker_id] = (now_s, share)
+        if len(members) == 1:
+            return share
         return min(
             known
             for at_s, known in members.values()
