--- a/src/knapweedwharf/fleet/decider.py
+++ b/src/knapweedwharf/fleet/decider.py
@@ -23,6 +23,7 @@
 from knapweedwharf.fleet import metric_definitions
 from knapweedwharf.fleet import model
 from knapweedwharf.fleet import passes as passes_module
+from knapweedwharf.fleet import placed_parts
 from knapweedwharf.fleet import policy
 from knapweedwharf.fleet import progress_writer as progress_writer_module
 from knapweedwharf.fleet import scheduling_state as scheduling_state_module
@@ -79,6 +80,7 @@
         self._executors = executors
         self._incarnation_of = incarnation_of
         self._log = log.get("decider").bind(epoch=epoch)
+        self._placed = placed_parts.PlacedParts(epoch=epoch, sender=sender)
         self._engines: dict[str, engine_module.Engine] = {}
         self.event_times = event_times_module.EventTimes(
             epoch=epoch, sender=sender, load=self._load
@@ -410,22 +412,7 @@
             decided.attempt_id, flow, part, phase=attempt_module.INTENDED
         )
         record = self._engine(service).records[decided.job.job_id]
-        waited_s = clock.steady_s() - decided.job.submitted_s
-        self._sender.count(metric_definitions.PARTS_PLACED)
-        self._sender.timing(metric_definitions.PART_WAIT_MS, waited_s * 1000)
-        self._log.info(
-            "part-placed",
-            job_id=flow.job.job_id,
-            part=part.part_id,
-            run=part.run,
-            executors=sorted({p.worker_id for p in decided.assignments}),
-            reason=decided.reason.code,
-            urgency=decided.job.urgency,
-            waited_s=round(waited_s, 3),
-            queued_s=round(clock.steady_s() - record.queued_s, 3),
-            waited_for=record.waited_for,
-            declared_s=decided.job.declared_run_s,
-        )
+        self._placed.report(part, record, decided.reason)
         self._progress_writer.mark_dirty(
             flow.job.job_id, functools.partial(self._start, attempt)
         )
