Decide again about work on a leaving executor

Cause: whether work stays on a draining executor was decided once, when its notice came, from declared run times.

Change: with each tick, work on a leaving executor that by reported progress would end too late stops at once, and work that hasn't told its rate a second before the executor leaves.

Ruled out: the progress of gangs by their slowest member as the cause; it makes expected ends later, so less stays.

--- a/src/knapweedwharf/core/hardware.py
+++ b/src/knapweedwharf/core/hardware.py
@@ -6,6 +6,7 @@
 
 from knapweedwharf.core import amount
 from knapweedwharf.core import decision
+from knapweedwharf.core import departures
 from knapweedwharf.core import event
 from knapweedwharf.core import ledger
 from knapweedwharf.core import lifecycle
@@ -34,6 +35,7 @@
         self._was_complete = False
         self._suspended: dict[ledger.UnitKey, None] = {}
         self._stalled_since_s: dict[str, float] = {}
+        self._departures = departures.Departures(state)
 
     def check_complete(self) -> None:
         """Check waiting jobs again once every worker is known."""
@@ -111,6 +113,8 @@
         self.exclude(worker_id, topology_module.LEAVING)
         text = f"Worker {worker_id} is about to leave."
         until_s = state.now_s + remaining_s
+        if remaining_s:
+            self._departures.announce(worker_id, until_s)
 
         def stays(record: record_module.JobRecord) -> bool:
             if remaining_s and state.expected_end_s(record) <= until_s:
@@ -256,8 +260,11 @@
             self._back_off_failing(worker_id)
 
     def tick(self) -> None:
-        """End quarantines and back-offs whose time is over."""
+        """End quarantines and back-offs; stop what would end too late."""
         state = self._state
+        for worker_id, record in self._departures.too_late():
+            text = f"It would not end before worker {worker_id} leaves."
+            state.stop(record, "requeue", state.reason("leaves-first", text))
         for worker_id in state.quarantine.end_quarantines(state.now_s):
             self._report_standing(
                 worker_id,
