--- a/src/knapweedwharf/core/engine.py
+++ b/src/knapweedwharf/core/engine.py
@@ -18,7 +18,6 @@
 from knapweedwharf.core import scheduler
 from knapweedwharf.core import state as state_module
 from knapweedwharf.core import topology
-from knapweedwharf.core import warming
 
 JobRecord = record_module.JobRecord
 
@@ -48,7 +47,6 @@
             self.state, self._scheduler.reclaim
         )
         self._hardware = hardware.Hardware(self.state, self._lifecycle)
-        self._warming = warming.Warming(self.state)
 
     @property
     def data_centre(self) -> str:
@@ -167,11 +165,10 @@
     @_apply.register
     def _(self, happened: event.WorkerGone) -> None:
         self._hardware.gone(happened.worker_id)
-        self._warming.forget(happened.worker_id)
 
     @_apply.register
     def _(self, happened: event.WorkerWarming) -> None:
-        self._warming.begin(happened.worker_id, happened.until_s)
+        self._hardware.warming(happened.worker_id, happened.until_s)
 
     @_apply.register
     def _(self, happened: event.DemandRecalled) -> None:
@@ -179,6 +176,10 @@
             happened.mean, happened.mean_square, self.state.now_s
         )
 
+    @_apply.register
+    def _(self, happened: event.WorkerRestarted) -> None:
+        self._hardware.restarted(happened.worker_id)
+
     @_apply.register
     def _(self, happened: event.UntrackedSeen) -> None:
         self.topology.set_untracked(happened.worker_id, happened.taken)
@@ -249,5 +250,4 @@
     @_apply.register
     def _(self, _happened: event.Tick) -> None:
         self._hardware.tick()
-        self._warming.tick()
         self._scheduler.tick()
--- a/src/knapweedwharf/core/event.py
+++ b/src/knapweedwharf/core/event.py
@@ -92,6 +92,13 @@
     mean_square: float
 
 
+@dataclasses.dataclass(frozen=True)
+class WorkerRestarted:
+    """A worker has begun another life under its id."""
+
+    worker_id: str
+
+
 @dataclasses.dataclass(frozen=True)
 class JobSubmitted:
     """A job was accepted and stored durably.
@@ -261,6 +268,7 @@
     JobMoved,
     WorkerWarming,
     DemandRecalled,
+    WorkerRestarted,
     WorkersApproved,
     ProgressSeen,
     Tick,
--- a/src/knapweedwharf/fleet/decider.py
+++ b/src/knapweedwharf/fleet/decider.py
@@ -19,6 +19,7 @@
 from knapweedwharf.fleet import attempt as attempt_module
 from knapweedwharf.fleet import clock
 from knapweedwharf.fleet import event_times as event_times_module
+from knapweedwharf.fleet import executor_standing
 from knapweedwharf.fleet import job_specs as job_specs_module
 from knapweedwharf.fleet import metric_definitions
 from knapweedwharf.fleet import model
@@ -81,6 +82,7 @@
         self._incarnation_of = incarnation_of
         self._log = log.get("decider").bind(epoch=epoch)
         self._placed = placed_parts.PlacedParts(epoch=epoch, sender=sender)
+        self._standings = executor_standing.Standings(epoch, sender)
         self._engines: dict[str, engine_module.Engine] = {}
         self.event_times = event_times_module.EventTimes(
             epoch=epoch, sender=sender, load=self._load
@@ -326,12 +328,11 @@
 
     @_carry_out.register
     def _(self, decided: decision.WorkerChanged, service: str) -> None:
-        self._log.warning(
-            "executor-standing",
-            executor=decided.worker_id,
-            standing=decided.standing,
-            reason=decided.reason.text,
-        )
+        self._standings.changed(decided)
+
+    @_carry_out.register
+    def _(self, decided: decision.WorkerSpeedChanged, service: str) -> None:
+        self._standings.speed_changed(decided, self._engines)
 
     @_carry_out.register
     def _(self, decided: decision.JobChanged, service: str) -> None:
--- a/testing/core/test_warming.py
+++ b/testing/core/test_warming.py
@@ -4,6 +4,7 @@
 
 from knapweedwharf.core import event
 from knapweedwharf.core import speed
+from knapweedwharf.core import speed_class
 from testing.core import scenario
 
 WARMING_S = 10.0
@@ -17,6 +18,10 @@
     return site
 
 
+def _class_of(site: scenario.Site) -> int:
+    return site.engine.topology.workers[COLD].speed_class
+
+
 def _worker_of(site: scenario.Site, job_id: str) -> str:
     record = site.engine.records[job_id]
     (place,) = record.assignments
@@ -48,7 +53,7 @@
     site = _site()
     assert site.engine.state.speeds.of(COLD, site.now_s) < 1.0
     site.tell(event.WorkerWarming(COLD, site.now_s))
-    assert not site.engine.topology.workers[COLD].is_warming
+    assert _class_of(site) == speed_class.USUAL
 
 
 def test_a_cold_worker_stays_cold_when_it_is_announced_again():
@@ -57,7 +62,7 @@
     spec = site.engine.topology.workers[COLD].spec
     site.tell(event.WorkerLost(COLD))
     site.tell(event.WorkerSealed(spec))
-    assert site.engine.topology.workers[COLD].is_warming
+    assert _class_of(site) == speed_class.COLD
     now_s = site.now_s
     assert site.engine.state.speeds.of(COLD, now_s) == speed.WARMING_SPEED
 
@@ -67,4 +72,4 @@
     spec = site.engine.topology.workers[COLD].spec
     site.tell(event.WorkerGone(COLD))
     site.tell(event.WorkerSealed(spec))
-    assert not site.engine.topology.workers[COLD].is_warming
+    assert _class_of(site) == speed_class.USUAL
