--- a/testing/fleet/test_listed_ends.py
+++ b/testing/fleet/test_listed_ends.py
@@ -142,6 +142,21 @@
     scene_module.run_on_virtual_time(main, monkeypatch)
 
 
+def test_work_goes_on_when_a_crashed_executor_is_unlisted_early(monkeypatch):
+    """Its entry goes before its lease has ended."""
+    monkeypatch.setattr(scene_module, "UNLISTED_AFTER_S", 4.0)
+
+    async def main(scene):
+        job_id = await _run_small_tasks(scene, executors=2)
+        executor_id = scene.pool.starts[0][1]
+        scene.pool.executors[executor_id].silent = True
+        await asyncio.sleep(2.0)
+        await scene.crash_executor(executor_id)
+        await scene.until_state(job_id, workflow.COMPLETED, within_s=60)
+
+    scene_module.run_on_virtual_time(main, monkeypatch)
+
+
 def test_a_draining_executor_with_ends_that_wait_loses_none(monkeypatch):
     async def main(scene):
         job_id = await _run_small_tasks(scene, executors=2)
