Learn workers' speeds from the runs of a step, and use them

Cause: a quarter of the executors of one deployment runs the tasks of a step in half the time that the others take. Nothing knew it: gangs mixed both, and short objectives got whichever fitted.

Change: each single part of a step is compared once with its siblings by its rate of progress; the core learns a speed for each worker, with what is chance and how old it is, and sorts workers into slow, usual and fast. Placement tries the class that suits the job's slack, and one class before a mixture. Expected ends, reservations, backfill, learned run times and the watch for missing progress use speeds as well. A worker that begins another life is judged anew.

Ruled out: run time by declared time (off by up to ten times), three or four standard errors for each worker alone (usual ones taken for slow, or few told), slow workers for all that isn't short of time (gangs late).

--- a/bench/_short_load.py
+++ b/bench/_short_load.py
@@ -65,6 +65,10 @@
 
     :ivar bursts: for each burst: job kind, start and end in seconds,
         factor of the arrival rate.
+    :ivar odd_workers_share: share of the workers of ``odd_speed``; the
+        others have speed 1.
+    :ivar task_spread: standard deviation of the logarithm of the run
+        times of a step's tasks.
     """
 
     name: str
@@ -80,6 +84,14 @@
     accounts: int = 4
     guaranteed_accelerators: int = 30
     max_stop_s: float = 0.3
+    odd_workers_share: float = 0.0
+    odd_speed: float = 1.0
+    task_spread: float = 0.0
+
+    def speed_of(self, worker: int) -> float:
+        """Return the speed of a worker by its number."""
+        draw = random.Random(f"{self.name}/{worker}").random()
+        return self.odd_speed if draw < self.odd_workers_share else 1.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -187,6 +199,29 @@
     guaranteed_accelerators=40, max_stop_s=0.9,
 )  # fmt: skip
 
+PROFILE = dataclasses.replace(
+    AUDIT, name="profile", arrivals_per_s=0.125, mean_tasks=13,
+    mean_work_s=7.2, cores=26.0, memory_mib=32_000, slowdown=3.0,
+)  # fmt: skip
+PREVIEW = dataclasses.replace(
+    CHECK, name="preview", arrivals_per_s=0.53, mean_tasks=5,
+    mean_work_s=2.1, cores=7.5, memory_mib=12_000, target_s=0.3,
+)  # fmt: skip
+UPLOAD = dataclasses.replace(
+    REBUILD, name="upload", arrivals_per_s=0.123, mean_tasks=39,
+    mean_work_s=6.5, cores=5.6, memory_mib=9_000, estimate_error=0.9,
+)  # fmt: skip
+
+FAST_QUARTER = Load(
+    "fast-quarter", 48, 12, 64, 131_072, 8, (PROFILE, PREVIEW, UPLOAD),
+    bursts=(("preview", 15.0, 21.0, 2.2),), odd_workers_share=0.25,
+    odd_speed=2.0, task_spread=0.3, duration_s=100.0,
+)  # fmt: skip
+SLOW_QUARTER = dataclasses.replace(
+    FAST_QUARTER, name="slow-quarter", odd_speed=0.5
+)
+ALIKE = dataclasses.replace(FAST_QUARTER, name="alike", odd_workers_share=0.0)
+
 LOADS = (HUERTO, KOBBERFRYD, LARGE, OTHER)
 
 
--- a/bench/_short_simulation.py
+++ b/bench/_short_simulation.py
@@ -5,6 +5,7 @@
 import dataclasses
 import heapq
 import itertools
+import math
 import random
 import typing
 
@@ -110,6 +111,7 @@
             )
         )
         self._racks: dict[str, str] = {}
+        self._speeds: dict[str, float] = {}
         for number in range(load.workers):
             self._add_worker(number)
 
@@ -117,6 +119,7 @@
         load = self._load
         name, rack = f"w{number}", f"r{number // load.workers_per_rack}"
         self._racks[name] = rack
+        self._speeds[name] = load.speed_of(number)
         spec = model.WorkerSpec(
             name,
             rack,
@@ -241,6 +244,9 @@
         part = self._workflows[job_id].parts[part_id]
         racks = {self._racks[place.worker_id] for place in start.assignments}
         step = arrival.job.steps[part.step]
+        slowed_by = max(
+            self._task_fraction(part_id, place) for place in start.assignments
+        )
         is_remote = (step.wants_one_rack and len(racks) > 1) or (
             step.data_rack and racks != {step.data_rack}
         )
@@ -249,7 +255,7 @@
             part_id,
             start.assignments,
             self.now_s,
-            arrival.work_s[part.step],
+            arrival.work_s[part.step] * slowed_by,
             REMOTE_RUN_FACTOR if is_remote else 1.0,
             (
                 self._saved_shares.get(part_id, 0.0)
@@ -266,6 +272,12 @@
             self.now_s + remaining_s, lambda: self._finish_run(attempt_id)
         )
 
+    def _task_fraction(self, part_id: str, place: model.Assignment) -> float:
+        """Return the run time of a task as a multiple of its step's."""
+        draw = random.Random(f"{self._seed}/{part_id}/{place.task_index}")
+        spread = draw.gauss(0.0, self._load.task_spread)
+        return math.exp(spread) / self._speeds[place.worker_id]
+
     def _random_fraction(self, part_id: str) -> float:
         """Return a random number that doesn't depend on other parts."""
         count = self._run_counts.get(part_id, 0)
--- a/src/knapweedwharf/core/decision.py
+++ b/src/knapweedwharf/core/decision.py
@@ -79,6 +79,22 @@
     reason: model.Reason
 
 
+@dataclasses.dataclass(frozen=True)
+class WorkerSpeedChanged:
+    """A worker counts as slow, fast or of the usual speed from now on.
+
+    :ivar standing: ``slow``, ``usual`` or ``fast``.
+    :ivar speed: its expected speed; 1.0 is the usual one.
+    :ivar runs: runs that this is based on, those that are old counted
+        less.
+    """
+
+    worker_id: str
+    standing: str
+    speed: float
+    runs: float
+
+
 Decision = typing.Union[
     StartGang,
     StopGang,
@@ -86,4 +102,5 @@
     JobChanged,
     GuaranteeChanged,
     WorkerChanged,
+    WorkerSpeedChanged,
 ]
--- a/src/knapweedwharf/core/engine.py
+++ b/src/knapweedwharf/core/engine.py
@@ -168,7 +168,11 @@
 
     @_apply.register
     def _(self, happened: event.WorkerWarming) -> None:
-        self.state.speeds.set_warming(happened.worker_id, happened.until_s)
+        self._hardware.warming(happened.worker_id, happened.until_s)
+
+    @_apply.register
+    def _(self, happened: event.WorkerRestarted) -> None:
+        self._hardware.restarted(happened.worker_id)
 
     @_apply.register
     def _(self, happened: event.UntrackedSeen) -> None:
--- a/src/knapweedwharf/core/estimate.py
+++ b/src/knapweedwharf/core/estimate.py
@@ -56,7 +56,10 @@
         return (end_s + more_s - job.submitted_s) / run_s
 
     def learn(self, job: model.JobSpec, ran_s: float) -> None:
-        """Update the estimates with the run time of a finished job."""
+        """Update the estimates with the run time of a finished job.
+
+        :param ran_s: as on workers of the usual speed.
+        """
         if ran_s <= 0 or job.declared_run_s <= 0:
             return
         known_s = self._typical_s.pop(job.kind, ran_s)
@@ -94,14 +97,21 @@
         return job.declared_run_s * self.factor(job)
 
     def end_s(
-        self, job: model.JobSpec, *, started_s: float, now_s: float
+        self,
+        job: model.JobSpec,
+        *,
+        started_s: float,
+        now_s: float,
+        speed: float = 1.0,
     ) -> float:
         """Return when a running job is expected to end.
 
         A job that overran its estimate is expected to run on for
         ``OVERRUN_SHARE`` of the time it has run.
+
+        :param speed: of its slowest worker; 1.0 is the usual one.
         """
-        expected_s = started_s + self.run_s(job)
+        expected_s = started_s + self.run_s(job) / speed
         if expected_s > now_s:
             return expected_s
         return now_s + OVERRUN_SHARE * max(now_s - started_s, 1.0)
--- a/src/knapweedwharf/core/event.py
+++ b/src/knapweedwharf/core/event.py
@@ -80,6 +80,13 @@
     until_s: float
 
 
+@dataclasses.dataclass(frozen=True)
+class WorkerRestarted:
+    """A worker has begun another life under its id."""
+
+    worker_id: str
+
+
 @dataclasses.dataclass(frozen=True)
 class JobSubmitted:
     """A job was accepted and stored durably.
@@ -246,6 +253,7 @@
     UntrackedSeen,
     JobMoved,
     WorkerWarming,
+    WorkerRestarted,
     WorkersApproved,
     ProgressSeen,
     Tick,
--- a/src/knapweedwharf/core/hardware.py
+++ b/src/knapweedwharf/core/hardware.py
@@ -12,12 +12,21 @@
 from knapweedwharf.core import model
 from knapweedwharf.core import quarantine as quarantine_module
 from knapweedwharf.core import record as record_module
+from knapweedwharf.core import speed_evidence
 from knapweedwharf.core import state as state_module
 from knapweedwharf.core import topology as topology_module
 
 Stays = abc.Callable[[record_module.JobRecord], bool]
 """Returns whether a job's attempt may stay on its workers."""
 
+STILL_PERCENTS = 3.0
+"""A run is stalled if it takes longer than it took for so many percents;
+single reports are late by up to one of them."""
+
+MAX_STILL_FACTOR = 3.0
+"""Most that this prolongs the usual limit, as an outage of the reports makes
+a run look slow as well."""
+
 
 def _nothing_stays(_record: record_module.JobRecord) -> bool:
     return False
@@ -34,6 +43,7 @@
         self._was_complete = False
         self._suspended: dict[ledger.UnitKey, None] = {}
         self._stalled_since_s: dict[str, float] = {}
+        self._speed_evidence = speed_evidence.SpeedEvidence(state)
 
     def check_complete(self) -> None:
         """Check waiting jobs again once every worker is known."""
@@ -74,6 +84,7 @@
         if known is None or known.spec != spec:
             state.ledger.worker_resized(spec)
         state.topology.add(spec)
+        self._speed_evidence.apply(spec.worker_id)
         self._requeue_excess(spec.worker_id)
         self._sync_cells(spec.worker_id)
         self._lifecycle.restore_guarantees()
@@ -124,6 +135,7 @@
         state = self._state
         for attempt_id, share in happened.shares:
             state.progress.record(attempt_id, share, state.now_s)
+            self._speed_evidence.progressed(attempt_id)
         stalled = [a for a, _share in happened.shares if self._is_stalled(a)]
         worker_id = happened.worker_id
         if any(self._runs_only_on(a, worker_id) for a in stalled):
@@ -141,6 +153,10 @@
         limit_s = state.configuration.policy.still_s
         if not limit_s or record.job.is_lasting:
             return False
+        # Reports are whole percents, which take a slow run longer.
+        percent_s = state.progress.percent_s(attempt_id)
+        slow_s = min(STILL_PERCENTS * percent_s, MAX_STILL_FACTOR * limit_s)
+        limit_s = max(limit_s, slow_s)
         return state.progress.stalled_s(attempt_id) >= limit_s
 
     def _runs_only_on(self, attempt_id: str, worker_id: str) -> bool:
@@ -194,10 +210,21 @@
         self._requeue_on(worker_id, "worker-lost", text)
         self._withdraw(worker_id)
         self._state.topology.remove(worker_id)
+        self._state.speeds.forget(worker_id)
         self._stalled_since_s.pop(worker_id, None)
         self._state.quarantine.forget_worker(worker_id)
         self._lifecycle.recheck_feasibility()
 
+    def restarted(self, worker_id: str) -> None:
+        """Forget the speed of a worker that has begun another life."""
+        self._state.speeds.forget(worker_id)
+        self._speed_evidence.apply(worker_id)
+
+    def warming(self, worker_id: str, until_s: float) -> None:
+        """Count a worker as slow for a while."""
+        self._state.speeds.set_warming(worker_id, until_s)
+        self._speed_evidence.apply(worker_id)
+
     def start_refused(self, worker_id: str, attempt_id: str) -> None:
         """Put a worker that refused a start in back-off."""
         state = self._state
@@ -222,6 +249,7 @@
             return
         record = state.job_of_attempt(happened.attempt_id)
         if happened.succeeded:
+            self._speed_evidence.finished(record)
             if state.quarantine.record_success(worker_id, record.job):
                 state.topology.lift_exclusion(
                     worker_id, topology_module.QUARANTINE
@@ -264,6 +292,7 @@
             )
             state.waiting.wake_all()
         self._end_back_offs()
+        self._speed_evidence.tick()
         oldest_s = state.now_s - state.configuration.policy.quarantine_s
         for worker_id, since_s in list(self._stalled_since_s.items()):
             if since_s < oldest_s:
--- a/src/knapweedwharf/core/lifecycle.py
+++ b/src/knapweedwharf/core/lifecycle.py
@@ -335,8 +335,7 @@
             record.after_stop = "finish"
             return
         if record.state == record_module.RUNNING:
-            ran_s = state.now_s - record.started_s
-            state.estimates.learn(record.job, ran_s)
+            state.learn_run_s(record)
         self._release(record)
         state.transition(
             record, "finish", state.reason("finished", "All tasks succeeded.")
--- a/src/knapweedwharf/core/placement.py
+++ b/src/knapweedwharf/core/placement.py
@@ -13,6 +13,7 @@
 
 from knapweedwharf.core import amount
 from knapweedwharf.core import model
+from knapweedwharf.core import speed_class
 from knapweedwharf.core import topology as topology_module
 from knapweedwharf import registry
 
@@ -22,10 +23,16 @@
 RACKS_TRIED = 8
 
 Search = typing.Callable[
-    [topology_module.Topology, model.JobSpec, abc.Container[str]],
+    [
+        topology_module.Topology,
+        model.JobSpec,
+        abc.Container[str],
+        speed_class.Order,
+    ],
     "Share | None",
 ]
-"""Maps (topology, job, workers to avoid) to a share, or None."""
+"""Maps (topology, job, workers to avoid, order by speed) to a share, or
+None."""
 
 
 @dataclasses.dataclass(frozen=True)
@@ -69,6 +76,7 @@
     topology: topology_module.Topology,
     job: model.JobSpec,
     avoid: abc.Container[str] = (),
+    speeds: speed_class.Order = speed_class.SLOW_FIRST,
 ) -> Share | None:
     """Best fit, with cores set aside for free accelerators.
 
@@ -76,10 +84,10 @@
     free.
     """
     if not job.accelerators_per_task:
-        share = _search(topology, job, avoid, spare_cores=True)
+        share = _search(topology, job, avoid, speeds, spare_cores=True)
         if share is not None:
             return share
-    return _search(topology, job, avoid, spare_cores=False)
+    return _search(topology, job, avoid, speeds, spare_cores=False)
 
 
 @POLICIES.register("best-fit")
@@ -87,9 +95,10 @@
     topology: topology_module.Topology,
     job: model.JobSpec,
     avoid: abc.Container[str] = (),
+    speeds: speed_class.Order = speed_class.SLOW_FIRST,
 ) -> Share | None:
     """Use the workers with the least free capacity that fit the gang."""
-    return _search(topology, job, avoid, spare_cores=False)
+    return _search(topology, job, avoid, speeds, spare_cores=False)
 
 
 @POLICIES.register("first-fit")
@@ -97,6 +106,7 @@
     topology: topology_module.Topology,
     job: model.JobSpec,
     avoid: abc.Container[str] = (),
+    _speeds: speed_class.Order = speed_class.SLOW_FIRST,
 ) -> Share | None:
     """Take workers in their order."""
     for group in _groups(topology, job.within):
@@ -110,21 +120,46 @@
     topology: topology_module.Topology,
     job: model.JobSpec,
     avoid: abc.Container[str],
+    speeds: speed_class.Order,
     *,
     spare_cores: bool,
 ) -> Share | None:
-    need = amount.of_task(job)
+    """Search workers; those of one class of speed are preferred."""
+    classes = _classes(topology, speeds)
     if job.within == model.WITHIN_WORKER or job.tasks == 1:
-        whole = need.times(job.tasks)
-        found = _fitting(topology, whole, spare_cores=spare_cores)
-        for room in _without(found, avoid):
-            return [(room, job.tasks)]
-        return None
-    share = _search_racks(topology, job, avoid)
+        return _search_one(topology, job, avoid, classes, spare_cores)
+    share = _search_racks(topology, job, avoid, classes)
     if share is not None or job.within == model.WITHIN_RACK:
         return share
-    rooms = _fitting(topology, need, spare_cores=spare_cores)
-    return fill(_without(rooms, avoid), job)
+    need = amount.of_task(job)
+    for used in classes:
+        rooms = _fitting(topology, need, spare_cores=spare_cores, used=used)
+        share = fill(_without(rooms, avoid), job)
+        if share is not None:
+            return share
+    return None
+
+
+def _classes(
+    topology: topology_module.Topology, speeds: speed_class.Order
+) -> list[frozenset[int]]:
+    found = {c for c, count in topology.speed_classes.items() if count}
+    return speed_class.present(speeds, found)
+
+
+def _search_one(
+    topology: topology_module.Topology,
+    job: model.JobSpec,
+    avoid: abc.Container[str],
+    classes: abc.Iterable[frozenset[int]],
+    spare_cores: bool,
+) -> Share | None:
+    whole = amount.of_task(job).times(job.tasks)
+    for used in classes:
+        found = _fitting(topology, whole, spare_cores=spare_cores, used=used)
+        for room in _without(found, avoid):
+            return [(room, job.tasks)]
+    return None
 
 
 def _without(
@@ -138,16 +173,32 @@
     topology: topology_module.Topology,
     job: model.JobSpec,
     avoid: abc.Container[str],
+    classes: list[frozenset[int]],
 ) -> Share | None:
+    """Search a rack; one that has enough of the best classes goes first."""
     racks = topology.racks_with(job.accelerators)
     if job.within != model.WITHIN_RACK:
         racks = itertools.islice(racks, RACKS_TRIED)
+    best: Share | None = None
+    left = len(classes)
     for rack in racks:
-        rooms = _tightest_first(rack.workers.values())
-        share = fill(_without(rooms, avoid), job)
-        if share is not None:
-            return share
-    return None
+        rooms = list(_without(_tightest_first(rack.workers.values()), avoid))
+        for rank, used in enumerate(classes[:left]):
+            share = fill(_of_classes(rooms, used), job)
+            if share is not None:
+                best, left = share, rank
+                break
+        if not left:
+            break
+    return best
+
+
+def _of_classes(
+    rooms: abc.Iterable[topology_module.WorkerRoom], used: abc.Set[int]
+) -> abc.Iterator[topology_module.WorkerRoom]:
+    """Yield the workers of some classes; the slowest, which bind, first."""
+    for found in sorted(used):
+        yield from (room for room in rooms if room.speed_class == found)
 
 
 def _tightest_first(
@@ -164,13 +215,17 @@
     need: amount.Amount,
     *,
     spare_cores: bool,
+    used: abc.Set[int],
 ) -> abc.Iterator[topology_module.WorkerRoom]:
-    """Yield workers that cover ``need``, the best fit first."""
+    """Yield workers that cover ``need``, the best fit first.
+
+    :param used: classes of speed; the slowest, which bind, go first.
+    """
     cores_level = need.cores.bit_length()
     memory_level = need.memory_mib.bit_length()
-    for key in sorted(topology.buckets):
-        _promised, accelerators, cores, memory = key
-        if accelerators < need.accelerators:
+    for key in sorted(topology.buckets, key=_slowest_first):
+        _promised, accelerators, cores, memory, found = key
+        if found not in used or accelerators < need.accelerators:
             continue
         if cores < cores_level or memory < memory_level:
             continue
@@ -182,6 +237,11 @@
                 yield room
 
 
+def _slowest_first(key: topology_module.BucketKey) -> tuple[int, ...]:
+    promised, accelerators, cores, memory, found = key
+    return (promised, found, accelerators, cores, memory)
+
+
 def cores_beside_accelerators(
     room: topology_module.WorkerRoom,
 ) -> amount.Amount:
--- a/src/knapweedwharf/core/progress.py
+++ b/src/knapweedwharf/core/progress.py
@@ -20,6 +20,12 @@
 """Several workers of a gang may report at the same time; a rate needs
 reports at least this far apart."""
 
+SAMPLE_AFTER_S = 1.5
+"""Time over which the rates of runs are compared; two reports."""
+
+MIN_SAMPLE_SHARE = 0.03
+"""Reports are whole percents: a rate from less is off by a third."""
+
 
 @dataclasses.dataclass(slots=True)
 class _Track:
@@ -29,12 +35,16 @@
     :ivar next_anchor: the next anchor.
     :ivar last: the newest report.
     :ivar advanced_s: time of the last report with a higher share.
+    :ivar first: the first report.
+    :ivar is_sampled: its rate was compared with that of other runs.
     """
 
     anchor: tuple[float, float]
     next_anchor: tuple[float, float]
     last: tuple[float, float]
     advanced_s: float
+    first: tuple[float, float]
+    is_sampled: bool = False
 
 
 class Progress:
@@ -48,7 +58,9 @@
         point = (now_s, share)
         track = self._tracks.get(attempt_id)
         if track is None:
-            self._tracks[attempt_id] = _Track(point, point, point, now_s)
+            self._tracks[attempt_id] = _Track(
+                point, point, point, now_s, point
+            )
             return
         if share > track.last[1]:
             track.advanced_s = now_s
@@ -78,6 +90,45 @@
         left_s = (1.0 - track.last[1]) * took_s / grown
         return max(0.0, left_s - (now_s - track.last[0]))
 
+    def sample(self, attempt_id: str) -> float | None:
+        """Return a run's rate in shares a second, once.
+
+        It is taken a fixed time after the first report, so that slow and
+        fast runs that started together are compared over the same time.
+        None before, and while the run makes no progress.
+        """
+        track = self._tracks.get(attempt_id)
+        if track is None or track.is_sampled:
+            return None
+        took_s = track.last[0] - track.first[0]
+        grown = track.last[1] - track.first[1]
+        if took_s < SAMPLE_AFTER_S or grown < MIN_SAMPLE_SHARE:
+            return None
+        if track.advanced_s < track.last[0]:
+            return None
+        track.is_sampled = True
+        return grown / took_s
+
+    def sample_end(self, attempt_id: str, now_s: float) -> float | None:
+        """Return the rate of a run that ends now, if it has no sample."""
+        track = self._tracks.get(attempt_id)
+        if track is None or track.is_sampled:
+            return None
+        took_s = now_s - track.first[0]
+        grown = 1.0 - track.first[1]
+        if took_s < MIN_INTERVAL_S or grown < MIN_SAMPLE_SHARE:
+            return None
+        track.is_sampled = True
+        return grown / took_s
+
+    def percent_s(self, attempt_id: str) -> float:
+        """Return how long an attempt takes for a percent; 0 if unknown."""
+        track = self._tracks.get(attempt_id)
+        if track is None or track.last[1] <= track.first[1]:
+            return 0.0
+        took_s = track.advanced_s - track.first[0]
+        return 0.01 * took_s / (track.last[1] - track.first[1])
+
     def stalled_s(self, attempt_id: str) -> float:
         """Return for how long an attempt has reported no progress."""
         track = self._tracks.get(attempt_id)
--- a/src/knapweedwharf/core/state.py
+++ b/src/knapweedwharf/core/state.py
@@ -19,6 +19,7 @@
 from knapweedwharf.core import quarantine
 from knapweedwharf.core import record as record_module
 from knapweedwharf.core import speed
+from knapweedwharf.core import speed_class
 from knapweedwharf.core import suspects
 from knapweedwharf.core import topology
 from knapweedwharf.core import waiting
@@ -241,16 +242,21 @@
         run_s = self.estimates.run_s(job)
         need = amount.of_task(job)
         order = self.order_of(job, run_s)
+        uneven = self.topology.is_uneven
         found: set[str] = set()
         for reservation in self.reservations.by_job.values():
-            ends_in_time = self.now_s + run_s <= reservation.expected_s
-            if reservation.job.job_id == job.job_id or ends_in_time:
+            left_s = reservation.expected_s - self.now_s
+            if reservation.job.job_id == job.job_id:
+                continue
+            if not uneven and run_s <= left_s:
                 continue
             if order < self.order_of(
                 reservation.job, self.estimates.run_s(reservation.job)
             ):
                 continue
             for worker_id in reservation.tasks:
+                if run_s <= left_s * self.speeds.of(worker_id, self.now_s):
+                    continue
                 room = self.topology.workers.get(worker_id)
                 if room and not (room.open - room.reserved).covers(need):
                     found.add(worker_id)
@@ -273,7 +279,25 @@
             )
             if placement.could_ever_fit(others, job):
                 avoid = avoid.union(failed_on)
-        return suspects.search(self.policy.search, self.topology, job, avoid)
+        return suspects.search(
+            self.policy.search,
+            self.topology,
+            job,
+            avoid,
+            self.speed_order(job),
+        )
+
+    def speed_order(self, job: model.JobSpec) -> speed_class.Order:
+        """Return the order in which a job should use slow and fast workers."""
+        if not self.topology.is_uneven:
+            return speed_class.SLOW_FIRST
+        return speed_class.of_job(
+            job,
+            run_s=self.estimates.run_s(job),
+            objective_s=self.order.likely_objective_s(job),
+            late_factor=self.configuration.policy.late_factor,
+            now_s=self.now_s,
+        )
 
     # Attempts
 
@@ -387,9 +411,22 @@
         if record.state == record_module.STARTING:
             started_s = self.now_s
         return self.estimates.end_s(
-            record.job, started_s=started_s, now_s=self.now_s
+            record.job,
+            started_s=started_s,
+            now_s=self.now_s,
+            speed=self._speed_of(record),
         )
 
+    def learn_run_s(self, record: record_module.JobRecord) -> None:
+        """Update the estimates with the run time of a job that ends now."""
+        ran_s = self.now_s - record.started_s
+        self.estimates.learn(record.job, ran_s * self._speed_of(record))
+
+    def _speed_of(self, record: record_module.JobRecord) -> float:
+        """Return the speed of an attempt, which is its slowest worker's."""
+        worker_ids = (place.worker_id for place in record.assignments)
+        return self.speeds.slowest(worker_ids, self.now_s)
+
     # Limits
 
     def over_quota(self, job: model.JobSpec) -> bool:
--- a/src/knapweedwharf/core/suspects.py
+++ b/src/knapweedwharf/core/suspects.py
@@ -12,6 +12,7 @@
 from knapweedwharf.core import model
 from knapweedwharf.core import placement
 from knapweedwharf.core import record as record_module
+from knapweedwharf.core import speed_class
 from knapweedwharf.core import topology as topology_module
 
 ALONE_S = 2.0
@@ -60,10 +61,11 @@
     topology: topology_module.Topology,
     job: model.JobSpec,
     avoid: abc.Container[str],
+    speed_order: speed_class.Order,
 ) -> placement.Share | None:
     """Search workers for a job; a suspect goes where least would be lost."""
     if not job.is_suspect or job.within != model.WITHIN_DATA_CENTRE:
-        return find(topology, job, avoid)
+        return find(topology, job, avoid, speed_order)
     rooms = (
         room
         for worker_id, room in topology.workers.items()
--- a/src/knapweedwharf/core/topology.py
+++ b/src/knapweedwharf/core/topology.py
@@ -11,11 +11,13 @@
 from __future__ import annotations
 
 import bisect
+import collections
 from collections import abc
 import dataclasses
 
 from knapweedwharf.core import amount
 from knapweedwharf.core import model
+from knapweedwharf.core import speed_class
 
 LOST = "lost"
 LEAVING = "leaving"
@@ -26,9 +28,9 @@
 SHORT_EXCLUSIONS = frozenset({REFUSED, STILL})
 """Reasons for short exclusions, which end by themselves within seconds."""
 
-BucketKey = tuple[bool, int, int, int]
+BucketKey = tuple[bool, int, int, int, int]
 """(has cells or reservations, open accelerators, bit length of the open
-cores, bit length of the open memory)"""
+cores, bit length of the open memory, class of speed)"""
 
 
 @dataclasses.dataclass(slots=True)
@@ -55,6 +57,7 @@
     :ivar counted_whole: its capacity as included in the totals.
     :ivar counted_free: its free capacity as included in the totals.
     :ivar counted_open: its open accelerators as included in its rack.
+    :ivar speed_class: class of its speed; see ``speed_class``.
     :ivar taken_below: cache of what work of lower rank takes, by rank.
     """
 
@@ -77,6 +80,7 @@
     counted_whole: amount.Amount = amount.NOTHING
     counted_free: amount.Amount = amount.NOTHING
     counted_open: int = 0
+    speed_class: int = speed_class.USUAL
     taken_below: dict[int | None, amount.Amount] = dataclasses.field(
         default_factory=dict
     )
@@ -124,6 +128,7 @@
     :ivar complete: every listed worker has been sealed once.
     :ivar freed: workers whose open capacity grew since the last pass of
         the scheduler.
+    :ivar speed_classes: number of workers by class of speed.
     """
 
     def __init__(self) -> None:
@@ -133,6 +138,7 @@
         self.complete = False
         self.freed: dict[str, None] = {}
         self.open_accelerators = 0
+        self.speed_classes: collections.Counter[int] = collections.Counter()
         self._whole = amount.NOTHING
         self._free = amount.NOTHING
         self._by_open: list[tuple[int, str]] = []
@@ -152,6 +158,7 @@
         if known is not None:
             room.held, room.reserved = known.held, known.reserved
             room.promised = known.promised
+            room.speed_class = known.speed_class
             room.occupants = known.occupants
         else:
             room.occupants = self._orphans.pop(spec.worker_id, {})
@@ -159,6 +166,7 @@
         room.recount()
         room.excess = room.free.shortfall()
         self.workers[spec.worker_id] = room
+        self.speed_classes[room.speed_class] += 1
         rack = self.racks.setdefault(spec.rack, RackRoom(spec.rack))
         rack.workers[spec.worker_id] = room
         if len(rack.workers) == 1:
@@ -264,6 +272,11 @@
         """Count free accelerators on usable workers."""
         return self._free.accelerators
 
+    @property
+    def is_uneven(self) -> bool:
+        """Whether some worker isn't of the usual speed."""
+        return self.speed_classes[speed_class.USUAL] < len(self.workers)
+
     @property
     def sums(self) -> tuple[amount.Amount, amount.Amount]:
         """Capacity of the usable workers, and what is free of it."""
@@ -305,6 +318,15 @@
             room.reserved = room.reserved + change
             self.refresh(room)
 
+    def set_speed_class(self, worker_id: str, found: int) -> None:
+        """Put a worker into a class of speed."""
+        room = self.workers.get(worker_id)
+        if room is not None:
+            self.speed_classes[room.speed_class] -= 1
+            self.speed_classes[found] += 1
+            room.speed_class = found
+            self.refresh(room)
+
     def promise(self, worker_id: str, accelerators: int) -> None:
         """Change the number of accelerators of cells on a worker."""
         room = self.workers.get(worker_id)
@@ -368,6 +390,7 @@
         self._count_open(room, 0)
         self._count(room, amount.NOTHING, amount.NOTHING)
         self._enter_bucket(room, None)
+        self.speed_classes[room.speed_class] -= 1
         rack = self.racks[room.spec.rack]
         del rack.workers[room.spec.worker_id]
         if not rack.workers:
@@ -403,4 +426,5 @@
         max(room.open.accelerators, 0),
         room.open.cores.bit_length(),
         room.open.memory_mib.bit_length(),
+        room.speed_class,
     )
--- a/src/knapweedwharf/fleet/decider.py
+++ b/src/knapweedwharf/fleet/decider.py
@@ -19,6 +19,7 @@
 from knapweedwharf.fleet import attempt as attempt_module
 from knapweedwharf.fleet import clock
 from knapweedwharf.fleet import event_times as event_times_module
+from knapweedwharf.fleet import executor_standing
 from knapweedwharf.fleet import job_specs as job_specs_module
 from knapweedwharf.fleet import metric_definitions
 from knapweedwharf.fleet import model
@@ -324,12 +325,12 @@
 
     @_carry_out.register
     def _(self, decided: decision.WorkerChanged, service: str) -> None:
-        self._log.warning(
-            "executor-standing",
-            executor=decided.worker_id,
-            standing=decided.standing,
-            reason=decided.reason.text,
-        )
+        executor_standing.log_changed(decided, self._log)
+
+    @_carry_out.register
+    def _(self, decided: decision.WorkerSpeedChanged, service: str) -> None:
+        executor_standing.log_speed(decided, self._log)
+        executor_standing.count_speeds(self._engines, self._sender)
 
     @_carry_out.register
     def _(self, decided: decision.JobChanged, service: str) -> None:
--- a/src/knapweedwharf/fleet/metric_definitions.py
+++ b/src/knapweedwharf/fleet/metric_definitions.py
@@ -98,6 +98,18 @@
     unit="executors",
     text="Executors that did not answer until their lease had ended.",
 )
+EXECUTORS_SLOW = metrics.define(
+    "fleet.executors_slow",
+    kind=metrics.GAUGE,
+    unit="executors",
+    text="Executors whose runs the owner sees progress slower than others.",
+)
+EXECUTORS_FAST = metrics.define(
+    "fleet.executors_fast",
+    kind=metrics.GAUGE,
+    unit="executors",
+    text="Executors whose runs the owner sees progress faster than others.",
+)
 RUNS_LOST_UNSEEN = metrics.define(
     "fleet.runs_lost_unseen",
     kind=metrics.COUNTER,
--- a/src/knapweedwharf/fleet/reports.py
+++ b/src/knapweedwharf/fleet/reports.py
@@ -349,6 +349,8 @@
                 self._mark_lost(attempt, member, changed)
         self._advance_all(changed)
         self._reborn.add(executor_id)
+        restarted = event.WorkerRestarted(executor_id)
+        self._tell(session.executor.service, restarted)
         self.cordoned(session)
 
     def _forget_former(self, session: session_module.Session) -> None:
--- a/testing/core/short_runs.py
+++ b/testing/core/short_runs.py
@@ -37,11 +37,15 @@
     configured = event.ConfigurationChanged(fleet_policy.configuration())
     made.handle(configured, now_s=0.0)
     for number in range(workers):
-        spec = model.WorkerSpec(f"w{number}", "r", "pool", 8, 32_000, 64000)
-        made.handle(event.WorkerSealed(spec), now_s=0.0)
+        made.handle(event.WorkerSealed(worker(number)), now_s=0.0)
     return made
 
 
+def worker(number: int, rack: str = "r") -> model.WorkerSpec:
+    """Return a worker of 8 accelerators."""
+    return model.WorkerSpec(f"w{number}", rack, "pool", 8, 32_000, 64000)
+
+
 def start(
     used: engine_module.Engine, submitted: model.JobSpec, now_s: float
 ) -> decision.StartGang:
