--- a/bench/core_cost.py
+++ b/bench/core_cost.py
@@ -16,11 +16,15 @@
 from knapweedwharf.core import engine as engine_module
 from knapweedwharf.core import event
 from knapweedwharf.core import model
+from knapweedwharf.core import speed
+from knapweedwharf.core import speed_class
 
 PLAN_MULTIPLES = (1, 4, 16)
 WORKERS, TASKS, JOBS_PER_DAY, ACCOUNTS = 680, 5700, 890, 74
 GANG_TASKS = 19
 EVENTS = 3000
+UNEVEN_WORKERS = (176, 680)
+COMPARISONS, RUNS_PER_STEP, RUNS_PER_S = 10_000, 40, 50
 BUDGET_MS_PER_S = 12.0
 TICKS_PER_S = 1.0
 
@@ -28,7 +32,7 @@
 class FilledEngine:
     """An engine filled with the tasks of a multiple of the plan."""
 
-    def __init__(self, size: int) -> None:
+    def __init__(self, size: float) -> None:
         self._rng = random.Random(size)
         self.now_s = 0.0
         self.event_count = 0
@@ -36,7 +40,7 @@
         self._accounts = tuple(f"team-{n:03d}" for n in range(ACCOUNTS))
         self._submitted_count = 0
         self.running_job_ids: list[str] = []
-        workers = _workload.plan_workers(WORKERS * size, "dc")
+        workers = _workload.plan_workers(round(WORKERS * size), "dc")
         self.engine = engine_module.Engine(
             data_centre="dc", attempt_prefix="bench"
         )
@@ -240,3 +244,42 @@
         memory_mib_per_task=1024,
         urgency=urgency,
     )
+
+
+@bench.BENCHMARKS.register("core-cost-speeds")
+def uneven_cost() -> list[bench.Figure]:
+    """Measure the cost of an event with alike and with uneven workers."""
+    figures: list[bench.Figure] = []
+    for workers in UNEVEN_WORKERS:
+        for label, odd_every in (("alike", 0), ("a quarter fast", 4)):
+            filled = FilledEngine(workers / WORKERS)
+            topology = filled.engine.topology
+            for number, worker_id in enumerate(topology.workers):
+                if odd_every and number % odd_every == 0:
+                    topology.set_speed_class(worker_id, speed_class.FAST)
+            event_count = filled.event_count
+            started_s = time.process_time()
+            filled.churn(EVENTS)
+            processor_s = time.process_time() - started_s
+            cost_us = 1e6 * processor_s / (filled.event_count - event_count)
+            name = f"{workers} workers, {label}: per event"
+            figures.append(bench.Figure(name, cost_us, "us"))
+    for workers in UNEVEN_WORKERS:
+        cost_us = _comparison_cost_us(workers)
+        name = f"{workers} workers: per run compared"
+        figures.append(bench.Figure(name, cost_us, "us"))
+    return figures
+
+
+def _comparison_cost_us(workers: int) -> float:
+    """Return what comparing a run costs, with one look at all per second."""
+    rng = random.Random(workers)
+    speeds = speed.Speeds()
+    started_s = time.process_time()
+    for number in range(COMPARISONS):
+        worker_id = f"w{rng.randrange(workers)}"
+        step, rate = f"s{number // RUNS_PER_STEP}", rng.uniform(0.05, 0.2)
+        speeds.compare(step, worker_id, rate, number / RUNS_PER_S)
+        if number % RUNS_PER_S == 0:
+            speeds.expire(number / RUNS_PER_S)
+    return 1e6 * (time.process_time() - started_s) / COMPARISONS
