Log executors' standing where the reference finds it

The event executor-standing had left docs/reference/log-events.md, which is made from the calls of named loggers, when it moved to a function that was passed its logger.

--- a/src/knapweedwharf/fleet/decider.py
+++ b/src/knapweedwharf/fleet/decider.py
@@ -80,6 +80,7 @@
         self._executors = executors
         self._incarnation_of = incarnation_of
         self._log = log.get("decider").bind(epoch=epoch)
+        self._standings = executor_standing.Standings(epoch, sender)
         self._engines: dict[str, engine_module.Engine] = {}
         self.event_times = event_times_module.EventTimes(
             epoch=epoch, sender=sender, load=self._load
@@ -325,12 +326,11 @@
 
     @_carry_out.register
     def _(self, decided: decision.WorkerChanged, service: str) -> None:
-        executor_standing.log_changed(decided, self._log)
+        self._standings.changed(decided)
 
     @_carry_out.register
     def _(self, decided: decision.WorkerSpeedChanged, service: str) -> None:
-        executor_standing.log_speed(decided, self._log)
-        executor_standing.count_speeds(self._engines, self._sender)
+        self._standings.speed_changed(decided, self._engines)
 
     @_carry_out.register
     def _(self, decided: decision.JobChanged, service: str) -> None:
