--- a/testing/core/test_progress.py
+++ b/testing/core/test_progress.py
@@ -121,3 +121,87 @@
     engine.handle(leaving, now_s=2.1)
     assert engine.records["ends"].state == record_module.RUNNING
     assert engine.records["stays"].state == record_module.STOPPING
+
+
+def _report_each_second(
+    engine, start: decision.StartGang, share_at, seconds: int
+) -> tuple[list[float], set[str]]:
+    """Report a run's progress; return the stops' times and exclusions."""
+    worker = start.assignments[0].worker_id
+    stopped_s: list[float] = []
+    excluded: set[str] = set()
+    for second in range(1, seconds):
+        share = int(100 * share_at(second)) / 100
+        seen = event.ProgressSeen(worker, ((start.attempt_id, share),))
+        taken = engine.handle(seen, now_s=float(second))
+        if any(isinstance(t, decision.StopGang) for t in taken):
+            stopped_s.append(float(second))
+        excluded |= engine.state.topology.workers[worker].exclusions
+    return stopped_s, excluded
+
+
+def test_a_run_that_takes_seconds_for_a_percent_is_not_stalled():
+    """Reports are whole percents; a slow run's stay equal for a while."""
+    engine = short_runs.engine(2)
+    job = short_runs.job("j", declared_run_s=150.0)
+    start = short_runs.start(engine, job, 0.0)
+
+    def share_at(second: int) -> float:
+        return second / 165
+
+    # The first percents come before their rate is known.
+    stopped_s, _excluded = _report_each_second(engine, start, share_at, 160)
+    assert not stopped_s
+    assert engine.records["j"].state == record_module.RUNNING
+
+
+def test_a_slow_run_that_hangs_is_still_stopped():
+    engine = short_runs.engine(2)
+    job = short_runs.job("j", declared_run_s=150.0, saves_progress=True)
+    start = short_runs.start(engine, job, 0.0)
+
+    def share_at(second: int) -> float:
+        return min(second, 40) / 165
+
+    stopped_s, excluded = _report_each_second(engine, start, share_at, 120)
+    assert stopped_s
+    assert "still" in excluded
+
+
+def test_reports_that_pause_do_not_hide_a_run_that_hangs():
+    """A pause makes the run look slow; that prolongs the wait by a bound."""
+    engine = short_runs.engine(2)
+    start = short_runs.start(engine, short_runs.job("j"), 0.0)
+    worker = start.assignments[0].worker_id
+    excluded: set[str] = set()
+    for second, share in (
+        (1, 0.1),
+        (31, 0.11),
+        *((n, 0.11) for n in range(32, 40)),
+    ):
+        seen = event.ProgressSeen(worker, ((start.attempt_id, share),))
+        engine.handle(seen, now_s=float(second))
+        excluded |= engine.state.topology.workers[worker].exclusions
+    assert "still" in excluded
+
+
+def test_the_rate_of_a_run_is_sampled_once():
+    progress = progress_module.Progress()
+    for second in range(5):
+        progress.record("a", 0.1 * second, float(second))
+        rate = progress.sample("a")
+        assert (rate is not None) == (second == 2)
+
+
+def test_a_hanging_run_has_no_rate():
+    progress = progress_module.Progress()
+    for second, share in enumerate((0.0, 0.1, 0.1, 0.1)):
+        progress.record("a", share, float(second))
+        assert progress.sample("a") is None
+
+
+def test_a_run_that_ends_early_is_sampled_at_its_end():
+    progress = progress_module.Progress()
+    progress.record("a", 0.5, 1.0)
+    assert progress.sample_end("a", 2.0) == 0.5
+    assert progress.sample_end("a", 2.0) is None
