Learn speeds of workers only on request

Cause: no gain is shown where speeds are learned. The engines of an owner are created by fleet/engines.py. Ruled out: leaving the part out, as known speeds do gain.

--- a/src/knapweedwharf/cli/platform.py
+++ b/src/knapweedwharf/cli/platform.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import sys
 
 import click
@@ -48,8 +49,18 @@
     type=click.IntRange(0, 65_535),
     help="Port that serves /metrics on the VM's address; 0 disables it.",
 )
+@click.option(
+    "--learn-speeds/--no-learn-speeds",
+    default=False,
+    show_default=True,
+    help="Learn how fast each executor is, and place work by that.",
+)
 def platform(
-    path: str, log_level: str, log_lines_per_s: int, metrics_port: int
+    path: str,
+    log_level: str,
+    log_lines_per_s: int,
+    metrics_port: int,
+    learn_speeds: bool,
 ) -> None:
     """Serve callers and take part in scheduling on the users' platform."""
     read = settings.read(path)
@@ -57,7 +68,9 @@
         for fault in read.failure():
             click.echo(str(fault), err=True)
         raise SystemExit(EXIT_SETTINGS)
-    process_config = read.unwrap()
+    process_config = dataclasses.replace(
+        read.unwrap(), learns_speeds=learn_speeds
+    )
     log.configure(
         level=log_level,
         node_id=process_config.node_id,
--- a/src/knapweedwharf/core/model.py
+++ b/src/knapweedwharf/core/model.py
@@ -143,6 +143,7 @@
         the headroom.
     :ivar accelerator_cores: number of cores that one accelerator
         weighs as much as; 0 weighs accelerators alone.
+    :ivar learns_speeds: workers' speeds are learned from their runs.
     :ivar renew_reserved_s: interval at which the workers of a
         reservation are chosen again; 0 does so only once it is late.
     """
@@ -171,6 +172,7 @@
     headroom_memory_s: float = 10.0
     headroom_patience_s: float = 12.0
     renew_reserved_s: float = 0.0
+    learns_speeds: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/knapweedwharf/core/speed_evidence.py
+++ b/src/knapweedwharf/core/speed_evidence.py
@@ -81,6 +81,8 @@
 
     def _is_comparable(self, record: record_module.JobRecord) -> bool:
         job, state = record.job, self._state
+        if not state.configuration.policy.learns_speeds:
+            return False
         if job.tasks != 1 or not job.spread_group or job.is_lasting:
             return False
         if len(record.assignments) != 1 or job.neighbours:
--- a/src/knapweedwharf/fleet/decider.py
+++ b/src/knapweedwharf/fleet/decider.py
@@ -18,6 +18,7 @@
 from knapweedwharf.fleet import advice_candidates
 from knapweedwharf.fleet import attempt as attempt_module
 from knapweedwharf.fleet import clock
+from knapweedwharf.fleet import engines as engines_module
 from knapweedwharf.fleet import event_times as event_times_module
 from knapweedwharf.fleet import executor_standing
 from knapweedwharf.fleet import job_specs as job_specs_module
@@ -42,6 +43,7 @@
     """Keeps one engine per service; turns jobs into attempts.
 
     :param epoch: the owner's epoch; makes run numbers unique to it.
+    :param engine_factory: creates the engine of a service.
     :param start: sends an attempt's starts once its placements are
         stored.
     :param advance: called once the engine wants an attempt stopped.
@@ -61,6 +63,7 @@
         desired,
         job_specs: job_specs_module.JobSpecs,
         epoch: int,
+        engine_factory: engines_module.EngineFactory,
         sender: metrics.Metrics,
         start: AttemptCallback,
         advance: AttemptCallback,
@@ -83,6 +86,7 @@
         self._log = log.get("decider").bind(epoch=epoch)
         self._placed = placed_parts.PlacedParts(epoch=epoch, sender=sender)
         self._standings = executor_standing.Standings(epoch, sender)
+        self._engine_factory = engine_factory
         self._engines: dict[str, engine_module.Engine] = {}
         self.event_times = event_times_module.EventTimes(
             epoch=epoch, sender=sender, load=self._load
@@ -102,14 +106,8 @@
     def _engine(self, service: str) -> engine_module.Engine:
         engine = self._engines.get(service)
         if engine is None:
-            engine = engine_module.Engine(
-                data_centre=service,
-                attempt_prefix=f"{service}-{self._epoch}",
-                policy=policy.ENGINE_POLICY,
-            )
+            engine = self._engine_factory.create(service)
             self._engines[service] = engine
-            configured = event.ConfigurationChanged(policy.configuration())
-            engine.handle(configured, now_s=clock.steady_s())
         return engine
 
     @property
--- a/src/knapweedwharf/fleet/model.py
+++ b/src/knapweedwharf/fleet/model.py
@@ -72,6 +72,7 @@
     :ivar min_lease_s: shortest lease that the store grants.
     :ivar advisor_address: IP:port of the advisor, or empty.
     :ivar machines_address: IP:port of the machine service, or empty.
+    :ivar learns_speeds: executors' speeds are learned from their runs.
     """
 
     node_id: str
@@ -83,6 +84,7 @@
     min_lease_s: float = 1.0
     advisor_address: str = ""
     machines_address: str = ""
+    learns_speeds: bool = False
     bounds: TimeLimits = TimeLimits()
     capacity: capacity_module.Capacity = capacity_module.Capacity()
 
--- a/src/knapweedwharf/fleet/policy.py
+++ b/src/knapweedwharf/fleet/policy.py
@@ -96,8 +96,11 @@
 """Executors report the progress of their runs once a second."""
 
 
-def configuration() -> model.Configuration:
-    """Return the core's configuration for a service's pool."""
+def configuration(*, learns_speeds: bool = False) -> model.Configuration:
+    """Return the core's configuration for a service's pool.
+
+    :param learns_speeds: see ``PolicySpec``.
+    """
     return model.Configuration(
         revision=1,
         policy=model.PolicySpec(
@@ -121,6 +124,7 @@
             headroom_memory_s=HEADROOM_MEMORY_S,
             headroom_patience_s=HEADROOM_PATIENCE_S,
             renew_reserved_s=RENEW_RESERVED_S,
+            learns_speeds=learns_speeds,
         ),
     )
 
--- a/src/knapweedwharf/fleet/tenure.py
+++ b/src/knapweedwharf/fleet/tenure.py
@@ -21,6 +21,7 @@
 from knapweedwharf.fleet import demand_record as demand_record_module
 from knapweedwharf.fleet import desired as desired_module
 from knapweedwharf.fleet import election as election_module
+from knapweedwharf.fleet import engines as engines_module
 from knapweedwharf.fleet import evacuated_executors
 from knapweedwharf.fleet import executor_loss
 from knapweedwharf.fleet import intake as intake_module
@@ -32,6 +33,7 @@
 from knapweedwharf.fleet import model
 from knapweedwharf.fleet import orders as orders_module
 from knapweedwharf.fleet import pacing as pacing_module
+from knapweedwharf.fleet import policy
 from knapweedwharf.fleet import pool_scaling as pool_scaling_module
 from knapweedwharf.fleet import progress_writer as progress_writer_module
 from knapweedwharf.fleet import records
@@ -133,6 +135,7 @@
             desired=desired,
             job_specs=self._job_specs(desired),
             epoch=self._ownership.epoch,
+            engine_factory=self._engine_factory(),
             sender=self._sender,
             start=lambda attempt: self._orders.start(attempt),
             advance=lambda attempt: self._orders.advance(attempt),
@@ -156,6 +159,14 @@
         )
         self._connect_inputs(desired)
 
+    def _engine_factory(self) -> engines_module.EngineFactory:
+        return engines_module.EngineFactory(
+            epoch=self._ownership.epoch,
+            configuration=policy.configuration(
+                learns_speeds=self._process_config.learns_speeds
+            ),
+        )
+
     def _start_gate(
         self, desired: desired_module.DesiredState
     ) -> start_gate_module.StartGate:
--- a/src/knapweedwharf/platform/program.py
+++ b/src/knapweedwharf/platform/program.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import os
 import signal
 
@@ -194,9 +195,12 @@
             for fault in read.failure():
                 self._log.error("settings-refused", why=str(fault))
             return
-        changed = read.unwrap() != self.process_config
+        process_config = dataclasses.replace(
+            read.unwrap(), learns_speeds=self.process_config.learns_speeds
+        )
+        changed = process_config != self.process_config
         self._log.info("settings-read", why=why, changed=changed)
-        self.process_config = read.unwrap()
+        self.process_config = process_config
 
     async def _watch_settings_file(self) -> None:
         known_mtime = self._settings_mtime()
--- a/testing/core/short_runs.py
+++ b/testing/core/short_runs.py
@@ -29,12 +29,16 @@
     )
 
 
-def engine(workers: int) -> engine_module.Engine:
+def engine(
+    workers: int, *, learns_speeds: bool = False
+) -> engine_module.Engine:
     """Return an engine with workers of 8 accelerators in one rack."""
     made = engine_module.Engine(
         data_centre="pool", attempt_prefix="t", policy="short-runs"
     )
-    configured = event.ConfigurationChanged(fleet_policy.configuration())
+    configured = event.ConfigurationChanged(
+        fleet_policy.configuration(learns_speeds=learns_speeds)
+    )
     made.handle(configured, now_s=0.0)
     for number in range(workers):
         made.handle(event.WorkerSealed(worker(number)), now_s=0.0)
--- a/testing/core/test_uneven_workers.py
+++ b/testing/core/test_uneven_workers.py
@@ -18,6 +18,7 @@
 from knapweedwharf.core import placement
 from knapweedwharf.core import speed
 from knapweedwharf.core import speed_class
+from knapweedwharf.fleet import policy as fleet_policy
 from testing.core import short_runs
 
 SEEDS = range(3)
@@ -50,7 +51,11 @@
     load: _short_load.Load, seed: int, *, speeds: str
 ) -> _short_simulation.Simulation:
     """Return a simulation in which speeds are known, learned or unknown."""
-    simulation = _short_simulation.Simulation(load, seed)
+    simulation = _short_simulation.Simulation(
+        load,
+        seed,
+        configuration=fleet_policy.configuration(learns_speeds=True),
+    )
     state = simulation.engine.state
     if speeds == LEARNED:
         return simulation
