Let tests on virtual time run beside many open descriptors

Cause: select() takes no descriptor above 1023. Change: the virtual loop polls, which has no such limit. Ruled out: connections that the product leaves open, as the descriptors are the ports reserved by standins/loopback.py (299 by testing/platform/test_odd_answers.py alone). Result: testing/scheduling passes with 1,200 descriptors open.

--- a/standins/virtual_time.py
+++ b/standins/virtual_time.py
@@ -11,7 +11,7 @@
 import typing
 
 
-class _Selector(selectors.SelectSelector):
+class _Selector(selectors.PollSelector):
     """Advances the virtual clock instead of waiting."""
 
     def __init__(self) -> None:
