Wait for the store's word in one place

Cause: the wait for cancellations (fleet/intake.py) stood again, line for line, in fleet/evacuations.py, with its two constants. Change: fleet/confirmation.py holds it; both keep their log lines. Ruled out: one wait for both copies, as they have limits of their own. Result: behaviour as before; the tests of evacuations, take-overs, cancellations, intake and slow links pass, lint is clean.

--- a/src/knapweedwharf/fleet/evacuations.py
+++ b/src/knapweedwharf/fleet/evacuations.py
@@ -7,21 +7,12 @@
 
 from __future__ import annotations
 
-import asyncio
 from collections import abc
 
-from knapweedwharf.fleet import clock
+from knapweedwharf.fleet import confirmation
 from knapweedwharf.fleet import model
 from knapweedwharf import log
 
-MAX_AGE_SHARE = 2 / 3
-"""Share of the time within which starts must cease for which the owner starts
-work without the store's word that no request has come; the rest is for starts
-under way."""
-
-STALE_POLL_S = 0.05
-"""Time between checks of whether the requests have been confirmed."""
-
 Changed = abc.Callable[[], None]
 
 
@@ -43,12 +34,16 @@
         age_s: abc.Callable[[], float],
     ) -> None:
         self._store_schema = store_schema
-        self._max_age_s = MAX_AGE_SHARE * evacuation_s
         self._age_s = age_s
         self._log = log.get("evacuations")
         self._revisions: dict[str, int] = {}
         self._subscribers: list[Changed] = []
-        self._stale_s: float | None = None
+        self._confirmation = confirmation.Confirmation(
+            limit_s=evacuation_s,
+            age_s=age_s,
+            on_stale=self._log_stale,
+            on_confirmed=self._log_confirmed,
+        )
         self.in_force: dict[str, int] = {}
 
     @property
@@ -79,25 +74,16 @@
 
         :returns: whether that took any time.
         """
-        if not self._is_stale:
-            return False
-        if self._stale_s is None:
-            self._stale_s = clock.elapsed_s()
-            self._log.warning(
-                "evacuations-not-confirmed",
-                max_age_s=round(self._max_age_s, 3),
-            )
-        while self._is_stale:
-            await asyncio.sleep(STALE_POLL_S)
-        if self._stale_s is not None:
-            after_s = clock.elapsed_s() - self._stale_s
-            self._stale_s = None
-            self._log.info("evacuations-confirmed", after_s=round(after_s, 3))
-        return True
+        return await self._confirmation.wait()
 
-    @property
-    def _is_stale(self) -> bool:
-        return 0 < self._max_age_s < self.age_s
+    def _log_stale(self) -> None:
+        self._log.warning(
+            "evacuations-not-confirmed",
+            max_age_s=round(self._confirmation.max_age_s, 3),
+        )
+
+    def _log_confirmed(self, after_s: float) -> None:
+        self._log.info("evacuations-confirmed", after_s=round(after_s, 3))
 
     # Entries
 
--- a/src/knapweedwharf/fleet/intake.py
+++ b/src/knapweedwharf/fleet/intake.py
@@ -9,6 +9,7 @@
 from knapweedwharf import codec
 from knapweedwharf.core import workflow
 from knapweedwharf.fleet import clock
+from knapweedwharf.fleet import confirmation
 from knapweedwharf.fleet import crashes as crashes_module
 from knapweedwharf.fleet import decider as decider_module
 from knapweedwharf.fleet import metric_definitions
@@ -25,13 +26,6 @@
 watch may wait. On a dead connection it hides cancellations for longer, until
 it times out."""
 
-MAX_AGE_SHARE = 2 / 3
-"""Share of that time for which the owner decides by what it has read, without
-the store's word that nothing has changed; the rest is for starts under way."""
-
-STALE_POLL_S = 0.05
-"""Time between checks of whether the records have been confirmed."""
-
 NOT_READ_INTERVAL_S = 1.0
 """Time between two lines of an owner that has not read the records yet; a
 read that works takes less."""
@@ -72,7 +66,6 @@
         self._progress_writer = progress_writer
         self._decider = decider
         self._crashes = crashes
-        self._max_age_s = MAX_AGE_SHARE * cancel_s
         self._won_s = won_s
         self._sender = sender
         self._log = log.get("intake").bind(epoch=epoch)
@@ -80,7 +73,6 @@
         self.loaded = asyncio.Event()
         self.applied = 0
         self._applied_s = 0.0
-        self._stale_s: float | None = None
         self._watcher = watcher_module.Watcher(
             store,
             records.JOBS,
@@ -89,6 +81,12 @@
             on_changes=self._on_changes,
             max_silence_factor=MAX_SILENCE_FACTOR,
         )
+        self._confirmation = confirmation.Confirmation(
+            limit_s=cancel_s,
+            age_s=lambda: self._watcher.age_s,
+            on_stale=self._log_stale,
+            on_confirmed=self._log_confirmed,
+        )
 
     async def start(self) -> None:
         """Start reading."""
@@ -105,21 +103,17 @@
     async def until_confirmed(self) -> None:
         """Wait while a cancellation may have been missed for too long."""
         await self.loaded.wait()
-        if self._watcher.age_s <= self._max_age_s:
-            return
-        if self._stale_s is None:
-            self._stale_s = clock.elapsed_s()
-            self._log.warning(
-                "records-not-confirmed",
-                age_s=round(self._watcher.age_s, 3),
-                max_age_s=round(self._max_age_s, 3),
-            )
-        while self._watcher.age_s > self._max_age_s:
-            await asyncio.sleep(STALE_POLL_S)
-        if self._stale_s is not None:
-            after_s = clock.elapsed_s() - self._stale_s
-            self._stale_s = None
-            self._log.info("records-confirmed", after_s=round(after_s, 3))
+        await self._confirmation.wait()
+
+    def _log_stale(self) -> None:
+        self._log.warning(
+            "records-not-confirmed",
+            age_s=round(self._watcher.age_s, 3),
+            max_age_s=round(self._confirmation.max_age_s, 3),
+        )
+
+    def _log_confirmed(self, after_s: float) -> None:
+        self._log.info("records-confirmed", after_s=round(after_s, 3))
 
     async def _report_unread(self) -> None:
         """Log the time spent so far, until the records are read."""
--- a/testing/fleet/test_evacuations.py
+++ b/testing/fleet/test_evacuations.py
@@ -5,12 +5,13 @@
 import asyncio
 
 from knapweedwharf.fleet import clock
+from knapweedwharf.fleet import confirmation
 from knapweedwharf.fleet import evacuations as evacuations_module
 from knapweedwharf.fleet import model
 from testing.fleet import entries
 
 EVACUATION_S = 6.0
-MAX_AGE_S = evacuations_module.MAX_AGE_SHARE * EVACUATION_S
+MAX_AGE_S = confirmation.MAX_AGE_SHARE * EVACUATION_S
 
 
 class _Scene:
@@ -139,7 +140,7 @@
         assert not await scene.evacuations.until_confirmed()
         scene.age_s = MAX_AGE_S + 0.1
         waiting = asyncio.create_task(scene.evacuations.until_confirmed())
-        await asyncio.sleep(3 * evacuations_module.STALE_POLL_S)
+        await asyncio.sleep(3 * confirmation.STALE_POLL_S)
         assert not waiting.done()
         scene.age_s = 0.0
         assert await waiting
