Give the margin of a watch its default in the signature

Cause: None stood for the usual margin in the store's client, its stand-in and a test, each with the same two lines to replace it, and the watcher had two calls that differ by it. Change: the default is the usual margin; the watcher names one only for the polls that have another. Ruled out: a second method for polls.

--- a/src/knapweedwharf/fleet/watcher.py
+++ b/src/knapweedwharf/fleet/watcher.py
@@ -200,16 +200,13 @@
 
     def _watch(self, wait_s: float) -> abc.Awaitable:
         """Send a watch; while the store gives no answers, ask more often."""
-        if not self._is_disconnected:
-            return self._store.watch(
-                self._prefix, after=self._revision, wait_s=wait_s
-            )
-        self._polls += 1
+        options = {}
+        if self._is_disconnected:
+            self._polls += 1
+            if self._polls % 2:
+                options["margin_s"] = POLL_MARGIN_S
         return self._store.watch(
-            self._prefix,
-            after=self._revision,
-            wait_s=wait_s,
-            margin_s=POLL_MARGIN_S if self._polls % 2 else None,
+            self._prefix, after=self._revision, wait_s=wait_s, **options
         )
 
     def _without_listed(self, changes: model.Changes) -> model.Changes:
--- a/src/knapweedwharf/platform/store.py
+++ b/src/knapweedwharf/platform/store.py
@@ -182,17 +182,15 @@
         *,
         after: int,
         wait_s: float,
-        margin_s: float | None = None,
+        margin_s: float = _WATCH_MARGIN_S,
     ) -> result.Result[model.Changes, errors.Fault]:
         """Wait for changes after a revision.
 
         :param margin_s: time beyond the wait after which the watch has
-            timed out; None for the default.
+            timed out.
         :returns: ``NotFound`` if the history after the revision is no longer
             kept; list the prefix again.
         """
-        if margin_s is None:
-            margin_s = _WATCH_MARGIN_S
         query = {
             "prefix": prefix,
             "after": str(after),
--- a/standins/fleet_store.py
+++ b/standins/fleet_store.py
@@ -290,11 +290,9 @@
         *,
         after: int,
         wait_s: float,
-        margin_s: float | None = None,
+        margin_s: float = WATCH_MARGIN_S,
     ):
         """Wait for changes under a prefix."""
-        if margin_s is None:
-            margin_s = WATCH_MARGIN_S
         fault = await self._simulate_path(wait_s + margin_s)
         if fault is not None:
             return result.Failure(fault)
--- a/standins/limited_link.py
+++ b/standins/limited_link.py
@@ -173,20 +173,11 @@
             timeout_s=timeout_s or 1.0,
         )
 
-    async def watch(
-        self,
-        prefix: str,
-        *,
-        after: int,
-        wait_s: float,
-        margin_s: float | None = None,
-    ):
+    async def watch(self, prefix: str, *, wait_s: float, **options):
         """Watch over the link, which carries the changed entries."""
         watch_now = super().watch
         return await self._link.call(
-            lambda: watch_now(
-                prefix, after=after, wait_s=wait_s, margin_s=margin_s
-            ),
+            lambda: watch_now(prefix, wait_s=wait_s, **options),
             sent=0,
             received=_changes_bytes,
             timeout_s=wait_s + 10.0,
--- a/testing/fleet/test_return_after_outage.py
+++ b/testing/fleet/test_return_after_outage.py
@@ -53,11 +53,11 @@
 
     late_s = 0.0
 
-    async def watch(self, prefix: str, *, margin_s=None, **fields):
+    async def watch(
+        self, prefix: str, *, margin_s=fleet_store.WATCH_MARGIN_S, **fields
+    ):
         """Wait for changes; give up an answer that is too late."""
         seen = await super().watch(prefix, margin_s=margin_s, **fields)
-        if margin_s is None:
-            margin_s = fleet_store.WATCH_MARGIN_S
         await asyncio.sleep(min(self.late_s, margin_s))
         if self.late_s > margin_s:
             return result.Failure(fleet_store.UNKNOWN)
