Let the index of free room be in the order of its search

Cause: the class of speed stood last in the keys of the index, so that each search sorted them by a key function of its own; and the two samples of a run's rate were one calculation written twice. The decision that a worker's speed changed didn't name the class of cold ones. Change: the class stands second, where the search wants it; one function takes a sample. Ruled out: no class in the key, which needs a pass over the rooms.

--- a/src/knapweedwharf/core/borrowers.py
+++ b/src/knapweedwharf/core/borrowers.py
@@ -180,7 +180,7 @@
 ) -> abc.Iterator[list[topology_module.WorkerRoom]]:
     """Yield groups of usable workers, the most free accelerators first."""
     if within == model.WITHIN_WORKER:
-        for key in sorted(topology.buckets, key=lambda k: -k[1]):
+        for key in sorted(topology.buckets, key=lambda k: -k[2]):
             for room in list(topology.buckets[key].values()):
                 yield [room]
     elif within == model.WITHIN_RACK:
--- a/src/knapweedwharf/core/decision.py
+++ b/src/knapweedwharf/core/decision.py
@@ -81,9 +81,9 @@
 
 @dataclasses.dataclass(frozen=True)
 class WorkerSpeedChanged:
-    """A worker counts as slow, fast or of the usual speed from now on.
+    """A worker counts as of another class of speed from now on.
 
-    :ivar standing: ``slow``, ``usual`` or ``fast``.
+    :ivar standing: ``cold``, ``slow``, ``usual`` or ``fast``.
     :ivar speed: its expected speed; 1.0 is the usual one.
     :ivar runs: runs that this is based on, those that are old counted
         less.
--- a/src/knapweedwharf/core/explain.py
+++ b/src/knapweedwharf/core/explain.py
@@ -53,7 +53,7 @@
     need = amount.of_task(job)
     total = topology.open_accelerators
     if job.within == model.WITHIN_WORKER:
-        best = max((key[1] for key in topology.buckets), default=0)
+        best = max((key[2] for key in topology.buckets), default=0)
         return f"the best worker has {best} free, all have {total}"
     if job.within == model.WITHIN_RACK:
         best = max(
--- a/src/knapweedwharf/core/placement.py
+++ b/src/knapweedwharf/core/placement.py
@@ -223,8 +223,8 @@
     """
     cores_level = need.cores.bit_length()
     memory_level = need.memory_mib.bit_length()
-    for key in sorted(topology.buckets, key=_slowest_first):
-        _promised, accelerators, cores, memory, found = key
+    for key in sorted(topology.buckets):
+        _promised, found, accelerators, cores, memory = key
         if found not in used or accelerators < need.accelerators:
             continue
         if cores < cores_level or memory < memory_level:
@@ -237,11 +237,6 @@
                 yield room
 
 
-def _slowest_first(key: topology_module.BucketKey) -> tuple[int, ...]:
-    promised, accelerators, cores, memory, found = key
-    return (promised, found, accelerators, cores, memory)
-
-
 def cores_beside_accelerators(
     room: topology_module.WorkerRoom,
 ) -> amount.Amount:
--- a/src/knapweedwharf/core/progress.py
+++ b/src/knapweedwharf/core/progress.py
@@ -126,28 +126,16 @@
         None before, and while the run makes no progress.
         """
         track = self._tracks.get(attempt_id)
-        if track is None or track.is_sampled:
+        if track is None or track.advanced_s < track.last[0]:
             return None
-        took_s = track.last[0] - track.first[0]
-        grown = track.last[1] - track.first[1]
-        if took_s < SAMPLE_AFTER_S or grown < MIN_SAMPLE_SHARE:
-            return None
-        if track.advanced_s < track.last[0]:
-            return None
-        track.is_sampled = True
-        return grown / took_s
+        return _sample(track, track.last, SAMPLE_AFTER_S)
 
     def sample_end(self, attempt_id: str, now_s: float) -> float | None:
         """Return the rate of a run that ends now, if it has no sample."""
         track = self._tracks.get(attempt_id)
-        if track is None or track.is_sampled:
-            return None
-        took_s = now_s - track.first[0]
-        grown = 1.0 - track.first[1]
-        if took_s < MIN_INTERVAL_S or grown < MIN_SAMPLE_SHARE:
+        if track is None:
             return None
-        track.is_sampled = True
-        return grown / took_s
+        return _sample(track, (now_s, 1.0), MIN_INTERVAL_S)
 
     def percent_s(self, attempt_id: str) -> float:
         """Return how long an attempt takes for a percent; 0 if unknown."""
@@ -161,3 +149,15 @@
         """Return for how long an attempt has reported no progress."""
         track = self._tracks.get(attempt_id)
         return track.last[0] - track.advanced_s if track else 0.0
+
+
+def _sample(
+    track: _Track, until: tuple[float, float], min_took_s: float
+) -> float | None:
+    """Return a run's rate from its first report to a point, once."""
+    took_s = until[0] - track.first[0]
+    grown = until[1] - track.first[1]
+    if track.is_sampled or took_s < min_took_s or grown < MIN_SAMPLE_SHARE:
+        return None
+    track.is_sampled = True
+    return grown / took_s
--- a/src/knapweedwharf/core/topology.py
+++ b/src/knapweedwharf/core/topology.py
@@ -29,8 +29,9 @@
 """Reasons for short exclusions, which end by themselves within seconds."""
 
 BucketKey = tuple[bool, int, int, int, int]
-"""(has cells or reservations, open accelerators, bit length of the open
-cores, bit length of the open memory, class of speed)"""
+"""(has cells or reservations, class of speed, open accelerators, bit length
+of the open cores, bit length of the open memory); a search takes the smallest
+first, so the slowest workers, which bind a gang"""
 
 
 @dataclasses.dataclass(slots=True)
@@ -423,8 +424,8 @@
         return None
     return (
         room.promised > 0 or room.reserved != amount.NOTHING,
+        room.speed_class,
         max(room.open.accelerators, 0),
         room.open.cores.bit_length(),
         room.open.memory_mib.bit_length(),
-        room.speed_class,
     )
