Read a body's stated length in one place, and drop dead fields

Cause: both servers parsed Content-Length, one of them a little differently; the name of the outcome's header stood twice; the start of a connection's phase was kept and never read. Change: web/body.py reads the length, web/limited_server.py names the header; since_s and Stream.closed are gone. Ruled out: one base class for both handlers, as they differ in how they refuse and in whether they discard the rest of a body.

--- a/src/knapweedwharf/platform/ingress.py
+++ b/src/knapweedwharf/platform/ingress.py
@@ -105,9 +105,8 @@
         """Reserve room for the request, or refuse it."""
         opened = limited_server.opened_by(self.request)
         opened.hold(self._body, self._refuse_incomplete)
-        length = self.request.headers.get("Content-Length", "")
-        if length.isascii() and length.isdigit():
-            self._check_room(self._body.reserve_up_to(int(length)))
+        length = body_module.content_length(self.request)
+        self._check_room(self._body.reserve_up_to(length))
 
     def data_received(self, chunk: bytes) -> None:
         """Buffer a part of the body."""
--- a/src/knapweedwharf/web/base.py
+++ b/src/knapweedwharf/web/base.py
@@ -18,7 +18,6 @@
 if typing.TYPE_CHECKING:
     from knapweedwharf import node as node_module
 
-OUTCOME_HEADER = "Knapweedwharf-Outcome"
 NO_CONFIGURATION_RETRY_AFTER_S = 5.0
 REQUEST_ID_HEADER = "Knapweedwharf-Request-Id"
 _MAX_DISCARDED_BYTES = 65_536
@@ -67,13 +66,14 @@
         self._in_flight_counted = True
         opened = limited_server.opened_by(self.request)
         opened.hold(self._body, self._refuse_and_close)
+        length = body_module.content_length(self.request)
         try:
             self._authenticate()
             self.check()
-            unwrap(self._body.reserve_up_to(self._content_length()))
+            unwrap(self._body.reserve_up_to(length))
         except Refused as refused:
             self._refusal = refused.fault
-            if self._content_length() > _MAX_DISCARDED_BYTES:
+            if length > _MAX_DISCARDED_BYTES:
                 raise
 
     def check(self) -> None:
@@ -100,10 +100,6 @@
                 )
             )
 
-    def _content_length(self) -> int:
-        text = self.request.headers.get("Content-Length", "0")
-        return int(text) if text.isascii() and text.isdigit() else 0
-
     def data_received(self, chunk: bytes) -> None:
         """Buffer the body, or discard it if the request is refused."""
         if self._refusal is None:
--- a/src/knapweedwharf/web/body.py
+++ b/src/knapweedwharf/web/body.py
@@ -5,6 +5,7 @@
 from collections import abc
 
 from returns import result
+from tornado import httputil
 
 from knapweedwharf import errors
 from knapweedwharf.routing import request as request_module
@@ -14,6 +15,12 @@
 served while large ones hold all room; counted for each connection."""
 
 
+def content_length(request: httputil.HTTPServerRequest) -> int:
+    """Return the stated length of a request's body; 0 if there is none."""
+    text = request.headers.get("Content-Length", "0")
+    return int(text) if text.isascii() and text.isdigit() else 0
+
+
 class BodyBudget:
     """Limit on the bytes that requests hold while they are open.
 
--- a/src/knapweedwharf/web/connections.py
+++ b/src/knapweedwharf/web/connections.py
@@ -73,9 +73,6 @@
     def close(self) -> None:
         """Close it."""
 
-    def closed(self) -> bool:
-        """Return whether it is closed."""
-
     def writing(self) -> bool:
         """Return whether something is left to write."""
 
@@ -84,7 +81,6 @@
     """State of one connection.
 
     :ivar phase: one of ``PHASES``.
-    :ivar since_s: start of the phase.
     :ivar progress_s: time of the last progress.
     """
 
@@ -92,7 +88,6 @@
         self._group = group
         self.stream = stream
         self.phase = NEW
-        self.since_s = 0.0
         self.progress_s = 0.0
         self.body: body_module.Body | None = None
         self.refuse: abc.Callable[[errors.Fault], None] | None = None
@@ -199,7 +194,7 @@
     def open(self, stream: Stream) -> OpenConnection:
         """Add a connection that was just accepted."""
         opened = OpenConnection(self, stream)
-        opened.since_s = opened.progress_s = self._clock()
+        opened.progress_s = self._clock()
         self._by_phase[NEW][opened] = None
         return opened
 
@@ -223,7 +218,7 @@
         if opened.phase == BODY:
             self._small_chunks.discard(opened)
         opened.phase = phase
-        opened.since_s = opened.progress_s = self._clock()
+        opened.progress_s = self._clock()
         self._by_phase[phase][opened] = None
 
     def progressed(self, opened: OpenConnection) -> None:
--- a/src/knapweedwharf/web/limited_server.py
+++ b/src/knapweedwharf/web/limited_server.py
@@ -18,6 +18,8 @@
 from knapweedwharf.web import connections as connections_module
 from knapweedwharf.web import limits as limits_module
 
+OUTCOME_HEADER = "Knapweedwharf-Outcome"
+
 ADMIT_INTERVAL_S = 0.02
 """How often a connection that waits for a place asks again."""
 
@@ -261,10 +263,10 @@
     body = json.dumps(fault.to_dict()).encode()
     return (
         b"HTTP/1.1 503 Service Unavailable\r\n"
-        b"Knapweedwharf-Outcome: did-not-run\r\n"
+        b"%s: did-not-run\r\n"
         b"Retry-After: %d\r\nContent-Type: application/json\r\n"
         b"Content-Length: %d\r\nConnection: close\r\n\r\n"
-        % (fault.retry_after_s, len(body))
+        % (OUTCOME_HEADER.encode(), fault.retry_after_s, len(body))
     ) + body
 
 
--- a/src/knapweedwharf/web/request.py
+++ b/src/knapweedwharf/web/request.py
@@ -15,6 +15,7 @@
 from knapweedwharf.routing import dispatch
 from knapweedwharf.routing import request as request_module
 from knapweedwharf.web import base
+from knapweedwharf.web import limited_server
 
 IDEMPOTENCY_KEY_HEADER = "Idempotency-Key"
 TIMEOUT_HEADER = "Request-Timeout-S"
@@ -126,7 +127,9 @@
     The outcome is exactly one of ran, did not run and unknown.
     """
     handler.set_header(base.REQUEST_ID_HEADER, request_id)
-    handler.set_header(base.OUTCOME_HEADER, dispatch.outcome_label(outcome))
+    handler.set_header(
+        limited_server.OUTCOME_HEADER, dispatch.outcome_label(outcome)
+    )
     if isinstance(outcome, result.Success):
         answer = outcome.unwrap()
         handler.set_header("Content-Type", answer.content_type)
