--- a/review/standins_3.py
+++ b/review/standins_3.py
@@ -36,6 +36,7 @@
 PAGE_ITEMS = 500
 MEMORY_MB = 300
 RESTART_S = 0.5
+FAILS_AFTER_S = 0.2
 HOST = "shed.example"
 
 Answer = tuple[int, dict]
@@ -291,6 +292,7 @@
         self.port = free_port()
         self.server = Server(self._handle)
         self.is_up = False
+        self.fails = False
 
     async def start(self) -> None:
         """Listen and register."""
@@ -298,8 +300,11 @@
         self.is_up = True
         await self.register()
 
-    async def register(self, state: str = "ready") -> None:
+    async def register(
+        self, state: str = "ready", remaining_ms: int = 0
+    ) -> None:
         """Write the entry."""
+        left = {"remaining_ms": remaining_ms} if remaining_ms else {}
         await self.platform.store.write(
             f"servers/{self.id}",
             {
@@ -312,9 +317,13 @@
                 "cold_remaining_ms": 0,
                 "sequence": 1,
                 "capacity": self.platform.capacity,
-                "labels": ["a", f"r{self.number // 8}"],
+                "labels": [
+                    self.platform.kind_of(self.number),
+                    f"r{self.number // 8}",
+                ],
                 "machine": f"m{self.number:02d}",
                 "born": self.born_ms,
+                **left,
             },
         )
 
@@ -331,6 +340,17 @@
             lambda: spawn(self.platform.store.remove(entry)),
         )
 
+    async def drain(self, drain_s: float) -> None:
+        """Report `draining`, work on for a while, and leave."""
+        await self.register("draining", int(drain_s * 1000))
+        await asyncio.sleep(drain_s)
+        self.is_up = False
+        await self.server.stop()
+        for key in list(self.runs):
+            self.platform.note("left-with", executor=self.id, run=key)
+        self.runs.clear()
+        await self.platform.store.remove(f"servers/{self.id}")
+
     def clock_ms(self) -> int:
         """Return the executor's own clock."""
         return int((now_s() - self._began_s) * 1000) + 1000
@@ -342,6 +362,8 @@
         for key, run in list(self.runs.items()):
             if self.clock_ms() >= self.until_ms:
                 await self._end(key, "lapsed")
+            elif self.fails and now_s() - run["begun_s"] >= FAILS_AFTER_S:
+                await self._end(key, "failed")
             elif now_s() - run["begun_s"] >= run["does"].get("run_s", 1):
                 await self._end(key, run["does"].get("ends", "done"))
 
@@ -461,6 +483,11 @@
         self._count = executors
         self._lives = 0
         self.executors: dict[int, Executor] = {}
+        self.kinds: dict[int, str] = {}
+
+    def kind_of(self, number: int) -> str:
+        """Return the kind of a machine; a case may set others."""
+        return self.kinds.get(number, "a")
 
     def note(self, what: str, **fields: typing.Any) -> None:
         """Write a line into the record."""
@@ -697,6 +724,14 @@
                 )
                 del self.processes[number]
 
+    def kill(self) -> None:
+        """Kill all processes, as a loss of power of all machines does."""
+        for process in self.processes.values():
+            process.kill()
+        for process in self.processes.values():
+            process.wait()
+        self._platform.note("machines-killed", count=len(self.processes))
+
     def stop(self) -> None:
         """End all processes."""
         for process in self.processes.values():
