Review: case 12 hands its jobs in at once

They are handed in 0.1 s after one another now. The script ends as soon as the rule is broken or 40 s after the traffic; rule and bound are the same.

--- a/review/12/play.py
+++ b/review/12/play.py
@@ -19,8 +19,8 @@
 WIDE_TASKS = 10_000
 SMALL_TASKS = 10
 TRAFFIC_S = 16
-FINISH_S = 14.0
-ROUNDS = 5
+RETRIES = 4
+WATCH_S = 40
 KILLS = 3
 FAULTY_MACHINES = 2
 
@@ -32,66 +32,53 @@
     accepted: list[str] = []
 
     async def submit(number: int, queue: str, key: str, document: dict):
+        """Hand a job in; a client asks again up to four times."""
         job_id = standins_3.new_id()
         platform.jobs[job_id] = document
         path = f"/{queue}/{job_id}"
-        status, _body = await fleet.call(
-            number, "POST", path, key=key, document=document
-        )
-        return path if status == 200 else ""
+        for attempt in range(1 + RETRIES):
+            status, _body = await fleet.call(
+                (number + attempt) % MACHINES,
+                "POST",
+                path,
+                key=key,
+                document=document,
+            )
+            if status == 200:
+                if queue == "quick":
+                    accepted.append(path)
+                return
+            await asyncio.sleep(1.0)
 
     async def stranger() -> None:
         tasks = WIDE_TASKS if trouble else SMALL_TASKS
         for number in range(WIDE_JOBS):
             wide = standins_3.job(tasks, 1.0, cpu=500, mem_mb=100)
-            await submit(number % MACHINES, "bulk", "key-elm", wide)
-            await asyncio.sleep(0.3)
+            standins_3.spawn(submit(number, "bulk", "key-elm", wide))
+            await asyncio.sleep(0.1)
 
     for second in range(TRAFFIC_S):
         if second == 4:
             standins_3.spawn(stranger())
-        path = await submit(
-            second % MACHINES,
-            "quick",
-            "key-ash",
-            standins_3.job(2, 1.5, gpu=1),
-        )
-        if path:
-            accepted.append(path)
+        small = standins_3.job(2, 1.5, gpu=1)
+        standins_3.spawn(submit(second, "quick", "key-ash", small))
         await asyncio.sleep(1.0)
     platform.note("traffic-ends", accepted=len(accepted))
-    await asyncio.sleep(FINISH_S)
-
-    unknown = set(accepted)
-    states: dict[str, str] = {}
-    for _round in range(ROUNDS):
-        for path in sorted(unknown):
-            for number in range(MACHINES):
-                status, body = await fleet.call(
-                    number, "GET", path, key="key-ash", wait_s=1.0
-                )
-                if status == 200:
-                    states[path] = body["state"]
-                    unknown.discard(path)
-                    break
-            if len(unknown) == len(accepted) and path != min(unknown):
-                # No machine answers for two jobs; ask again later.
-                break
+    # FAULT: on a tenth of the machines in use (two at least) processes end
+    # by themselves three times, memory over the limit counts.
+    often: list[int] = []
+    for _look in range(WATCH_S):
         await asyncio.sleep(1.0)
-    ended = sum(state == "completed" for state in states.values())
+        often = [n for n in range(MACHINES) if fleet.kills.count(n) >= KILLS]
+        if len(often) >= FAULTY_MACHINES:
+            break
     platform.note(
         "seen",
         accepted=len(accepted),
-        answered=len(states),
-        completed=ended,
         killed=fleet.kills,
+        machines_often=often,
         memory_mb=[fleet.memory_mb(n) for n in range(MACHINES)],
     )
-    for line in fleet.log_lines("owner-won", "owner-lost")[:20]:
-        platform.note("log", line=line)
-    # FAULT: on a tenth of the machines in use (two at least) processes end
-    # by themselves three times, memory over the limit counts.
-    often = [n for n in range(MACHINES) if fleet.kills.count(n) >= KILLS]
     return len(accepted) > 0 and len(often) < FAULTY_MACHINES
 
 
