Review: case 13 fails the executor that has most to run

Now the executor with the most tasks at that moment fails, for 6.5 s as before. The rule is the same.

--- a/review/13/play.py
+++ b/review/13/play.py
@@ -1,7 +1,8 @@
-"""One executor fails what it runs; once it is sound, it gets foreign work.
+"""One executor fails what it runs; once sound, it gets foreign work.
 
-Half of the executors are of the kind `b`, which later jobs require. The one
-that fails is of the kind `a`.
+Executors with even numbers are of the kind `a`, the others of the kind `b`.
+The first jobs run anywhere; later ones require the kind that the executor
+that failed doesn't have.
 """
 
 from __future__ import annotations
@@ -15,18 +16,18 @@
 import standins_3
 
 KEY = "key-ash"
-EXECUTORS = 24
-FAILING = 0
 FAILS_FROM_S = 4
 FAILS_S = 6.5
 REQUIRED_FROM_S = 12
 TRAFFIC_S = 32
+JOBS_PER_S = 4
+OTHER_KIND = {"a": "b", "b": "a"}
 
 
 async def play(platform, fleet, trouble: bool) -> bool:
-    for number in range(EXECUTORS // 2, EXECUTORS):
-        platform.kinds[number] = "b"
-        await platform.executors[number].register()
+    for number, executor in platform.executors.items():
+        platform.kinds[number] = "ab"[number % 2]
+        await executor.register()
     kinds = {
         executor.id: platform.kind_of(executor.number)
         for executor in platform.executors.values()
@@ -37,7 +38,7 @@
 
     async def submit(number: int, label: str) -> None:
         more = {"requirements": label} if label else {}
-        document = standins_3.job(1, 1.0, gpu=1, **more)
+        document = standins_3.job(1, 1.5, gpu=1, **more)
         job_id = standins_3.new_id()
         platform.jobs[job_id] = document
         requires[job_id] = label
@@ -45,19 +46,24 @@
             number % 3, "POST", f"/batch/{job_id}", key=KEY, document=document
         )
 
-    async def fail() -> None:
-        platform.executors[FAILING].fails = True
-        platform.note("executor-fails", executor=FAILING)
+    async def fail(executor) -> None:
+        executor.fails = True
+        platform.note("executor-fails", executor=executor.id)
         await asyncio.sleep(FAILS_S)
-        platform.executors[FAILING].fails = False
-        platform.note("executor-sound", executor=FAILING)
+        executor.fails = False
+        platform.note("executor-sound", executor=executor.id)
 
+    label = ""
     for second in range(TRAFFIC_S):
-        if second == FAILS_FROM_S and trouble:
-            standins_3.spawn(fail())
-        for number in range(4):
-            await submit(number, "b" if second >= REQUIRED_FROM_S else "")
+        for number in range(JOBS_PER_S):
+            await submit(number, label if second >= REQUIRED_FROM_S else "")
         await asyncio.sleep(1.0)
+        if second == FAILS_FROM_S:
+            executors = platform.executors.values()
+            fullest = max(executors, key=lambda executor: len(executor.runs))
+            label = OTHER_KIND[kinds[fullest.id]]
+            if trouble:
+                standins_3.spawn(fail(fullest))
     await asyncio.sleep(4.0)
     wrong = [
         (task, executor)
