--- a/review/standins_3.py
+++ b/review/standins_3.py
@@ -37,6 +37,7 @@
 MEMORY_MB = 300
 RESTART_S = 0.5
 FAILS_AFTER_S = 0.2
+GANG_WAIT_S = 3.0
 HOST = "shed.example"
 
 Answer = tuple[int, dict]
@@ -361,13 +362,17 @@
             return
         for key, run in list(self.runs.items()):
             if self.clock_ms() >= self.until_ms:
-                await self._end(key, "lapsed")
+                await self.end(key, "lapsed")
             elif self.fails and now_s() - run["begun_s"] >= FAILS_AFTER_S:
-                await self._end(key, "failed")
+                await self.end(key, "failed")
+            elif run["gang"]:
+                # The platform ends the members of a gang together.
+                continue
             elif now_s() - run["begun_s"] >= run["does"].get("run_s", 1):
-                await self._end(key, run["does"].get("ends", "done"))
+                await self.end(key, run["does"].get("ends", "done"))
 
-    async def _end(self, key: tuple[str, int], how: str) -> None:
+    async def end(self, key: tuple[str, int], how: str) -> None:
+        """End a run and list how."""
         del self.runs[key]
         self._end_number += 1
         self._stopped[key[0]] = max(key[1], self._stopped.get(key[0], 0))
@@ -379,7 +384,7 @@
 
     def used(self, name: str) -> int:
         """Return how much of it the runs take."""
-        return sum(run["size"].get(name, 0) for run in self.runs.values())
+        return sum(run["size"][name] for run in self.runs.values())
 
     async def _handle(self, method, path, query, headers, document):
         if headers.get("x-expected-instance", self.id) != self.id:
@@ -392,7 +397,7 @@
         if path == "/run-stop":
             key = (document["task"], document["run"])
             if key in self.runs:
-                await self._end(key, "stopped")
+                await self.end(key, "stopped")
             known = self._stopped.get(key[0], 0)
             self._stopped[key[0]] = max(known, key[1])
             return 200, {"clock_ms": self.clock_ms()}
@@ -411,7 +416,7 @@
         elif document["deadline_ms"] <= self.clock_ms():
             reason = "late"
         elif any(
-            self.used(name) + size.get(name, 0) > most
+            size[name] and self.used(name) + size[name] > most
             for name, most in self.platform.capacity.items()
         ):
             reason = "room"
@@ -426,7 +431,9 @@
             "begun_s": now_s(),
             "does": json.loads(document["specification"]),
             "size": size,
+            "gang": self.platform.gang_of(*key),
         }
+        self.platform.join(self, key)
         self.platform.starts.append((now_s(), key[0], key[1], self.id))
         self.platform.note("start", executor=self.id, run=key)
         return 200, {"clock_ms": self.clock_ms()}
@@ -449,9 +456,8 @@
                     pass
         rows = []
         for (task, run), state in self.runs.items():
-            share = (now_s() - state["begun_s"]) / state["does"].get(
-                "run_s", 1
-            )
+            begun_s = self.platform.work_began_s(state)
+            share = (now_s() - begun_s) / state["does"].get("run_s", 1)
             percent = min(99, int(100 * share))
             cpu = state["size"].get("cpu", 0)
             rows.append([task, run, "", percent, cpu])
@@ -468,6 +474,7 @@
 
     :ivar starts: (time, task, run, executor) of each start.
     :ivar ends: (time, task, run, how) of each end.
+    :ivar longest_delay_s: longest time that this program was held up.
     """
 
     def __init__(self, record: Record, *, executors: int = 24) -> None:
@@ -484,6 +491,9 @@
         self._lives = 0
         self.executors: dict[int, Executor] = {}
         self.kinds: dict[int, str] = {}
+        self.longest_delay_s = 0.0
+        self._gangs: dict[tuple[str, int, int], list] = {}
+        self._gangs_at_work: dict[tuple[str, int, int], float] = {}
 
     def kind_of(self, number: int) -> str:
         """Return the kind of a machine; a case may set others."""
@@ -517,9 +527,60 @@
 
     async def _advance(self) -> None:
         while True:
+            due_s = now_s() + 0.02
             await asyncio.sleep(0.02)
+            self.longest_delay_s = max(
+                self.longest_delay_s, now_s() - due_s
+            )
             for executor in list(self.executors.values()):
                 await executor.advance()
+            for gang in list(self._gangs):
+                await self._advance_gang(gang)
+
+    def gang_of(self, task: str, run: int) -> tuple[str, int, int] | None:
+        """Return the gang of a run and its size; None for a single task."""
+        job_id, _occurrence, step, _index = task.split(".")
+        phase = self.jobs[job_id]["phases"][int(step)]
+        if not phase.get("gang_scheduled"):
+            return None
+        return task.rpartition(".")[0], run, phase.get("count", 1)
+
+    def join(self, executor: Executor, key: tuple[str, int]) -> None:
+        """Note a member of a gang that has begun."""
+        gang = self.gang_of(*key)
+        if gang is not None:
+            self._gangs.setdefault(gang, []).append((executor, key))
+
+    def work_began_s(self, run: dict) -> float:
+        """Return when a run's work began; now, if its gang still waits."""
+        if run["gang"] is None:
+            return run["begun_s"]
+        return self._gangs_at_work.get(run["gang"], now_s())
+
+    async def _advance_gang(self, gang: tuple[str, int, int]) -> None:
+        """Let the members work together, and end together."""
+        present = [
+            (executor, key)
+            for executor, key in self._gangs[gang]
+            if key in executor.runs
+        ]
+        if not present:
+            del self._gangs[gang]
+            return
+        how = ""
+        if len(present) == gang[2]:
+            began_s = self._gangs_at_work.setdefault(gang, now_s())
+            executor, key = present[0]
+            run_s = executor.runs[key]["does"].get("run_s", 1)
+            how = "done" if now_s() - began_s >= run_s else ""
+        elif gang in self._gangs_at_work:
+            how = "broken"
+        for executor, key in present:
+            waited_s = now_s() - executor.runs[key]["begun_s"]
+            if how:
+                await executor.end(key, how)
+            elif len(present) < gang[2] and waited_s >= GANG_WAIT_S:
+                await executor.end(key, "alone")
 
     def is_running(self, job_id: str) -> bool:
         """Return whether any task of a job runs now."""
@@ -570,10 +631,10 @@
     task.add_done_callback(_tasks.discard)
 
 
-def free_port() -> int:
-    """Return a loopback port that was free."""
+def free_port(host: str = "127.0.0.1") -> int:
+    """Return a port that was free at a loopback address."""
     with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
+        probe.bind((host, 0))
         return probe.getsockname()[1]
 
 
@@ -588,8 +649,8 @@
 zones.zone-0=one
 zones.zone-1=one
 zones.zone-2=one
-listen_addresses.frontend={ip}:8521
-listen_addresses.ready={ip}:8523
+listen_addresses.frontend={ip}:{front}
+listen_addresses.ready={ip}:{ready}
 internal_port_range=7000,7015
 is_first_start=true
 limits.cpu_share=0.537
@@ -648,6 +709,8 @@
         self._subnet = f"127.{secrets.randbelow(200) + 20}.{os.getpid() % 250}"
         self.processes: dict[int, subprocess.Popen] = {}
         self.kills: list[int] = []
+        self._stopped = False
+        self._ports: dict[int, tuple[int, int]] = {}
         deploy = tomllib.loads((ROOT / "deploy/system.toml").read_text())
         (role,) = deploy["roles"].values()
         self._words = role["run"].split()
@@ -657,7 +720,13 @@
         return f"{self._subnet}.{number + 10}"
 
     def start(self, number: int) -> None:
-        """Start a machine's process."""
+        """Start a machine's process, unless the case has ended."""
+        if self._stopped:
+            return
+        if number not in self._ports:
+            ip = self.ip(number)
+            self._ports[number] = (free_port(ip), free_port(ip))
+        front, ready = self._ports[number]
         path = self._folder / f"node-{number}.conf"
         path.write_text(
             SETTINGS.format(
@@ -665,6 +734,8 @@
                 zone=number % 3,
                 memory=MEMORY_MB,
                 ip=self.ip(number),
+                front=front,
+                ready=ready,
                 platform=f"127.0.0.1:{self._platform.port}",
             )
         )
@@ -692,7 +763,10 @@
         return found
 
     def memory_mb(self, number: int) -> float:
-        """Return a process's resident memory; 0 once it has ended."""
+        """Return a process's resident memory; 0 once it has ended.
+
+        In MiB, so that none is killed for less than the page's 300 MB.
+        """
         process = self.processes.get(number)
         if process is None:
             return 0.0
@@ -700,7 +774,7 @@
         try:
             for line in path.read_text().splitlines():
                 if line.startswith("VmRSS"):
-                    return int(line.split()[1]) / 1000
+                    return int(line.split()[1]) / 1024
         except OSError:
             pass
         return 0.0
@@ -733,7 +807,8 @@
         self._platform.note("machines-killed", count=len(self.processes))
 
     def stop(self) -> None:
-        """End all processes."""
+        """End all processes; none starts after that."""
+        self._stopped = True
         for process in self.processes.values():
             if process.poll() is None:
                 process.send_signal(signal.SIGKILL)
@@ -768,7 +843,7 @@
         try:
             async with asyncio.timeout(wait_s):
                 reader, writer = await asyncio.open_connection(
-                    self.ip(number), 8521
+                    self.ip(number), self._ports[number][0]
                 )
                 writer.write(text)
                 data = await reader.read()
@@ -871,6 +946,10 @@
     folder = pathlib.Path(tempfile.mkdtemp())
 
     async def play() -> bool:
+        # A script that is told to end still ends what it has started.
+        task = asyncio.current_task()
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, task.cancel)
         platform = Platform(record)
         fleet = Fleet(platform, folder)
         try:
@@ -881,6 +960,10 @@
                 return await case(platform, fleet, trouble)
         finally:
             fleet.stop()
+            record.note(
+                "stand-in",
+                longest_delay_s=round(platform.longest_delay_s, 2),
+            )
             for executor in platform.executors.values():
                 await executor.server.stop()
             await platform.store.server.stop()
@@ -889,7 +972,7 @@
     try:
         held = asyncio.run(play())
         code = 0 if held else 1
-    except Exception as error:
+    except (Exception, asyncio.CancelledError) as error:
         record.note("could-not-run", error=repr(error))
     finally:
         if "KEEP" in os.environ:
