Executors that left in order no longer count as crashed

Cause: an executor says that it drains before it leaves; one that crashes says nothing. Whoever had not seen the entry read its absence as a crash, and the third crash fails the job.

Change: fleet/departures.py tells how an incarnation was lost, and each count of a crash asks it. The owner stores which executors leave and up to which revision it has followed the entries (control/departures: on each change and every 5 s); the next owner reads the changes since then from the store's history. A count waits while the entries are over 2 s old. Where the history is gone, the loss is logged and not counted.

Ruled out: to count nothing that a former owner placed (a task that crashes an executor in each take-over would never be given up; tested under the same id and another one, 0.5 s and 3 s after the start); to ask the list of machines (it shows both alike); to read the history from the job's record (older than the history).

--- a/src/knapweedwharf/fleet/crashes.py
+++ b/src/knapweedwharf/fleet/crashes.py
@@ -7,7 +7,8 @@
 When an executor crashes, the runs that no report has shown at work yet
 are blamed, and all of its runs if there are none. An executor whose
 lease has lapsed counts as crashed until the same incarnation answers; while
-it is still listed, it is taken for cut off and doesn't count yet.
+it is still listed, it is taken for cut off and doesn't count yet. One that may
+have left in order doesn't count, see ``departures``.
 """
 
 from __future__ import annotations
@@ -17,6 +18,7 @@
 from knapweedwharf.core import event
 from knapweedwharf.core import workflow
 from knapweedwharf.fleet import attempt as attempt_module
+from knapweedwharf.fleet import departures as departures_module
 from knapweedwharf.fleet import executor_loss
 from knapweedwharf.fleet import metric_definitions
 from knapweedwharf.fleet import progress_writer as progress_writer_module
@@ -36,6 +38,8 @@
 """Time at work after which a task's earlier crashes no longer count; a task
 that crashes an executor less often than this costs little."""
 
+_NO_CRASH = frozenset({executor_loss.LEFT, executor_loss.UNEXPLAINED})
+
 RunKey = tuple[str, int]
 """(task id, run number)"""
 
@@ -51,11 +55,13 @@
         self,
         *,
         scheduling_state: scheduling_state_module.SchedulingState,
+        departures: departures_module.Departures,
         progress_writer: progress_writer_module.ProgressWriter,
         tell: event.EventSink,
         sender: metrics.Metrics,
     ) -> None:
         self._scheduling_state = scheduling_state
+        self._departures = departures
         self._progress_writer = progress_writer
         self._tell = tell
         self._sender = sender
@@ -67,6 +73,8 @@
         self._restarted: dict[str, list[Held]] = {}
         """What may have crashed an executor, until its next incarnation
         reports."""
+        self._unconfirmed: list[tuple[_Blame, str]] = []
+        """What may count once it is known whether its executor has left."""
 
     def restore(self, flow: workflow.Workflow) -> None:
         """Take over what a former owner has counted for a job."""
@@ -102,8 +110,7 @@
         if how == executor_loss.LAPSED and is_listed:
             self._cut_off[executor_id] = blames
             return
-        for attempt, member, crash in blames:
-            self._count(attempt, member, crash, how)
+        self._count_if_crashed(blames, how)
 
     def executor_restarted(
         self, executor_id: str, held: abc.Iterable[Held]
@@ -135,8 +142,39 @@
             if member.phase != attempt_module.ENDED
             and (member.task_id, attempt.run) not in present
         ]
-        for attempt, member, crash in _blames(executor_id, ended):
-            self._count(attempt, member, crash, how)
+        self._count_if_crashed(_blames(executor_id, ended), how)
+
+    def tick(self) -> None:
+        """Count what has waited for the executors' entries."""
+        if self._unconfirmed and self._departures.is_current:
+            waiting, self._unconfirmed = self._unconfirmed, []
+            for blame, how in waiting:
+                self._count_if_crashed([blame], how)
+
+    def _count_if_crashed(
+        self, blames: abc.Iterable[_Blame], how: str
+    ) -> None:
+        """Count a loss unless the executor has left, or may have."""
+        for blame in blames:
+            attempt, member, crash = blame
+            if not self._departures.is_current:
+                self._unconfirmed.append((blame, how))
+                continue
+            cause = self._departures.explain(
+                crash.executor_id, crash.incarnation_ms, how
+            )
+            if cause not in _NO_CRASH:
+                self._count(attempt, member, crash, cause)
+                continue
+            self._log.info(
+                "executor-loss-not-blamed",
+                job_id=attempt.job.job_id,
+                task=member.task_id,
+                run=crash.run,
+                executor=crash.executor_id,
+                incarnation_ms=crash.incarnation_ms,
+                how=cause,
+            )
 
     def _count(
         self,
@@ -196,6 +234,12 @@
         """Withdraw the crash of an executor that was only cut off."""
         self._cut_off.pop(executor_id, None)
         lost = (executor_id, incarnation_ms)
+        if self._unconfirmed:
+            self._unconfirmed = [
+                (blame, how)
+                for blame, how in self._unconfirmed
+                if (blame[2].executor_id, blame[2].incarnation_ms) != lost
+            ]
         for part_id in self._presumed.pop(lost, ()):
             found = self._scheduling_state.find_part(part_id)
             if found is None:
--- a/src/knapweedwharf/fleet/executor_loss.py
+++ b/src/knapweedwharf/fleet/executor_loss.py
@@ -13,3 +13,7 @@
 
 LEFT = "left"
 """It was emptied before, as it drained or its machine was needed."""
+
+UNEXPLAINED = "unexplained"
+"""It was lost while no owner followed its entry, and the store has forgotten
+the changes of that time; it may have drained or crashed."""
--- a/src/knapweedwharf/fleet/records.py
+++ b/src/knapweedwharf/fleet/records.py
@@ -16,6 +16,7 @@
 EPOCH_KEY = "control/epoch"
 PENDING_KEY = "published/pending"
 DEMAND_KEY = "control/demand"
+DEPARTURES_KEY = "control/departures"
 WAVES = "waves/"
 
 SPEC = "spec"
@@ -298,6 +299,28 @@
     return averages, float(document["at_s"])
 
 
+def dump_departures(
+    leaving: abc.Iterable[tuple[str, int]], revision: int
+) -> bytes:
+    """Encode which incarnations of executors leave or have left.
+
+    :param leaving: (executor id, incarnation in Unix milliseconds).
+    :param revision: up to which the executors' entries were followed.
+    """
+    rows = [list(incarnation) for incarnation in leaving]
+    return _dump({"followed": revision, "leaving": rows})
+
+
+def load_departures(value: bytes) -> tuple[list[tuple[str, int]], int]:
+    """Decode the leaving incarnations, and the revision followed."""
+    document = json.loads(value)
+    leaving = [
+        (str(executor_id), int(incarnation_ms))
+        for executor_id, incarnation_ms in document["leaving"]
+    ]
+    return leaving, int(document["followed"])
+
+
 def wave_key(number: int) -> str:
     """Return the key of a maintenance wave's progress."""
     return f"{WAVES}{number}"
--- a/src/knapweedwharf/fleet/registry.py
+++ b/src/knapweedwharf/fleet/registry.py
@@ -13,6 +13,8 @@
 from knapweedwharf.fleet import answer_times as answer_times_module
 from knapweedwharf.fleet import awaited_executors
 from knapweedwharf.fleet import clients as clients_module
+from knapweedwharf.fleet import departures as departures_module
+from knapweedwharf.fleet import election as election_module
 from knapweedwharf.fleet import evacuations as evacuations_module
 from knapweedwharf.fleet import executor_loss
 from knapweedwharf.fleet import model
@@ -38,6 +40,7 @@
     :ivar sessions: by executor id.
     :ivar awaited: executors that a former owner used, until they are seen.
     :ivar answer_times: how long the executors take to answer.
+    :ivar departures: which executors have left in order.
     """
 
     def __init__(
@@ -45,7 +48,7 @@
         *,
         process_config: model.ProcessConfig,
         clients: clients_module.PlatformClients,
-        epoch: int,
+        ownership: election_module.Ownership,
         evacuations: evacuations_module.Evacuations,
         hooks: session_module.Hooks,
         used_on: abc.Callable[[model.Executor], amount.Amount],
@@ -55,7 +58,7 @@
         self._process_config = process_config
         self._client = clients.executors
         self._store_schema = clients.store_schema
-        self._epoch = epoch
+        self._epoch = ownership.epoch
         self._hooks = dataclasses.replace(hooks, gone=self._session_gone)
         self._on_gone = hooks.gone
         self._used_on = used_on
@@ -79,21 +82,30 @@
             on_listing=self._on_listing,
             on_changes=self._on_changes,
         )
+        self.departures = departures_module.Departures(
+            store=clients.store,
+            store_schema=clients.store_schema,
+            ownership=ownership,
+            watcher=self._watcher,
+        )
 
     async def start(self) -> None:
         """Start following the entries."""
         await self._watcher.start()
+        await self.departures.start()
 
     async def close(self) -> None:
         """End every session."""
         await self._watcher.close()
+        await self.departures.close()
         sessions = list(self.sessions.values())
         await asyncio.gather(*(session.close() for session in sessions))
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
     # Entries
 
-    def _on_listing(self, listing: model.Listing) -> None:
+    async def _on_listing(self, listing: model.Listing) -> None:
+        await self.departures.catch_up(listing)
         for item in listing.items:
             self._apply_item(item)
         present = {self._id_of(item.key) for item in listing.items}
@@ -120,6 +132,7 @@
             self._take_malformed(executor_id, item.revision, str(error))
             return
         self._malformed.pop(executor_id, None)
+        self.departures.note_entry(executor)
         self._apply_entry(executor, item.revision)
 
     def _take_malformed(
@@ -354,10 +367,12 @@
     def retire(self, session: session_module.Session) -> None:
         """Keep new work off an executor until it is reinstated or restarts."""
         self._announcements.retire(session.executor_id)
+        self.departures.note_retired(session.executor)
 
     def reinstate(self, session: session_module.Session) -> None:
         """Let a retired executor get work again after its next report."""
         self._announcements.reinstate(session.executor_id)
+        self.departures.withdraw(session.executor)
 
     def _report_leaving(self, session: session_module.Session) -> None:
         """Move work off a draining executor once it is sealed."""
--- a/src/knapweedwharf/fleet/tenure.py
+++ b/src/knapweedwharf/fleet/tenure.py
@@ -104,7 +104,7 @@
         self.registry = registry_module.Registry(
             process_config=process_config,
             clients=clients,
-            epoch=ownership.epoch,
+            ownership=ownership,
             evacuations=desired.evacuations,
             hooks=self._hooks(),
             used_on=lambda executor: self._decider.used_on(executor),
@@ -188,8 +188,9 @@
 
     def _connect_inputs(self, desired: desired_module.DesiredState) -> None:
         """Create the components that process reports and submissions."""
-        crashes = crashes_module.Crashes(
+        self._crashes = crashes_module.Crashes(
             scheduling_state=self.scheduling_state,
+            departures=self.registry.departures,
             progress_writer=self._progress_writer,
             tell=self._decider.tell,
             sender=self._sender,
@@ -209,14 +210,14 @@
                 decider=self._decider,
                 progress_writer=self._progress_writer,
             ),
-            crashes=crashes,
+            crashes=self._crashes,
         )
         self._intake = intake_module.Intake(
             store=self._clients.store,
             scheduling_state=self.scheduling_state,
             progress_writer=self._progress_writer,
             decider=self._decider,
-            crashes=crashes,
+            crashes=self._crashes,
             epoch=self._ownership.epoch,
             cancel_s=self._process_config.bounds.cancel_s,
             won_s=self._won_s,
@@ -373,6 +374,7 @@
         self.registry.tick()
         for executor_id in self.registry.awaited.pop_lapsed():
             self._reports.executor_ended(executor_id, executor_loss.ABSENT)
+        self._crashes.tick()
         self._decider.tick()
         self._decider.event_times.tick()
         if clock.elapsed_s() - self._pruned_s > RETENTION_INTERVAL_S:
--- a/src/knapweedwharf/fleet/watcher.py
+++ b/src/knapweedwharf/fleet/watcher.py
@@ -129,6 +129,11 @@
         self.progressed_s = 0.0
         self.confirmed_s: float | None = None
 
+    @property
+    def revision(self) -> int:
+        """Revision up to which changes were reported; 0 before a listing."""
+        return self._revision
+
     @property
     def age_s(self) -> float:
         """Time since the last confirmation; infinite before the first."""
