Bound the memory that accepted jobs take of an owner

Change, in three steps that only bound it together: - The parts of a step are created as they are released, and a job has 256 waiting at most, all jobs 8,000 tasks (fleet/open_parts.py; beyond that each account its even share and each job one). Parts that are done leave the engine, ended jobs keep what shows their state (fleet/retention.py). It holds for jobs that an earlier owner accepted: none is lost. - The owner publishes what the jobs of each account take once that is half of 32 MB; each VM refuses an account that holds more than its even share of a full backlog with 429, before anything is stored, and with a Retry-After by what ends have freed lately (fleet/backlog.py, backlog_record.py). A job that is stored already is not refused. - A VM counts what it has stored itself until the owner has published it.

core/part_spec.py has what core/workflow.py had for the engine's jobs; test_workflow.py counts part_at in place of parts_of_step and has a lower bound now, as parts are created one by one.

Ruled out: a bound on new jobs alone, as the owner reads those of before; a bound by each VM's own memory, as VMs would answer differently and a smaller one may be the next owner; a watch of the backlog on each VM (a read with a submission, at most every 5 s, costs less).

--- a/bench/_short_simulation.py
+++ b/bench/_short_simulation.py
@@ -14,6 +14,7 @@
 from knapweedwharf.core import engine as engine_module
 from knapweedwharf.core import event
 from knapweedwharf.core import model
+from knapweedwharf.core import part_spec
 from knapweedwharf.core import workflow
 from knapweedwharf.fleet import model as fleet_model
 from knapweedwharf.fleet import policy as fleet_policy
@@ -189,7 +190,7 @@
                 bounds=self.bounds,
                 start_delay_s=0.0,
             )
-            spec = workflow.spec_of(
+            spec = part_spec.of_part(
                 flow,
                 part,
                 priority=priority,
--- a/bench/refusal.py
+++ b/bench/refusal.py
@@ -16,6 +16,7 @@
 from bench import _short_simulation
 from knapweedwharf.core import event
 from knapweedwharf.core import model
+from knapweedwharf.core import part_spec
 from knapweedwharf.core import workflow
 from knapweedwharf.fleet import policy as fleet_policy
 
@@ -113,7 +114,7 @@
             start_delay_s=0.0,
         )
         part = workflow.parts_of_step(job, 0, 0)[0]
-        return workflow.spec_of(
+        return part_spec.of_part(
             workflow.Workflow(job), part, priority=priority
         )
 
--- a/src/knapweedwharf/core/engine.py
+++ b/src/knapweedwharf/core/engine.py
@@ -78,6 +78,15 @@
         if record is not None:
             self._lifecycle.drop_approval(record.job.approval)
 
+    def forget_ended(self, job_id: str) -> None:
+        """Drop the record of a job that ended beside others of its kind.
+
+        Their approval is kept.
+        """
+        record = self.state.records.get(job_id)
+        if record is not None and record.state in self.state.chart.final:
+            del self.state.records[job_id]
+
     def handle(
         self, happened: event.Event, *, now_s: float
     ) -> list[decision.Decision]:
--- a/src/knapweedwharf/core/workflow.py
+++ b/src/knapweedwharf/core/workflow.py
@@ -11,6 +11,7 @@
 from collections import abc
 import dataclasses
 import functools
+import math
 import typing
 
 from knapweedwharf.core import model
@@ -22,9 +23,6 @@
 CANCELLED = "cancelled"
 FINAL_STATES = frozenset({COMPLETED, FAILED, CANCELLED})
 
-UNLIMITED_ATTEMPTS = 1_000_000_000
-"""``max_attempts`` of steps without an end, which restart indefinitely."""
-
 RUN_NUMBERS_PER_OWNER = 1000
 """Run numbers of a part that are set aside for each owner's epoch."""
 
@@ -110,6 +108,11 @@
         """Accelerators of the step that needs the most."""
         return max(s.tasks * s.accelerators for s in self.steps)
 
+    @property
+    def most_tasks_of_part(self) -> int:
+        """Tasks of the part that has the most; 1 unless there are gangs."""
+        return max((s.tasks for s in self.steps if s.is_gang), default=1)
+
     def chain_s(self, number: int) -> float:
         """Return the expected time of the longest chain from a step on."""
         return self._chains_s[number]
@@ -145,16 +148,6 @@
         return self.first_run_s + occurrence * self.interval_s
 
 
-@dataclasses.dataclass(frozen=True)
-class SchedulingPriority:
-    """Priority of a job against others; see ``model.JobSpec``."""
-
-    urgency: str = model.NORMAL
-    handicap_s: float = 0.0
-    precedence: int = 0
-    start_within_s: float = 0.0
-
-
 CRASHES_OF_SUSPECT = 2
 """One executor may crash under a task that is at work, by chance."""
 
@@ -234,10 +227,14 @@
 class Workflow:
     """Progress of one job.
 
+    Parts that wait differ in their number only, so they are created when
+    they are released. The end of a part costs the same however many parts
+    the job has.
+
     :ivar parts: parts that were released to run, by id.
+    :ivar open_parts: number of released parts that are not done.
+    :ivar open_tasks: number of their tasks.
     :ivar has_started: whether any task was ever started.
-
-    The end of a part costs the same however many parts the job has.
     """
 
     def __init__(self, job: Job) -> None:
@@ -247,12 +244,17 @@
         self.cancelled = False
         self.failed = False
         self.completed = False
+        self.open_parts = 0
+        self.open_tasks = 0
         self._undone: dict[tuple[int, int], set[str]] = {}
-        """Parts that are not done, by released occurrence and step."""
+        """Released parts that are not done, by occurrence and step."""
+        self._next_index: dict[tuple[int, int], int] = {}
+        """Steps that are ready, and their first part that isn't released."""
         self._undone_steps = job.occurrences * len(job.steps)
         self._due_occurrences = 0
         self._unreleased: dict[tuple[int, int], None] = {}
         """Steps of due occurrences that still wait for earlier steps."""
+        self._former: dict[tuple[int, int], list[Part]] | None = None
 
     @property
     def state(self) -> str:
@@ -270,15 +272,38 @@
         """Whether no further part may start."""
         return self.state in FINAL_STATES
 
-    def release_ready_parts(self, now_s: float) -> list[Part]:
+    @property
+    def has_unreleased_parts(self) -> bool:
+        """Whether parts that may start now are not released yet."""
+        return bool(self._next_index) and not self.is_final
+
+    def release_ready_parts(
+        self, now_s: float, most_tasks: float = math.inf
+    ) -> list[Part]:
         """Release the parts that may start now; return the new ones.
 
         The job is completed if it has released all steps and each part
         had been done before.
+
+        :param most_tasks: how many tasks to release at most; the last part
+            may exceed it. What an earlier owner has begun doesn't count.
         """
         if self.is_final:
             return []
+        self._note_due(now_s)
+        begun: list[Part] = []
         opened: list[Part] = []
+        for key in self._ready_steps(begun):
+            for part in self._open(key, most_tasks):
+                opened.append(part)
+                most_tasks -= part.tasks
+        opened.extend(begun)
+        # A former owner whose clock was ahead may have run the last parts.
+        self.completed = bool(self.job.steps) and not self._undone_steps
+        return opened
+
+    def _note_due(self, now_s: float) -> None:
+        """Note the steps of the occurrences that are due."""
         while (
             self._due_occurrences < self.job.occurrences
             and self.job.due_s(self._due_occurrences) <= now_s
@@ -286,40 +311,93 @@
             for number in range(len(self.job.steps)):
                 self._unreleased[self._due_occurrences, number] = None
             self._due_occurrences += 1
+
+    def _ready_steps(self, begun: list[Part]) -> abc.Iterator[tuple[int, int]]:
+        """Yield the steps with parts to release, those before first.
+
+        :param begun: the parts that an earlier owner has begun are added.
+        """
+        yield from list(self._next_index)
         for occurrence, number in list(self._unreleased):
             after = self.job.steps[number].after
             if all(self._step_done(occurrence, n) for n in after):
-                del self._unreleased[occurrence, number]
-                opened.extend(self._open(occurrence, number))
-        # A former owner whose clock was ahead may have run the last parts.
-        self.completed = bool(self.job.steps) and not self._undone_steps
-        return opened
+                key = (occurrence, number)
+                del self._unreleased[key]
+                begun.extend(self._begin_step(key))
+                yield key
+
+    def _begin_step(self, key: tuple[int, int]) -> abc.Iterator[Part]:
+        """Make a step ready; yield what an earlier owner began of it."""
+        self._undone[key] = set()
+        self._next_index[key] = 0
+        for part in self._begun_before().pop(key, ()):
+            if not part.done:
+                self._mark_open(part)
+                yield part
 
-    def _open(self, occurrence: int, number: int) -> abc.Iterator[Part]:
-        undone = self._undone[occurrence, number] = set()
-        for part in parts_of_step(self.job, occurrence, number):
+    def _begun_before(self) -> dict[tuple[int, int], list[Part]]:
+        """Return the parts that were there at first, by step."""
+        if self._former is None:
+            self._former = {}
+            for part in self.parts.values():
+                key = (part.occurrence, part.step)
+                self._former.setdefault(key, []).append(part)
+        return self._former
+
+    def _mark_open(self, part: Part) -> None:
+        self._undone[part.occurrence, part.step].add(part.part_id)
+        self.open_parts += 1
+        self.open_tasks += part.tasks
+
+    def _open(
+        self, key: tuple[int, int], most_tasks: float
+    ) -> abc.Iterator[Part]:
+        """Release parts of a step that is ready."""
+        occurrence, number = key
+        count = part_count(self.job.steps[number])
+        while self._next_index[key] < count and most_tasks > 0:
+            part = part_at(self.job, occurrence, number, self._next_index[key])
+            self._next_index[key] += 1
             part = self.parts.setdefault(part.part_id, part)
-            if not part.done:
-                undone.add(part.part_id)
+            if not part.done and part.part_id not in self._undone[key]:
+                self._mark_open(part)
+                most_tasks -= part.tasks
                 yield part
-        if not undone:
-            self._undone_steps -= 1
+        if self._next_index[key] >= count:
+            del self._next_index[key]
+            if not self._undone[key]:
+                self._undone_steps -= 1
 
     def _step_done(self, occurrence: int, number: int) -> bool:
-        undone = self._undone.get((occurrence, number))
-        return undone is not None and not undone
+        key = (occurrence, number)
+        undone = self._undone.get(key)
+        return (
+            undone is not None and not undone and key not in self._next_index
+        )
 
     def mark_part_done(self, part: Part) -> None:
         """Mark a part as done; the last one completes the job."""
         part.done = True
         part.placements = ()
-        undone = self._undone.get((part.occurrence, part.step))
+        key = (part.occurrence, part.step)
+        undone = self._undone.get(key)
         if undone and part.part_id in undone:
             undone.remove(part.part_id)
-            if not undone:
+            self.open_parts -= 1
+            self.open_tasks -= part.tasks
+            if not undone and key not in self._next_index:
                 self._undone_steps -= 1
         self.completed = not self.cancelled and not self._undone_steps
 
+    def shrink(self) -> None:
+        """Keep only what later calls need of a job that is over."""
+        self.job = dataclasses.replace(self.job, specification="", steps=())
+        self.parts = {}
+        self._undone = {}
+        self._next_index = {}
+        self._unreleased = {}
+        self._former = None
+
     def next_run(self, part: Part, ordinal: int) -> int:
         """Return an unused run number for the next start of a part.
 
@@ -330,15 +408,25 @@
         return part.run
 
 
-def parts_of_step(job: Job, occurrence: int, number: int) -> list[Part]:
-    """Return the parts of a step: one gang, or one part for each task."""
+def part_count(step: Step) -> int:
+    """Return the number of a step's parts."""
+    return 1 if step.is_gang else step.tasks
+
+
+def part_at(job: Job, occurrence: int, number: int, index: int) -> Part:
+    """Return one part of a step."""
     step = job.steps[number]
     name = f"{job.job_id}.{occurrence}.{number}"
     if step.is_gang:
-        return [Part(name, occurrence, number, 0, step.tasks)]
+        return Part(name, occurrence, number, 0, step.tasks)
+    return Part(f"{name}.{index}", occurrence, number, index, 1)
+
+
+def parts_of_step(job: Job, occurrence: int, number: int) -> list[Part]:
+    """Return the parts of a step: one gang, or one part for each task."""
     return [
-        Part(f"{name}.{index}", occurrence, number, index, 1)
-        for index in range(step.tasks)
+        part_at(job, occurrence, number, index)
+        for index in range(part_count(job.steps[number]))
     ]
 
 
@@ -358,60 +446,3 @@
     if job.steps[number].is_gang:
         return ".".join(fields[:3])
     return task_id
-
-
-def _neighbours(step: Step) -> str:
-    if step.fills_spare:
-        return model.BEST_EFFORT
-    return model.LATENCY_SENSITIVE if step.tail_target_ms else ""
-
-
-def _max_attempts(job: Job, step: Step) -> int:
-    return UNLIMITED_ATTEMPTS if step.is_lasting else job.max_attempts
-
-
-def spec_of(
-    workflow: Workflow,
-    part: Part,
-    *,
-    priority: SchedulingPriority,
-    due_s: float = 0.0,
-) -> model.JobSpec:
-    """Return a part as a job of the engine.
-
-    Cores are in thousandths, as are those of the fleet's workers.
-
-    :param priority: its priority against other work.
-    :param due_s: when its occurrence was due, on the engine's clock.
-    """
-    job, step = workflow.job, workflow.job.steps[part.step]
-    return model.JobSpec(
-        job_id=part.part_id,
-        account=job.account,
-        data_centre=job.service,
-        kind=f"{job.route}/{part.step}",
-        tasks=part.tasks,
-        accelerators_per_task=step.accelerators,
-        cores_per_task=0 if step.fills_spare else step.cores_milli,
-        memory_mib_per_task=step.memory_mib,
-        urgency=priority.urgency,
-        declared_run_s=max(step.expected_run_s, 0.1),
-        submitted_s=max(job.submitted_s, due_s),
-        max_attempts=_max_attempts(job, step),
-        handicap_s=priority.handicap_s,
-        label=step.label,
-        data_rack=step.data_rack,
-        prefers_rack=step.wants_one_rack,
-        spread_group=part.step_id(job.job_id),
-        max_per_worker=step.max_per_executor,
-        start_within_s=priority.start_within_s,
-        precedence=priority.precedence,
-        saves_progress=step.saves_progress,
-        neighbours=_neighbours(step),
-        is_lasting=step.is_lasting,
-        approval=part.step_id(job.job_id) if job.is_advised else "",
-        objective_s=0.0 if step.is_lasting else job.objective_s,
-        slowdown=job.slowdown,
-        after_s=job.chain_s(part.step) - step.expected_run_s,
-        is_suspect=part.is_suspect,
-    )
--- a/src/knapweedwharf/errors.py
+++ b/src/knapweedwharf/errors.py
@@ -119,6 +119,14 @@
     http_status = 503
 
 
+@dataclasses.dataclass(frozen=True)
+class BacklogFull(DidNotRun):
+    """The account's accepted jobs leave no room for another."""
+
+    code = "backlog-full"
+    http_status = 429
+
+
 @dataclasses.dataclass(frozen=True)
 class OutcomeUnknown(Fault):
     """The operation may or may not have taken effect."""
--- a/src/knapweedwharf/fleet/decider.py
+++ b/src/knapweedwharf/fleet/decider.py
@@ -24,6 +24,7 @@
 from knapweedwharf.fleet import job_specs as job_specs_module
 from knapweedwharf.fleet import metric_definitions
 from knapweedwharf.fleet import model
+from knapweedwharf.fleet import open_parts as open_parts_module
 from knapweedwharf.fleet import passes as passes_module
 from knapweedwharf.fleet import placed_parts
 from knapweedwharf.fleet import policy
@@ -85,6 +86,9 @@
         self._incarnation_of = incarnation_of
         self._log = log.get("decider").bind(epoch=epoch)
         self._placed = placed_parts.PlacedParts(epoch=epoch, sender=sender)
+        self._open_parts = open_parts_module.OpenParts(
+            scheduling_state=scheduling_state, desired=desired
+        )
         self._standings = executor_standing.Standings(epoch, sender)
         self._engine_factory = engine_factory
         self._engines: dict[str, engine_module.Engine] = {}
@@ -168,11 +172,14 @@
                     )
 
     def tick(self) -> None:
-        """Pass the time to the engines and submit repetitions that are due."""
+        """Pass the time to the engines and submit what may start by now.
+
+        Repetitions may be due, and other parts may have made room.
+        """
         for service in list(self._engines):
             self.tell(service, event.Tick())
         for flow in list(self._scheduling_state.workflows.values()):
-            if flow.job.is_timed and not flow.is_final:
+            if flow.has_unreleased_parts or flow.job.is_timed:
                 self.submit_ready_parts(flow)
 
     def _load(self) -> event_times_module.Load:
@@ -224,7 +231,10 @@
         """Submit the parts of a job that may start now."""
         if flow.is_final:
             return
-        released = flow.release_ready_parts(clock.unix_s())
+        released = flow.release_ready_parts(
+            clock.unix_s(), self._open_parts.most_tasks(flow)
+        )
+        self._open_parts.update(flow)
         if flow.completed:
             self._job_completed(flow)
         if not released:
@@ -306,13 +316,14 @@
         self._end_job(flow)
 
     def drop(self, flow: workflow.Workflow) -> None:
-        """Remove a job whose retention has expired."""
+        """Remove what the engine holds of a job that is over."""
         engine = self._engine(flow.job.service)
         for part_id in flow.parts:
             engine.drop(part_id)
 
     def _end_job(self, flow: workflow.Workflow) -> None:
         self._scheduling_state.mark_ended(flow.job.job_id)
+        self._open_parts.update(flow)
         self._forget_advice(flow)
         self._progress_writer.mark_dirty(flow.job.job_id)
         for part_id in list(flow.parts):
@@ -362,10 +373,13 @@
     def part_done(self, flow: workflow.Workflow, part: workflow.Part) -> None:
         """Mark a part as done; submit the parts that waited for it."""
         flow.mark_part_done(part)
+        self._open_parts.update(flow)
         self._progress_writer.mark_dirty(flow.job.job_id)
         if flow.completed:
             self._job_completed(flow)
         # Deferred, as the engine is still handling an event.
+        forget = self._engine(flow.job.service).forget_ended
+        asyncio.get_running_loop().call_soon(forget, part.part_id)
         asyncio.get_running_loop().call_soon(self.submit_ready_parts, flow)
 
     def _job_completed(self, flow: workflow.Workflow) -> None:
--- a/src/knapweedwharf/fleet/job_api.py
+++ b/src/knapweedwharf/fleet/job_api.py
@@ -11,12 +11,15 @@
 import asyncio
 import collections
 import dataclasses
+import typing
 
 from returns import result
 
 from knapweedwharf import codec
 from knapweedwharf.core import workflow
 from knapweedwharf import errors
+from knapweedwharf.fleet import backlog
+from knapweedwharf.fleet import backlog_record
 from knapweedwharf.fleet import clock
 from knapweedwharf.fleet import desired as desired_module
 from knapweedwharf.fleet import metric_definitions
@@ -93,6 +96,7 @@
         self._final: collections.OrderedDict[str, tuple[str, str]] = (
             collections.OrderedDict()
         )
+        self._backlog = backlog_record.BacklogView(store)
         self._pending: dict[str, int] = {}
         self._pending_s = float("-inf")
 
@@ -155,31 +159,68 @@
     ) -> result.Result[str, errors.Fault]:
         """Store a job and return its id."""
 
+        fields = {
+            "specification": specification,
+            "steps": steps,
+            "repetitions": repetitions,
+            "first_run_s": first_run_s,
+            "interval_s": interval_s,
+        }
+
         def commit(allowed: Allowed) -> model.Commit:
-            job = workflow.Job(
-                job_id=allowed.job_id,
-                route=allowed.route.name,
-                service=allowed.route.service,
-                account=allowed.account,
-                specification=specification,
-                steps=steps,
-                submitted_s=round(clock.unix_s(), 3),
-                priority=allowed.route.priority,
-                max_attempts=allowed.route.max_attempts,
-                repetitions=repetitions,
-                first_run_s=first_run_s,
-                interval_s=interval_s,
-                is_advised=allowed.route.advice is not None,
-                slowdown=allowed.route.slowdown,
-                target_s=allowed.route.target_s,
-            )
-            key = records.key(job.job_id, records.SPEC)
+            key = records.key(allowed.job_id, records.SPEC)
+            value = records.dump_job(_job_of(allowed, **fields))
             return model.Commit(
                 {self._config_key: allowed.desired.revision, key: 0},
-                (model.Write(key, records.dump_job(job)),),
+                (model.Write(key, value),),
             )
 
-        return await self._commit_call(call, commit, event="submission")
+        permitted = self.allow(call)
+        if isinstance(permitted, result.Failure):
+            return permitted
+        job = _job_of(permitted.unwrap(), **fields)
+        refused = await self._refuse_beyond_backlog(
+            call, permitted.unwrap(), backlog.footprint(job)
+        )
+        if refused is not None:
+            return refused
+        stored = await self._commit_call(call, commit, event="submission")
+        if not isinstance(stored, result.Failure) or isinstance(
+            stored.failure(), errors.OutcomeUnknown
+        ):
+            self._backlog.note_stored(job.account, backlog.footprint(job))
+        return stored
+
+    async def _refuse_beyond_backlog(
+        self, call: Call, allowed: Allowed, needed: int
+    ) -> result.Result[str, errors.Fault] | None:
+        """Return the answer to a submission for which there is no room.
+
+        A job that is stored already, by a call whose answer was lost, is
+        not refused.
+        """
+        await self._backlog.refresh(needed)
+        wait_s = self._backlog.wait_s(
+            allowed.account, needed, accounts=len(allowed.desired.accounts)
+        )
+        if not wait_s:
+            return None
+        read = await self._store.read(
+            records.key(allowed.job_id, records.SPEC),
+            timeout_s=TRY_TIMEOUT_S,
+        )
+        if isinstance(read, result.Failure):
+            return self._refuse("store-not-reached", call)
+        if read.unwrap() is not None:
+            return result.Success(allowed.job_id)
+        self._sender.count(metric_definitions.CALLS_REFUSED)
+        return result.Failure(
+            errors.BacklogFull(
+                message="The jobs of this account leave no room for another.",
+                remedy="Submit the job again later, or cancel others.",
+                retry_after_s=retry_after.freed_room_s(call.path, wait_s),
+            )
+        )
 
     async def _commit_call(
         self, call: Call, commit_for, *, event: str
@@ -363,6 +404,24 @@
         )
 
 
+def _job_of(allowed: Allowed, **fields: typing.Any) -> workflow.Job:
+    """Return a submitted job under the terms of its route."""
+    route = allowed.route
+    return workflow.Job(
+        job_id=allowed.job_id,
+        route=route.name,
+        service=route.service,
+        account=allowed.account,
+        submitted_s=round(clock.unix_s(), 3),
+        priority=route.priority,
+        max_attempts=route.max_attempts,
+        is_advised=route.advice is not None,
+        slowdown=route.slowdown,
+        target_s=route.target_s,
+        **fields,
+    )
+
+
 def _same_account(owner: str, account: str) -> bool:
     """Return whether a caller may see a job; public queues have no owner."""
     return not owner or not account or owner == account
--- a/src/knapweedwharf/fleet/job_specs.py
+++ b/src/knapweedwharf/fleet/job_specs.py
@@ -5,6 +5,7 @@
 from collections import abc
 
 from knapweedwharf.core import model as core_model
+from knapweedwharf.core import part_spec
 from knapweedwharf.core import workflow
 from knapweedwharf.fleet import clock
 from knapweedwharf.fleet import model
@@ -44,13 +45,13 @@
         for part in parts:
             priority = priorities[part.step]
             due_s = clock.steady_at(flow.job.due_s(part.occurrence))
-            yield part, workflow.spec_of(
+            yield part, part_spec.of_part(
                 flow, part, priority=priority, due_s=due_s
             )
 
     def _scheduling_priority(
         self, job: workflow.Job, number: int
-    ) -> workflow.SchedulingPriority:
+    ) -> part_spec.SchedulingPriority:
         desired = self._desired.current
         account = desired.accounts.get(job.account) if desired else None
         step = job.steps[number]
--- a/src/knapweedwharf/fleet/policy.py
+++ b/src/knapweedwharf/fleet/policy.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from knapweedwharf.core import model
+from knapweedwharf.core import part_spec
 from knapweedwharf.core import workflow
 from knapweedwharf.fleet import model as fleet_model
 
@@ -137,7 +138,7 @@
     claimed: int,
     bounds: fleet_model.TimeLimits,
     start_delay_s: float,
-) -> workflow.SchedulingPriority:
+) -> part_spec.SchedulingPriority:
     """Return a job's precedence by its queue and its account's guarantee.
 
     :param guaranteed: accelerators that the account may reclaim.
@@ -147,23 +148,23 @@
     """
     if step.is_lasting:
         # All of its tasks serve users, so none of them is preempted.
-        return workflow.SchedulingPriority(
+        return part_spec.SchedulingPriority(
             precedence=GUARANTEED_PRECEDENCE,
             start_within_s=LASTING_PATIENCE_S,
         )
     if job.priority > 0:
-        return workflow.SchedulingPriority(
+        return part_spec.SchedulingPriority(
             handicap_s=job.priority * HANDICAP_PER_LEVEL_S
         )
     if claimed > guaranteed:
-        return workflow.SchedulingPriority(precedence=FIRST_PRECEDENCE)
+        return part_spec.SchedulingPriority(precedence=FIRST_PRECEDENCE)
     preempted_by_s = (
         bounds.reclaim_timeout_s
         - bounds.stop_timeout_s
         - ORDER_MARGIN_S
         - start_delay_s
     )
-    return workflow.SchedulingPriority(
+    return part_spec.SchedulingPriority(
         urgency=model.URGENT,
         precedence=GUARANTEED_PRECEDENCE,
         start_within_s=max(preempted_by_s, URGENT_PATIENCE_S),
--- a/src/knapweedwharf/fleet/progress_writer.py
+++ b/src/knapweedwharf/fleet/progress_writer.py
@@ -115,12 +115,16 @@
             waiting.append(then)
         self._wake.set()
 
+    def is_stored(self, job_id: str) -> bool:
+        """Return whether a job's latest record is stored."""
+        return job_id not in self._dirty and job_id not in self._in_flight
+
     def when_stored(self, job_id: str, then: Callback) -> None:
         """Call ``then`` once no write of a job is outstanding."""
-        if job_id in self._dirty or job_id in self._in_flight:
-            self.mark_dirty(job_id, then)
-        else:
+        if self.is_stored(job_id):
             then()
+        else:
+            self.mark_dirty(job_id, then)
 
     async def _run(self) -> None:
         delays = backoff.Backoff(
--- a/src/knapweedwharf/fleet/records.py
+++ b/src/knapweedwharf/fleet/records.py
@@ -9,7 +9,9 @@
 import zlib
 
 from knapweedwharf.core import model as core_model
+from knapweedwharf.core import part_spec
 from knapweedwharf.core import workflow
+from knapweedwharf.fleet import backlog as backlog_module
 
 JOBS = "jobs/"
 OWNER_KEY = "control/owner"
@@ -17,6 +19,7 @@
 PENDING_KEY = "published/pending"
 DEMAND_KEY = "control/demand"
 DEPARTURES_KEY = "control/departures"
+BACKLOG_KEY = "published/backlog"
 WAVES = "waves/"
 
 SPEC = "spec"
@@ -223,8 +226,10 @@
         checkpoint=checkpoint,
         placed_s=placed_s,
     )
-    spec = workflow.spec_of(
-        workflow.Workflow(job), probe, priority=workflow.SchedulingPriority()
+    if not places:
+        return probe
+    spec = part_spec.of_part(
+        workflow.Workflow(job), probe, priority=part_spec.SchedulingPriority()
     )
     probe.placements = tuple(
         core_model.Assignment(
@@ -299,6 +304,25 @@
     return averages, float(document["at_s"])
 
 
+def dump_backlog(backlog: backlog_module.Backlog) -> bytes:
+    """Encode what an owner's jobs take, by client account."""
+    return _dump(
+        {
+            "bytes": backlog.by_account,
+            "freed_bytes_per_s": round(backlog.freed_bytes_per_s),
+        }
+    )
+
+
+def load_backlog(value: bytes) -> backlog_module.Backlog:
+    """Decode what an owner's jobs take."""
+    document = json.loads(value)
+    return backlog_module.Backlog(
+        {str(a): int(held) for a, held in document["bytes"].items()},
+        float(document["freed_bytes_per_s"]),
+    )
+
+
 def dump_departures(
     leaving: abc.Iterable[tuple[str, int]], revision: int
 ) -> bytes:
--- a/src/knapweedwharf/fleet/retry_after.py
+++ b/src/knapweedwharf/fleet/retry_after.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 import zlib
 
 MIN_S = 1
@@ -38,3 +39,14 @@
     window_s = min(RETURN_SHARE * away_s, TRY_SHARE * left_s, MAX_S)
     choices = max(MIN_S, int(window_s))
     return MIN_S + zlib.crc32(call_id.encode()) * choices // 2**32
+
+
+def freed_room_s(call_id: str, wait_s: float) -> int:
+    """Return when a caller is to come back for room that others free.
+
+    Callers return apart, over half as long again as the wait.
+
+    :param wait_s: time until the room is expected to be free.
+    """
+    spread = 1.0 + zlib.crc32(call_id.encode()) / 2**33
+    return max(MIN_S, math.ceil(min(MAX_S, wait_s * spread)))
--- a/src/knapweedwharf/fleet/scheduling_state.py
+++ b/src/knapweedwharf/fleet/scheduling_state.py
@@ -7,6 +7,7 @@
 from knapweedwharf.core import amount
 from knapweedwharf.core import workflow
 from knapweedwharf.fleet import attempt as attempt_module
+from knapweedwharf.fleet import backlog
 from knapweedwharf.fleet import clock
 from knapweedwharf.fleet import records
 
@@ -24,12 +25,14 @@
     :ivar workflows: all known jobs, by job id.
     :ivar attempts: attempts that may still run, by the engine's id.
     :ivar ended_s: when each ended job was first seen as ended.
+    :ivar freed_bytes: what jobs have freed by their ends so far.
     """
 
     def __init__(self) -> None:
         self.workflows: dict[str, workflow.Workflow] = {}
         self.attempts: dict[str, attempt_module.Attempt] = {}
         self.ended_s: dict[str, float] = {}
+        self.freed_bytes = 0
         self._runs: dict[str, Runs] = {}
         self._attempts_by_job: dict[str, dict[str, None]] = {}
 
@@ -88,7 +91,24 @@
 
     def mark_ended(self, job_id: str) -> None:
         """Record that a job has ended now."""
-        self.ended_s.setdefault(job_id, clock.elapsed_s())
+        if job_id in self.ended_s:
+            return
+        self.ended_s[job_id] = clock.elapsed_s()
+        freed = backlog.footprint(self.workflows[job_id].job)
+        self.freed_bytes += freed - backlog.ENDED_BYTES
+
+    def bytes_by_account(self) -> dict[str, int]:
+        """Return what the jobs of each account take."""
+        taken: dict[str, int] = {}
+        for job_id, flow in self.workflows.items():
+            job = flow.job
+            size = (
+                backlog.ENDED_BYTES
+                if job_id in self.ended_s
+                else backlog.footprint(job)
+            )
+            taken[job.account] = taken.get(job.account, 0) + size
+        return taken
 
     def add(
         self,
@@ -174,6 +194,10 @@
         """Return whether any task may be running on an executor."""
         return executor_id in self._runs
 
+    def attempt_count(self, job_id: str) -> int:
+        """Return the number of a job's attempts that may still run."""
+        return len(self._attempts_by_job.get(job_id, ()))
+
     def parts_with_attempts(self, job_id: str) -> set[str]:
         """Return the ids of a job's parts that have an attempt."""
         return {
@@ -212,10 +236,23 @@
                 counts[route] = counts.get(route, 0) + 1
         return counts
 
+    def ended_in_full(self, after_s: float) -> list[workflow.Workflow]:
+        """Return the jobs that ended over ``after_s`` ago and hold parts."""
+        oldest_s = clock.elapsed_s() - after_s
+        ended = (
+            self.workflows[job_id]
+            for job_id, at_s in self.ended_s.items()
+            if at_s < oldest_s
+        )
+        return [
+            flow for flow in ended if flow.job.steps and self._is_over(flow)
+        ]
+
     def pop_expired(self, kept_s: float) -> list[workflow.Workflow]:
         """Remove and return the jobs that ended over ``kept_s`` ago."""
         oldest_s = clock.elapsed_s() - kept_s
         expired = [j for j, at_s in self.ended_s.items() if at_s < oldest_s]
         for job_id in expired:
             del self.ended_s[job_id]
+            self.freed_bytes += backlog.ENDED_BYTES
         return [self.workflows.pop(job_id) for job_id in expired]
--- a/src/knapweedwharf/fleet/tenure.py
+++ b/src/knapweedwharf/fleet/tenure.py
@@ -14,6 +14,7 @@
 
 from knapweedwharf.fleet import advice as advice_module
 from knapweedwharf.fleet import background
+from knapweedwharf.fleet import backlog_record as backlog_record_module
 from knapweedwharf.fleet import clients as clients_module
 from knapweedwharf.fleet import clock
 from knapweedwharf.fleet import crashes as crashes_module
@@ -39,6 +40,7 @@
 from knapweedwharf.fleet import records
 from knapweedwharf.fleet import registry as registry_module
 from knapweedwharf.fleet import reports as reports_module
+from knapweedwharf.fleet import retention as retention_module
 from knapweedwharf.fleet import scheduling_state as scheduling_state_module
 from knapweedwharf.fleet import session as session_module
 from knapweedwharf.fleet import start_delay as start_delay_module
@@ -56,10 +58,6 @@
 PENDING_INTERVAL_S = 0.5
 """A quarter of the allowed age of the published pending counts."""
 
-RETENTION_INTERVAL_S = 5.0
-RETENTION_MARGIN_S = 30.0
-"""Time beyond the platform's retention for which ended jobs are kept."""
-
 
 class Tenure:
     """Schedules all services while this VM is the owner.
@@ -90,7 +88,6 @@
         self._tasks: list[asyncio.Task] = []
         self._won_s = clock.elapsed_s()
         self._published: dict[str, int] | None = None
-        self._pruned_s = clock.elapsed_s()
         self.scheduling_state = scheduling_state_module.SchedulingState()
         self._progress_writer = progress_writer_module.ProgressWriter(
             store=clients.store,
@@ -231,6 +228,17 @@
         self._waiting_report = waiting_report_module.WaitingReport(
             engines=self._decider.engines, epoch=self._ownership.epoch
         )
+        self._retention = retention_module.Retention(
+            scheduling_state=self.scheduling_state,
+            progress_writer=self._progress_writer,
+            decider=self._decider,
+            kept_s=self._process_config.bounds.status_retention_s,
+        )
+        self._backlog_record = backlog_record_module.BacklogRecord(
+            store=self._clients.store,
+            ownership=self._ownership,
+            scheduling_state=self.scheduling_state,
+        )
         self._demand_record = demand_record_module.DemandRecord(
             store=self._clients.store,
             ownership=self._ownership,
@@ -302,6 +310,7 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self._decider.close()
         await self._intake.close()
+        await self._backlog_record.close()
         await self._demand_record.close()
         await self._maintenance.close()
         await self._pools.close()
@@ -341,6 +350,7 @@
 
     async def _schedule_forever(self) -> None:
         await self._intake.loaded.wait()
+        await self._backlog_record.start()
         await self._demand_record.start()
         for attempt in self.scheduling_state.attempts.values():
             for member in attempt.members.values():
@@ -377,20 +387,10 @@
         self._crashes.tick()
         self._decider.tick()
         self._decider.event_times.tick()
-        if clock.elapsed_s() - self._pruned_s > RETENTION_INTERVAL_S:
-            self._pruned_s = clock.elapsed_s()
-            self._prune()
+        self._retention.tick()
         self._waiting_report.tick()
         self._evacuated.tick()
 
-    def _prune(self) -> None:
-        kept_s = (
-            self._process_config.bounds.status_retention_s + RETENTION_MARGIN_S
-        )
-        for flow in self.scheduling_state.pop_expired(kept_s):
-            self._decider.drop(flow)
-            self._progress_writer.mark_dirty(flow.job.job_id)
-
     def _reported(
         self,
         session: session_module.Session,
--- a/testing/core/test_workflow.py
+++ b/testing/core/test_workflow.py
@@ -29,19 +29,19 @@
 @pytest.mark.parametrize("tasks", [20, 40, 80])
 def test_the_end_of_a_task_does_not_visit_all_parts(tasks, monkeypatch):
     built: list[str] = []
-    parts_of_step = workflow.parts_of_step
+    part_at = workflow.part_at
 
     def counted(*arguments):
-        parts = parts_of_step(*arguments)
-        built.extend(part.part_id for part in parts)
-        return parts
+        part = part_at(*arguments)
+        built.append(part.part_id)
+        return part
 
-    monkeypatch.setattr(workflow, "parts_of_step", counted)
+    monkeypatch.setattr(workflow, "part_at", counted)
     flow = _flow(_step(tasks), _step(tasks, 0))
     for part in _ended_one_by_one(flow):
         assert part.done
     assert flow.completed
-    assert len(built) <= 2 * len(flow.parts)
+    assert len(flow.parts) <= len(built) <= 2 * len(flow.parts)
 
 
 def _ended_one_by_one(flow: workflow.Workflow):
--- a/testing/fleet/entries.py
+++ b/testing/fleet/entries.py
@@ -25,12 +25,15 @@
     standby: abc.Iterable[str] = (),
     enforces_capacity: bool = True,
     slowdown: float = 0.0,
+    others: abc.Iterable[str] = (),
 ) -> bytes:
-    """Return a desired state with one account and a queue of each kind.
+    """Return a desired state with a queue of each kind.
 
+    :param keys: those of the first account.
     :param standby: names of standby pools, whose machines are off.
     :param enforces_capacity: executors refuse what doesn't fit.
     :param slowdown: multiple of their run times that jobs may take.
+    :param others: names of further accounts; each has its name as its key.
     """
     return json.dumps(
         {
@@ -40,6 +43,7 @@
             "standby": list(standby),
             "enforces_capacity": enforces_capacity,
             "slowdown": slowdown,
+            "others": list(others),
         }
     ).encode()
 
@@ -48,6 +52,7 @@
     document = json.loads(value)
     keys = frozenset(document["keys"])
     account = model.Account("acme", keys, document["guaranteed"])
+    others = document.get("others", ())
     return model.DesiredSnapshot(
         revision=revision,
         version=revision,
@@ -75,8 +80,16 @@
                 for name in document.get("standby", ())
             },
         },
-        accounts={"acme": account},
-        account_by_key=dict.fromkeys(keys, "acme"),
+        accounts={
+            "acme": account,
+            **{
+                name: model.Account(name, frozenset({name})) for name in others
+            },
+        },
+        account_by_key={
+            **dict.fromkeys(keys, "acme"),
+            **{name: name for name in others},
+        },
     )
 
 
