Ask for a job's constraints before each start

Only state.search asked for the constraints; the ways around it didn't know.

Change: core/eligibility.py answers whether a job may start on workers now, by label, approval and spread limit. state.start raises if it may not, so that a way that forgets to ask starts nothing; core/invariant.py finds such a start in the decisions, and the tests' sites check it after each event. Asked now: probation (with all else that placing avoids, reserved room included), a claim once its victims have stopped, the free and the reclaimed room of a guarantee's cell, the search for victims, a reserved room; and the fleet, for the label, right before a start is sent, as the executor may be back as another kind.

core/state.py passed its headroom check on to core/scheduler.py, its only user.

--- a/src/knapweedwharf/core/constraint.py
+++ b/src/knapweedwharf/core/constraint.py
@@ -57,7 +57,7 @@
         found.update(
             worker_id
             for worker_id, room in topology.workers.items()
-            if _tasks_of_group(room, job, record_of) >= job.max_per_worker
+            if tasks_of_group(room, job, record_of) >= job.max_per_worker
         )
     return found
 
@@ -84,11 +84,12 @@
     return any(r and r.job.neighbours == neighbours for r in found)
 
 
-def _tasks_of_group(
+def tasks_of_group(
     room: topology_module.WorkerRoom,
     job: model.JobSpec,
     record_of: RecordOf,
 ) -> int:
+    """Return how many tasks of a job's spread group a worker runs."""
     count = 0
     for attempt_id, places in room.occupants.items():
         record = record_of(attempt_id)
--- a/src/knapweedwharf/core/invariant.py
+++ b/src/knapweedwharf/core/invariant.py
@@ -42,6 +42,38 @@
     ]
 
 
+def wrong_starts(
+    engine: engine_module.Engine, decisions: list[decision.Decision]
+) -> list[str]:
+    """Return starts on workers that a constraint of their job forbids.
+
+    Later starts of the same decisions may use up a step's limit, so the
+    limit counts what all of them bring.
+    """
+    found: list[str] = []
+    for started in decisions:
+        if not isinstance(started, decision.StartGang):
+            continue
+        job = started.job
+        approved = engine.state.approved.get(job.approval, ())
+        for place in started.assignments:
+            room = engine.topology.workers.get(place.worker_id)
+            if room is None:
+                continue
+            if job.label and job.label not in room.spec.labels:
+                found.append(f"{job.job_id} is on {place.worker_id}: label")
+            if job.approval and place.worker_id not in approved:
+                found.append(f"{job.job_id} is on {place.worker_id}: approval")
+            if job.max_per_worker and job.max_per_worker < sum(
+                len(places)
+                for attempt_id, places in room.occupants.items()
+                if (other := engine.state.job_of_attempt(attempt_id))
+                and other.job.spread_group == job.spread_group
+            ):
+                found.append(f"{job.job_id} is on {place.worker_id}: spread")
+    return found
+
+
 @CHECKS.register("double-booking")
 def _double_booking(engine: engine_module.Engine) -> abc.Iterator[str]:
     for room in engine.topology.workers.values():
--- a/src/knapweedwharf/core/reclaim.py
+++ b/src/knapweedwharf/core/reclaim.py
@@ -119,6 +119,7 @@
                     left,
                     open_here.holds(need),
                     unit.room_on(worker_id).holds(need),
+                    self._state.eligibility.most_tasks(room, job),
                 )
                 if count:
                     share.append((room, count))
@@ -210,7 +211,15 @@
         need = amount.of_task(job)
         best: victims.Choice | None = None
         for group in self._cell_groups(cell, job.within):
-            limits = {w: _room_in(unit, cell, w).holds(need) for w in group}
+            limits = {
+                w: min(
+                    _room_in(unit, cell, w).holds(need),
+                    state.eligibility.most_tasks(
+                        state.topology.workers[w], job
+                    ),
+                )
+                for w in group
+            }
             if sum(limits.values()) < job.tasks:
                 continue
             rooms = [state.topology.workers[w] for w in group]
--- a/src/knapweedwharf/core/reservation.py
+++ b/src/knapweedwharf/core/reservation.py
@@ -126,9 +126,11 @@
     def _choose_reserved(
         self, reservation: claim.Reservation
     ) -> victims.Choice | None:
+        state = self._state
         rooms = [
-            self._state.topology.workers[worker_id]
+            state.topology.workers[worker_id]
             for worker_id in reservation.tasks
+            if not state.eligibility.violated(reservation.job, {worker_id: 1})
         ]
 
         def allowed(
@@ -142,7 +144,7 @@
                 room.spec.worker_id: borrowers.usable_room(room)
                 for room in rooms
             },
-            victims=borrowers.victims_on(self._state, rooms, allowed),
+            victims=borrowers.victims_on(state, rooms, allowed),
         ).run()
 
     def _is_preemptable_for(
@@ -359,9 +361,7 @@
     avoid = state.avoided(job, mixing=True).union(
         state.quarantine.failed_on(job.job_id)
     )
-    limits = None
-    if job.max_per_worker:
-        limits = dict.fromkeys(state.topology.workers, job.max_per_worker)
+    limits = _limits(state, job)
     best: victims.Choice | None = None
     while best is None:
         portion = list(itertools.islice(groups, GROUPS_TRIED))
@@ -385,3 +385,15 @@
             if best is None or choice.cost < best.cost:
                 best = choice
     return best
+
+
+def _limits(
+    state: state_module.State, job: model.JobSpec
+) -> dict[str, int] | None:
+    """Return the most tasks by worker; None if the job sets no limit."""
+    if not job.max_per_worker:
+        return None
+    return {
+        worker_id: state.eligibility.most_tasks(room, job)
+        for worker_id, room in state.topology.workers.items()
+    }
--- a/src/knapweedwharf/core/scheduler.py
+++ b/src/knapweedwharf/core/scheduler.py
@@ -16,6 +16,7 @@
 from knapweedwharf.core import constraint
 from knapweedwharf.core import explain
 from knapweedwharf.core import model
+from knapweedwharf.core import order
 from knapweedwharf.core import reclaim
 from knapweedwharf.core import record as record_module
 from knapweedwharf.core import reorder
@@ -32,6 +33,9 @@
 PREEMPT_PAUSE_SHARE = 0.1
 """The same as a share of the wait, for jobs that waited long."""
 
+HEADROOM_SHARE = 0.8
+"""Share of its objective; a job that would end later ignores headroom."""
+
 _DONE = object()
 
 
@@ -206,7 +210,7 @@
             avoid = state.suspects.beside(
                 claim.job, state.job_of_attempt, state.now_s
             )
-            if all(
+            if not state.eligibility.violated(claim.job, claim.tasks) and all(
                 worker_id in rooms
                 and worker_id not in avoid
                 and rooms[worker_id].usable
@@ -235,7 +239,7 @@
             return
         if self._start_on_probation(record):
             return
-        if not state.leaves_headroom(job):
+        if not self._leaves_headroom(job):
             text = "The job can wait; this room is kept for higher precedence."
             self._block(record, state.reason("room-kept", text))
             return
@@ -249,6 +253,26 @@
         text = explain.no_room(state, job)
         self._block(record, state.reason("no-room", text))
 
+    def _leaves_headroom(self, job: model.JobSpec) -> bool:
+        """Tell whether a job may start without using up the headroom.
+
+        A job that would otherwise be late may use the headroom.
+        """
+        state = self._state
+        policy = state.configuration.policy
+        if policy.headroom_deviations < 0 or job.rank or not job.accelerators:
+            return True
+        if state.is_half_free():
+            return True
+        if state.now_s - job.submitted_s >= policy.headroom_patience_s:
+            return True
+        kept = state.headroom.required(policy.headroom_deviations)
+        if state.topology.open_accelerators - job.accelerators >= kept:
+            return True
+        run_s = state.estimates.run_s(job)
+        ends_s = order.completion_s(job, run_s, state.now_s)
+        return ends_s >= HEADROOM_SHARE * state.order.likely_objective_s(job)
+
     def _block(
         self, record: record_module.JobRecord, reason: model.Reason
     ) -> None:
@@ -332,11 +356,16 @@
         job = record.job
         if job.tasks > 1 or job.urgency == model.URGENT or job.is_suspect:
             return False
+        if not state.quarantine.probation:
+            return False
         need = amount.of_task(job)
+        avoid = state.avoided(job)
         for worker_id in state.quarantine.probation:
             room = state.topology.workers.get(worker_id)
             if room is None or room.exclusions != {topology_module.QUARANTINE}:
                 continue
+            if worker_id in avoid:
+                continue
             allowed = state.quarantine.tasks_allowed(worker_id)
             if len(room.occupants) < allowed and room.free.covers(need):
                 text = f"Tries worker {worker_id} after its quarantine."
--- a/src/knapweedwharf/core/state.py
+++ b/src/knapweedwharf/core/state.py
@@ -9,6 +9,7 @@
 from knapweedwharf.core import claim
 from knapweedwharf.core import constraint
 from knapweedwharf.core import decision
+from knapweedwharf.core import eligibility
 from knapweedwharf.core import estimate
 from knapweedwharf.core import headroom
 from knapweedwharf.core import ledger
@@ -24,9 +25,6 @@
 from knapweedwharf.core import topology
 from knapweedwharf.core import waiting
 
-HEADROOM_SHARE = 0.8
-"""Share of its objective; a job that would end later ignores headroom."""
-
 
 class State:
     """Scheduling state of one data centre.
@@ -61,6 +59,11 @@
         self.progress = progress.Progress()
         self.headroom = headroom.Headroom()
         self.approved: dict[str, set[str]] = {}
+        self.eligibility = eligibility.Eligibility(
+            topology=self.topology,
+            approved=self.approved,
+            record_of=self.job_of_attempt,
+        )
         self.quarantine = quarantine.Quarantine()
         self.placed_s: dict[str, float] = {}
         self.suspects = suspects.Suspects()
@@ -157,25 +160,6 @@
         policy = self.configuration.policy
         return self.topology.is_half_free(policy.accelerator_cores)
 
-    def leaves_headroom(self, job: model.JobSpec) -> bool:
-        """Tell whether a job may start without using up the headroom.
-
-        A job that would otherwise be late may use the headroom.
-        """
-        policy = self.configuration.policy
-        if policy.headroom_deviations < 0 or job.rank or not job.accelerators:
-            return True
-        if self.is_half_free():
-            return True
-        if self.now_s - job.submitted_s >= policy.headroom_patience_s:
-            return True
-        kept = self.headroom.required(policy.headroom_deviations)
-        if self.topology.open_accelerators - job.accelerators >= kept:
-            return True
-        run_s = self.estimates.run_s(job)
-        ends_s = order_module.completion_s(job, run_s, self.now_s)
-        return ends_s >= HEADROOM_SHARE * self.order.likely_objective_s(job)
-
     def search(self, job: model.JobSpec) -> placement.Share | None:
         """Find free workers, near its data or in one rack if preferred.
 
@@ -309,8 +293,15 @@
         share: placement.Share,
         reason: model.Reason,
     ) -> None:
-        """Start a gang on the workers of a share."""
+        """Start a gang on the workers of a share.
+
+        :raises ValueError: if that violates a constraint of the job.
+        """
         job = record.job
+        tasks = {room.spec.worker_id: count for room, count in share}
+        violated = self.eligibility.violated(job, tasks)
+        if violated:
+            raise ValueError(f"{job.job_id} may not start: {violated}")
         self.waiting.discard(job.job_id)
         self.reservations.drop(job.job_id)
         self._counter += 1
--- a/src/knapweedwharf/fleet/start_gate.py
+++ b/src/knapweedwharf/fleet/start_gate.py
@@ -48,6 +48,8 @@
             return False
         if attempt.must_stop or not session.takes_starts:
             return False
+        if not self._has_label(attempt, member, session):
+            return False
         data_centre = session.executor.data_centre
         if not self._evacuations.forbids(data_centre):
             return True
@@ -63,3 +65,26 @@
             was_sent=bool(member.sent_s),
         )
         return False
+
+    def _has_label(
+        self,
+        attempt: attempt_module.Attempt,
+        member: attempt_module.Member,
+        session: session_module.Session,
+    ) -> bool:
+        """Return whether an executor still has the label of a start.
+
+        It may have started again as another kind since the placement.
+        """
+        label = attempt.job.steps[attempt.part.step].label
+        if not label or label in session.executor.labels:
+            return True
+        self._log.info(
+            "start-label-missing",
+            job_id=attempt.job.job_id,
+            task=member.task_id,
+            run=attempt.run,
+            executor=member.executor_id,
+            label=label,
+        )
+        return False
--- a/testing/core/scenario.py
+++ b/testing/core/scenario.py
@@ -32,6 +32,7 @@
         found = invariant.violations(self.engine)
         assert not found, found
         assert invariant.wrong_stops(self.engine, taken) == []
+        assert invariant.wrong_starts(self.engine, taken) == []
         self.decisions.extend(taken)
         for one in taken:
             if isinstance(one, decision.StartGang):
--- a/testing/core/test_passes.py
+++ b/testing/core/test_passes.py
@@ -150,6 +150,7 @@
             taken = taken + self.engine.schedule(now_s=self.now_s, tries=1)
             assert invariant.violations(self.engine) == []
         assert invariant.wrong_stops(self.engine, taken) == []
+        assert invariant.wrong_starts(self.engine, taken) == []
         self.decisions.extend(taken)
         for one in taken:
             if isinstance(one, decision.StartGang):
