Refuse submissions at once in an outage, whatever the backlog

Cause: a submission read the published backlog before it looked how long the store had been silent, so each waited up to 0.3 s for a refusal that was certain. Now the backlog is read only while the store isn't suspect, and not again for 0.5 s after a try without an answer. Found by reading the change anew; test_in_an_outage_of_the_store_submissions_are_refused_at_once fails before.

--- a/src/knapweedwharf/fleet/backlog_record.py
+++ b/src/knapweedwharf/fleet/backlog_record.py
@@ -33,6 +33,10 @@
 """Age up to which what was read serves; the first once the backlog is notable
 or a submission is large."""
 
+RETRY_AFTER_S = 0.5
+"""Time between two tries to read; callers don't wait for each of them while
+the store doesn't answer."""
+
 LARGE_BYTES = 64_000
 
 COUNTED_AFTER_S = 2.0
@@ -117,6 +121,7 @@
         self._store = store
         self._known = backlog_module.Backlog()
         self._read_s = float("-inf")
+        self._tried_s = float("-inf")
         self._stored_since = 0
         self._unpublished: collections.deque[tuple[float, str, int]] = (
             collections.deque()
@@ -134,6 +139,9 @@
         sent_s = clock.elapsed_s()
         if sent_s - self._read_s <= max_age_s:
             return
+        if sent_s - self._tried_s <= RETRY_AFTER_S:
+            return
+        self._tried_s = sent_s
         read = await self._store.read(
             records.BACKLOG_KEY, timeout_s=READ_TIMEOUT_S
         )
--- a/src/knapweedwharf/fleet/job_api.py
+++ b/src/knapweedwharf/fleet/job_api.py
@@ -199,7 +199,8 @@
         A job that is stored already, by a call whose answer was lost, is
         not refused.
         """
-        await self._backlog.refresh(needed)
+        if self._desired.age_s <= STORE_SUSPECT_S:
+            await self._backlog.refresh(needed)
         wait_s = self._backlog.wait_s(
             allowed.account, needed, accounts=len(allowed.desired.accounts)
         )
--- a/testing/fleet/test_backlog.py
+++ b/testing/fleet/test_backlog.py
@@ -11,6 +11,7 @@
 from knapweedwharf import errors
 from knapweedwharf.fleet import backlog
 from knapweedwharf.fleet import clock
+from knapweedwharf.fleet import job_api
 from knapweedwharf.fleet import open_parts
 from knapweedwharf.fleet import records
 from knapweedwharf.fleet import retention
@@ -256,6 +257,23 @@
     scene_module.run_on_virtual_time(main, monkeypatch)
 
 
+def test_in_an_outage_of_the_store_submissions_are_refused_at_once(
+    monkeypatch,
+):
+    """Each of them waited for the published backlog first."""
+
+    async def main(scene):
+        await scene.open(vms=1, executors=1)
+        scene.vms[0].store.path.silent = True
+        await asyncio.sleep(job_api.STORE_SUSPECT_S + 0.3)
+        began_s = clock.elapsed_s()
+        _id, outcome = await _submit(scene, scene.vms[0], scene_module.step())
+        assert _is_refused(outcome)
+        assert clock.elapsed_s() - began_s < 0.01
+
+    scene_module.run_on_virtual_time(main, monkeypatch)
+
+
 def test_a_full_backlog_asks_callers_back_when_enough_is_freed():
     known = backlog.Backlog({"acme": backlog.LIMIT_BYTES}, 1_000_000.0)
     excess = known.excess("acme", 3_000_000, accounts=2)
