--- a/src/knapweedwharf/fleet/departures.py
+++ b/src/knapweedwharf/fleet/departures.py
@@ -101,10 +101,10 @@
         :param incarnation_ms: 0 if it isn't known.
         :param how: what its absence or its successor suggests.
         """
-        if _names(self._leaving, executor_id, incarnation_ms):
+        if _contains(self._leaving, executor_id, incarnation_ms):
             return executor_loss.LEFT
         known = self._known
-        if known is not None and not _names(
+        if known is not None and not _contains(
             known, executor_id, incarnation_ms
         ):
             return executor_loss.UNEXPLAINED
@@ -270,12 +270,12 @@
             self._changed.set()
 
 
-def _names(
+def _contains(
     incarnations: abc.Collection[Incarnation],
     executor_id: str,
     incarnation_ms: int,
 ) -> bool:
-    """Return whether an incarnation is named; any of its id if unknown."""
+    """Return whether an incarnation is there; any of its id if unknown."""
     if incarnation_ms:
         return (executor_id, incarnation_ms) in incarnations or (
             executor_id,
--- a/src/knapweedwharf/fleet/open_parts.py
+++ b/src/knapweedwharf/fleet/open_parts.py
@@ -66,5 +66,8 @@
             MAX_WAITING_PARTS - waiting,
             max(MAX_OPEN_TASKS - self._total, share - of_account),
         )
-        is_small = not of_account or job.most_tasks_of_part == 1
-        return max(most, 1) if not flow.open_tasks and is_small else most
+        has_none = not flow.open_parts
+        if has_none and (job.most_tasks_of_part == 1 or not of_account):
+            # Each job goes on, except wide gangs beside others of the account.
+            return max(most, 1)
+        return most
--- a/testing/fleet/test_departures.py
+++ b/testing/fleet/test_departures.py
@@ -9,6 +9,7 @@
 import structlog
 
 from knapweedwharf.core import workflow
+from knapweedwharf.fleet import departures
 from knapweedwharf.fleet import model
 from testing.fleet import scene as scene_module
 from testing.fleet import test_crashing_tasks as crashing
@@ -171,6 +172,40 @@
     _check_nobody_blamed(lines)
 
 
+def test_an_executor_that_drains_beyond_its_record_is_not_blamed(
+    monkeypatch,
+):
+    """Its entry doesn't change meanwhile, and the record drops it."""
+
+    async def main(scene):
+        await scene.open(vms=2, executors=2)
+        await scene.submit(
+            scene.vms[-1],
+            scene_module.step(expected_run_s=2 * departures.KEPT_S),
+            behaviour={"run_s": 2 * departures.KEPT_S},
+        )
+        executor_id = await _executor_at_work(scene, 1)
+        executor = scene.pool.executors[executor_id]
+        await scene.list_executor(
+            dataclasses.replace(
+                executor.spec,
+                state=model.DRAINING,
+                remaining_s=3 * departures.KEPT_S,
+            )
+        )
+        await asyncio.sleep(
+            departures.KEPT_S + 2 * departures.STORE_INTERVAL_S
+        )
+        await _kill_owner(scene)
+        await executor.crash()
+        await scene.store.external_remove(scene_module.EXECUTORS + executor_id)
+        await asyncio.sleep(crashing.LAPSE_S + 5.0)
+
+    with structlog.testing.capture_logs() as lines:
+        scene_module.run_on_virtual_time(main, monkeypatch)
+    _check_nobody_blamed(lines)
+
+
 def test_work_beside_executors_that_left_around_a_take_over_goes_on_at_once(
     monkeypatch,
 ):
