Call what the project has: group counts, a job's tasks, one footprint

Cause: read anew. wrong_starts counted a spread group beside constraint.tasks_of_group; the owner summed all steps of all jobs twice a second for the backlog; a submission worked out its footprint twice.

Change: the invariant calls tasks_of_group, Job.total_tasks is worked out once a job, and submit keeps the footprint. No behaviour changes.

--- a/src/knapweedwharf/core/invariant.py
+++ b/src/knapweedwharf/core/invariant.py
@@ -9,6 +9,7 @@
 from collections import abc
 
 from knapweedwharf.core import amount
+from knapweedwharf.core import constraint
 from knapweedwharf.core import decision
 from knapweedwharf.core import engine as engine_module
 from knapweedwharf.core import ledger
@@ -64,12 +65,10 @@
                 found.append(f"{job.job_id} is on {place.worker_id}: label")
             if job.approval and place.worker_id not in approved:
                 found.append(f"{job.job_id} is on {place.worker_id}: approval")
-            if job.max_per_worker and job.max_per_worker < sum(
-                len(places)
-                for attempt_id, places in room.occupants.items()
-                if (other := engine.state.job_of_attempt(attempt_id))
-                and other.job.spread_group == job.spread_group
-            ):
+            running = constraint.tasks_of_group(
+                room, job, engine.state.job_of_attempt
+            )
+            if job.max_per_worker and running > job.max_per_worker:
                 found.append(f"{job.job_id} is on {place.worker_id}: spread")
     return found
 
--- a/src/knapweedwharf/core/workflow.py
+++ b/src/knapweedwharf/core/workflow.py
@@ -113,6 +113,11 @@
         """Tasks of the part that has the most; 1 unless there are gangs."""
         return max((s.tasks for s in self.steps if s.is_gang), default=1)
 
+    @functools.cached_property
+    def total_tasks(self) -> int:
+        """Number of its tasks in all occurrences."""
+        return self.occurrences * sum(step.tasks for step in self.steps)
+
     def chain_s(self, number: int) -> float:
         """Return the expected time of the longest chain from a step on."""
         return self._chains_s[number]
--- a/src/knapweedwharf/fleet/backlog.py
+++ b/src/knapweedwharf/fleet/backlog.py
@@ -28,12 +28,11 @@
 
 def footprint(job: workflow.Job) -> int:
     """Return the bytes that a job may take of an owner until it ends."""
-    tasks = job.occurrences * sum(step.tasks for step in job.steps)
     return (
         JOB_BYTES
         + len(job.specification)
         + STEP_BYTES * len(job.steps)
-        + TASK_BYTES * tasks
+        + TASK_BYTES * job.total_tasks
     )
 
 
--- a/src/knapweedwharf/fleet/job_api.py
+++ b/src/knapweedwharf/fleet/job_api.py
@@ -178,17 +178,16 @@
         permitted = self.allow(call)
         if isinstance(permitted, result.Failure):
             return permitted
-        job = _job_of(permitted.unwrap(), **fields)
-        refused = await self._refuse_beyond_backlog(
-            call, permitted.unwrap(), backlog.footprint(job)
-        )
+        allowed = permitted.unwrap()
+        needed = backlog.footprint(_job_of(allowed, **fields))
+        refused = await self._refuse_beyond_backlog(call, allowed, needed)
         if refused is not None:
             return refused
         stored = await self._commit_call(call, commit, event="submission")
         if not isinstance(stored, result.Failure) or isinstance(
             stored.failure(), errors.OutcomeUnknown
         ):
-            self._backlog.note_stored(job.account, backlog.footprint(job))
+            self._backlog.note_stored(allowed.account, needed)
         return stored
 
     async def _refuse_beyond_backlog(
